--- /dev/null
+++ b/crates/nutmegwheel-control/src/lib.rs
@@ -0,0 +1,3 @@
+//! The control role: durable configuration and the operators' interface.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
--- /dev/null
+++ b/crates/nutmegwheel-link/src/lib.rs
@@ -0,0 +1,3 @@
+//! Framed streams between the processes of nutmegwheel.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
--- /dev/null
+++ b/crates/nutmegwheel-types/src/ids.rs
@@ -0,0 +1,27 @@
+use std::sync::Arc;
+
+/// The name of a workspace (a tenant), as the operators' configuration spells it.
+pub type WorkspaceId = Arc<str>;
+/// The name of a service, the first segment of a request's path.
+pub type ServiceId = Arc<str>;
+/// The name of an endpoint of a service, the second segment of a request's path.
+pub type EndpointId = Arc<str>;
+/// The name of a class of work.
+pub type ClassId = Arc<str>;
+/// The rank of a class of work: 0 is shed last.
+pub type ClassRank = u8;
+/// The name of a data centre.
+pub type DataCentreId = Arc<str>;
+/// The name of a process of the system, unique in the fleet.
+pub type ProcessName = Arc<str>;
+/// The number of a process's life: it grows at every restart.
+pub type Incarnation = u64;
+/// The version of the replicated configuration, which only goes up.
+pub type ConfigVersion = u64;
+/// The SHA-256 of a workspace key; the key itself is never stored.
+pub type KeyHash = [u8; 32];
+/// The id of a client request, kept over the whole call chain.
+pub type RootId = u128;
+/// The id that names one request over all its resends; the hash of workspace, endpoint and the
+/// caller's idempotency key.
+pub type RequestId = [u8; 32];
--- /dev/null
+++ b/crates/nutmegwheel/src/main.rs
@@ -0,0 +1,3 @@
+//! The binary of nutmegwheel.
+
+fn main() {}
--- /dev/null
+++ b/tests/support/src/lib.rs
@@ -0,0 +1,3 @@
+//! Small fakes for the tests.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,3 @@
+//! Generates the committed wire types from proto/.
+
+fn main() {}
