--- /dev/null
+++ b/crates/nutmegwheel-config/src/change.rs
@@ -0,0 +1,69 @@
+use nutmegwheel_types::{KeyHash, WorkspaceId, hex};
+use serde::Serialize;
+
+use crate::{
+    CheckError, Configuration, configuration,
+    reader::{self, Field, Table},
+};
+
+/// What an operator asks for under a number; docs/INTERFACES.md, "Changes".
+#[derive(Clone, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Change {
+    /// Replaces the whole configuration.
+    Configure(Configuration),
+    /// Gives a key to a workspace.
+    GiveKey {
+        /// The workspace that the key speaks for.
+        workspace: WorkspaceId,
+        /// The key's hash.
+        #[serde(serialize_with = "spell")]
+        hash: KeyHash,
+    },
+}
+
+impl Change {
+    /// Reads and checks the body of a change.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault with its line and field.
+    pub fn parse(text: &str) -> Result<Self, CheckError> {
+        reader::document(text, read)
+    }
+
+    /// The canonical form, equal for equal content.
+    #[must_use]
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
+
+fn spell<S: serde::Serializer>(hash: &KeyHash, to: S) -> Result<S::Ok, S::Error> {
+    to.serialize_str(&hex::encode(hash))
+}
+
+fn read(mut table: Table<'_>) -> Result<Change, CheckError> {
+    let change = if let Some(field) = table.take("configure") {
+        Change::Configure(configuration::read(field.table()?)?)
+    } else if let Some(field) = table.take("give_key") {
+        read_give_key(field.table()?)?
+    } else {
+        return Err(table.error("must hold configure or give_key"));
+    };
+    table.finish()?;
+    Ok(change)
+}
+
+fn read_give_key(mut table: Table<'_>) -> Result<Change, CheckError> {
+    let change = Change::GiveKey {
+        workspace: table.need("workspace")?.name()?.into(),
+        hash: read_hash(&table.need("hash")?)?,
+    };
+    table.finish()?;
+    Ok(change)
+}
+
+pub(crate) fn read_hash(field: &Field<'_>) -> Result<KeyHash, CheckError> {
+    hex::decode(field.string()?).ok_or_else(|| field.error("must be 64 hex digits"))
+}
--- /dev/null
+++ b/crates/nutmegwheel-config/src/configuration.rs
@@ -0,0 +1,228 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use nutmegwheel_types::{ClassId, ClassRank, EndpointId, ServiceId, WorkspaceId, plain_copy};
+use serde::Serialize;
+
+use crate::{
+    CheckError,
+    reader::{self, Field, Table},
+};
+
+/// The endpoint name that stands for every endpoint not named itself.
+const ANY_ENDPOINT: &str = "*";
+/// The lowest rank of a class.
+const RANK_MAX: ClassRank = 15;
+/// The longest target and deadline, in ms.
+const WITHIN_MAX_MS: u64 = 600_000;
+/// The highest rate, in requests a second, and the largest burst.
+const RATE_MAX: f64 = 1e6;
+/// The most retries that one client request may cause.
+const RETRIES_MAX: u32 = 16;
+/// The retries of one client request where the operators name none.
+const RETRIES_DEFAULT: u32 = 3;
+
+plain_copy! {
+    /// What a data centre does that is cut off from the control VMs.
+    #[derive(Serialize, Default)]
+    #[serde(rename_all = "snake_case")]
+    pub enum WhenCutOff {
+        /// Goes on with the newest configuration that it holds.
+        #[default]
+        Serve,
+        /// Refuses keyed requests.
+        Refuse,
+    }
+}
+
+/// What the operators want, as they wrote it; docs/INTERFACES.md, "The configuration".
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Configuration {
+    /// The classes of work with their targets.
+    pub classes: BTreeMap<ClassId, Class>,
+    /// The endpoints of every service.
+    pub services: BTreeMap<ServiceId, BTreeMap<EndpointId, Route>>,
+    /// The workspaces with what each may use.
+    pub workspaces: BTreeMap<WorkspaceId, Workspace>,
+    /// The retries that one client request may cause over its whole chain.
+    pub retries_per_request: u32,
+    /// What a data centre does that is cut off.
+    pub when_cut_off: WhenCutOff,
+}
+
+/// The target of a class of work.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Class {
+    /// Its place when capacity runs short; 0 is shed last.
+    pub rank: ClassRank,
+    /// The share of its requests that must finish in time, above 0 and at most 1.
+    pub finish: f64,
+    /// The time in which they must finish.
+    #[serde(rename = "within_ms", serialize_with = "millis")]
+    pub within: Duration,
+}
+
+/// How the requests of an endpoint are taken.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Route {
+    /// The class of the work.
+    pub class: ClassId,
+    /// Whether it is open to all, without a key.
+    pub open: bool,
+    /// Whether a request may run at most once.
+    pub non_idempotent: bool,
+}
+
+/// What a workspace may use, counted over the whole fleet.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Workspace {
+    /// Requests a second.
+    pub rate: f64,
+    /// How many requests may come at once.
+    pub burst: f64,
+}
+
+/// Why a path leads nowhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoRoute {
+    /// The configuration has no such service.
+    Service,
+    /// The service has no such endpoint.
+    Endpoint,
+}
+
+impl Configuration {
+    /// Reads and checks a whole configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault with its line and field.
+    pub fn parse(text: &str) -> Result<Self, CheckError> {
+        reader::document(text, read)
+    }
+
+    /// The canonical form, equal for equal content.
+    #[must_use]
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+
+    /// Finds the route of an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Says which part of the path is unknown.
+    pub fn route(&self, service: &str, endpoint: &str) -> Result<&Route, NoRoute> {
+        let endpoints = self.services.get(service).ok_or(NoRoute::Service)?;
+        endpoints
+            .get(endpoint)
+            .or_else(|| endpoints.get(ANY_ENDPOINT))
+            .ok_or(NoRoute::Endpoint)
+    }
+}
+
+fn millis<S: serde::Serializer>(time: &Duration, to: S) -> Result<S::Ok, S::Error> {
+    to.serialize_u64(u64::try_from(time.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Reads a configuration that stands inside another document.
+pub(crate) fn read(mut table: Table<'_>) -> Result<Configuration, CheckError> {
+    let classes = read_classes(&table.need("classes")?)?;
+    let services = read_services(&table.need("services")?, &classes)?;
+    let workspaces = read_workspaces(&table.need("workspaces")?)?;
+    let retries_per_request = match table.take("retries_per_request") {
+        Some(field) => field.number(&(0..=RETRIES_MAX))?,
+        None => RETRIES_DEFAULT,
+    };
+    let when_cut_off = match table.take("when_cut_off") {
+        Some(field) => read_when_cut_off(&field)?,
+        None => WhenCutOff::default(),
+    };
+    table.finish()?;
+    Ok(Configuration {
+        classes,
+        services,
+        workspaces,
+        retries_per_request,
+        when_cut_off,
+    })
+}
+
+fn read_classes(field: &Field<'_>) -> Result<BTreeMap<ClassId, Class>, CheckError> {
+    let mut classes = BTreeMap::new();
+    for (name, field) in field.table()?.named()? {
+        let mut table = field.table()?;
+        let class = Class {
+            rank: table.need("rank")?.number(&(0..=RANK_MAX))?,
+            finish: read_above_zero(&table.need("finish")?, 1.0)?,
+            within: Duration::from_millis(table.need("within_ms")?.number(&(1..=WITHIN_MAX_MS))?),
+        };
+        table.finish()?;
+        classes.insert(name.into(), class);
+    }
+    Ok(classes)
+}
+
+fn read_services(
+    field: &Field<'_>,
+    classes: &BTreeMap<ClassId, Class>,
+) -> Result<BTreeMap<ServiceId, BTreeMap<EndpointId, Route>>, CheckError> {
+    let mut services = BTreeMap::new();
+    for (service, field) in field.table()?.named()? {
+        let mut endpoints = BTreeMap::new();
+        for (endpoint, field) in field.table()?.named()? {
+            endpoints.insert(endpoint.into(), read_route(field.table()?, classes)?);
+        }
+        services.insert(service.into(), endpoints);
+    }
+    Ok(services)
+}
+
+fn read_route(
+    mut table: Table<'_>,
+    classes: &BTreeMap<ClassId, Class>,
+) -> Result<Route, CheckError> {
+    let field = table.need("class")?;
+    let class = field.name()?;
+    if !classes.contains_key(class) {
+        return Err(field.error(format!("there is no class {class:?}")));
+    }
+    let flag = |field: Option<Field<'_>>| field.map_or(Ok(false), |field| field.boolean());
+    let route = Route {
+        class: class.into(),
+        open: flag(table.take("open"))?,
+        non_idempotent: flag(table.take("non_idempotent"))?,
+    };
+    table.finish()?;
+    Ok(route)
+}
+
+fn read_workspaces(field: &Field<'_>) -> Result<BTreeMap<WorkspaceId, Workspace>, CheckError> {
+    let mut workspaces = BTreeMap::new();
+    for (name, field) in field.table()?.named()? {
+        let mut table = field.table()?;
+        let workspace = Workspace {
+            rate: read_above_zero(&table.need("rate")?, RATE_MAX)?,
+            burst: table.need("burst")?.number(&(1.0..=RATE_MAX))?,
+        };
+        table.finish()?;
+        workspaces.insert(name.into(), workspace);
+    }
+    Ok(workspaces)
+}
+
+fn read_above_zero(field: &Field<'_>, max: f64) -> Result<f64, CheckError> {
+    let number = field.number(&(0.0..=max))?;
+    if number > 0.0 {
+        Ok(number)
+    } else {
+        Err(field.error("must be above 0"))
+    }
+}
+
+fn read_when_cut_off(field: &Field<'_>) -> Result<WhenCutOff, CheckError> {
+    match field.string()? {
+        "serve" => Ok(WhenCutOff::Serve),
+        "refuse" => Ok(WhenCutOff::Refuse),
+        other => Err(field.error(format!("{other:?} must be \"serve\" or \"refuse\""))),
+    }
+}
--- a/crates/nutmegwheel-config/src/lib.rs
+++ b/crates/nutmegwheel-config/src/lib.rs
@@ -1,3 +1,19 @@
 //! Settings of a process and the replicated configuration, both checked whole.
+//!
+//! Both are JSON with comments. A document is refused as a whole at its first fault, with the line
+//! and the field, so that nothing is ever half in force; see docs/INTERFACES.md.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
+
+mod change;
+mod configuration;
+mod error;
+mod reader;
+mod settings;
+mod view;
+
+pub use change::Change;
+pub use configuration::{Class, Configuration, NoRoute, Route, WhenCutOff, Workspace};
+pub use error::CheckError;
+pub use settings::{Listen, Role, Seed, Settings};
+pub use view::{View, ViewError, hash_key};
--- /dev/null
+++ b/crates/nutmegwheel-events/src/catalogue.rs
@@ -0,0 +1,101 @@
+use log::Level;
+use nutmegwheel_types::plain_copy;
+
+macro_rules! catalogue {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $word:literal, $level:ident;)*) => {
+        plain_copy! {
+            /// A numbered event; docs/EVENTS.md tells operators what each one means.
+            pub enum Event {
+                $($(#[$doc])* $name,)*
+            }
+        }
+
+        impl Event {
+            /// Every event, in the order of the numbers.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// The stable number.
+            #[must_use]
+            pub fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)* }
+            }
+
+            /// The stable word.
+            #[must_use]
+            pub fn word(self) -> &'static str {
+                match self { $(Self::$name => $word,)* }
+            }
+
+            /// How loudly it is logged.
+            #[must_use]
+            pub fn level(self) -> Level {
+                match self { $(Self::$name => Level::$level,)* }
+            }
+        }
+    };
+}
+
+catalogue! {
+    /// The process took up its work.
+    ProcessStarted = 100, "process-started", Info;
+    /// The process was told to stop and takes nothing new.
+    ProcessLeaving = 101, "process-leaving", Info;
+    /// The process finished everything and ends.
+    ProcessStopped = 102, "process-stopped", Info;
+    /// A task of the supervisor tree failed and was started again.
+    TaskRestarted = 103, "task-restarted", Error;
+    /// A backend server announced itself or changed its state.
+    BackendAnnounced = 200, "backend-announced", Info;
+    /// A backend server's announcement lapsed without a renewal.
+    BackendLapsed = 201, "backend-lapsed", Warn;
+    /// A backend server broke off requests that it had begun.
+    BackendDied = 202, "backend-died", Warn;
+    /// A backend server gets no requests for a time because too many of them failed.
+    BackendEjected = 203, "backend-ejected", Warn;
+    /// An ejected backend server gets requests again.
+    BackendReadmitted = 204, "backend-readmitted", Info;
+    /// The level at which a node sheds changed.
+    ShedLevelChanged = 300, "shed-level-changed", Warn;
+    /// A request spent the last retry of its chain.
+    RetriesSpent = 301, "retries-spent", Warn;
+    /// Requests of a fingerprint are refused because they bring down backend servers.
+    RequestQuarantined = 302, "request-quarantined", Error;
+    /// A workspace used up its rate.
+    WorkspaceOverRate = 303, "workspace-over-rate", Info;
+    /// A newer configuration is in force in this process.
+    ConfigurationInForce = 400, "configuration-in-force", Info;
+    /// A configuration or view from another process was refused.
+    ViewRefused = 401, "view-refused", Error;
+    /// This process refuses a key from now on.
+    KeyWithdrawn = 402, "key-withdrawn", Info;
+    /// The node serves no keyed work because its view may be old.
+    NodeFenced = 403, "node-fenced", Warn;
+    /// The node serves keyed work again.
+    NodeUnfenced = 404, "node-unfenced", Info;
+    /// Another process joined the fleet.
+    MemberJoined = 410, "member-joined", Info;
+    /// Another process does not answer and may be dead.
+    MemberSuspected = 411, "member-suspected", Warn;
+    /// Another process is leaving or has left.
+    MemberLeft = 412, "member-left", Info;
+    /// Another process is dead.
+    MemberDied = 413, "member-died", Warn;
+    /// A change of an operator was committed.
+    ChangeCommitted = 500, "change-committed", Info;
+    /// A change of an operator was refused.
+    ChangeRefused = 501, "change-refused", Warn;
+    /// This control VM became the leader.
+    LeaderElected = 502, "leader-elected", Info;
+    /// This control VM is no longer the leader.
+    LeaderStoodDown = 503, "leader-stood-down", Warn;
+    /// The disk of a control VM did not take what it had to keep.
+    StorageFailed = 504, "storage-failed", Error;
+    /// A member of the control group was added, replaced or removed.
+    ControlMembersChanged = 505, "control-members-changed", Info;
+    /// A data centre's share of a workspace's rate moved.
+    ShareMoved = 506, "share-moved", Info;
+    /// This process hands out the tokens of its data centre.
+    StewardElected = 507, "steward-elected", Info;
+    /// This process no longer hands out tokens.
+    StewardStoodDown = 508, "steward-stood-down", Info;
+}
--- a/crates/nutmegwheel-events/src/lib.rs
+++ b/crates/nutmegwheel-events/src/lib.rs
@@ -1,3 +1,15 @@
 //! Numbered log events, the hybrid logical clock and the merged time line.
+//!
+//! The catalogue is docs/EVENTS.md; a test compares it with [`Event::ALL`].
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
+
+mod catalogue;
+mod clock;
+mod journal;
+mod timeline;
+
+pub use catalogue::Event;
+pub use clock::{Clock, Stamp, SystemTime, WallTime};
+pub use journal::{Journal, Options, Record};
+pub use timeline::{merge, render};
--- a/crates/nutmegwheel-types/src/lib.rs
+++ b/crates/nutmegwheel-types/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod context;
 mod derives;
+/// Bytes as hex digits, the form in which hashes and root ids are shown.
+pub mod hex;
 mod ids;
 
 pub use context::{Context, Priority};
--- /dev/null
+++ b/crates/nutmegwheel-web/src/body.rs
@@ -0,0 +1,37 @@
+use std::{future::poll_fn, pin::pin, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use xitca_web::body::{Body, Frame, RequestBody};
+
+use crate::Problem;
+
+/// Reads a body whole, so that a request can be tried again elsewhere.
+///
+/// # Errors
+///
+/// Refuses a body that passes `limit` bytes, takes longer than `patience` or breaks off.
+pub(crate) async fn read(
+    body: RequestBody,
+    limit: usize,
+    patience: Duration,
+) -> Result<Bytes, Problem> {
+    match tokio::time::timeout(patience, collect(body, limit)).await {
+        Ok(read) => read,
+        Err(_) => Err(Problem::bad_request("the body did not arrive in time").closing()),
+    }
+}
+
+async fn collect(body: RequestBody, limit: usize) -> Result<Bytes, Problem> {
+    let mut body = pin!(body);
+    let mut buf = BytesMut::new();
+    while let Some(frame) = poll_fn(|cx| body.as_mut().poll_frame(cx)).await {
+        let frame = frame.map_err(|_| Problem::bad_request("the body broke off").closing())?;
+        if let Frame::Data(data) = frame {
+            if buf.len() + data.len() > limit {
+                return Err(Problem::body_too_large(limit));
+            }
+            buf.extend_from_slice(&data);
+        }
+    }
+    Ok(buf.freeze())
+}
--- /dev/null
+++ b/crates/nutmegwheel-web/src/connections.rs
@@ -0,0 +1,105 @@
+//! The second handles of accepted connections, which tell that a caller left.
+//!
+//! The HTTP/1 dispatcher of `xitca-web` does not read while a handler runs, so that a caller who
+//! leaves would be noticed only when the answer is written. A duplicate of the socket is looked
+//! at in the meantime; it takes no byte from the connection.
+
+use std::{
+    collections::HashMap,
+    io,
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use xitca_io::net::Stream;
+use xitca_server::net::{IntoListener, Listen};
+
+/// The duplicates by the peer's address, dropped when the connection's last request is done with
+/// them and the peer has closed.
+#[derive(Clone, Default)]
+pub(crate) struct Connections {
+    duplicates: Arc<Mutex<HashMap<SocketAddr, std::net::TcpStream>>>,
+}
+
+impl Connections {
+    /// Waits until the peer has closed its side of the connection.
+    ///
+    /// Never returns for a connection that cannot be watched: the answer is then written in vain.
+    pub(crate) async fn left(&self, peer: SocketAddr) {
+        match self.watch(peer) {
+            Ok(stream) => Self::closed(stream).await,
+            Err(_) => std::future::pending().await,
+        }
+    }
+
+    fn watch(&self, peer: SocketAddr) -> io::Result<tokio::net::TcpStream> {
+        let duplicates = self.lock();
+        let stream = duplicates.get(&peer).ok_or(io::ErrorKind::NotFound)?;
+        tokio::net::TcpStream::from_std(stream.try_clone()?)
+    }
+
+    async fn closed(stream: tokio::net::TcpStream) {
+        let mut byte = [0];
+        match stream.peek(&mut byte).await {
+            Ok(0) | Err(_) => {}
+            // The next request of the same caller is waiting, so the caller is there.
+            Ok(_) => std::future::pending().await,
+        }
+    }
+
+    fn add(&self, peer: SocketAddr, stream: &std::net::TcpStream) {
+        if let Ok(duplicate) = stream.try_clone() {
+            self.lock().insert(peer, duplicate);
+        }
+    }
+
+    /// Drops the duplicates of connections that the peer has closed.
+    pub(crate) fn sweep(&self) {
+        let mut byte = [0];
+        self.lock()
+            .retain(|_, stream| match stream.peek(&mut byte) {
+                Ok(0) => false,
+                Ok(_) => true,
+                Err(e) => e.kind() == io::ErrorKind::WouldBlock,
+            });
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, std::net::TcpStream>> {
+        self.duplicates
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A TCP listener that keeps a duplicate of every connection that it accepts.
+pub(crate) struct Watched {
+    pub(crate) listener: TcpListener,
+    pub(crate) connections: Connections,
+}
+
+impl IntoListener for Watched {
+    type Listener = WatchedListener;
+
+    fn into_listener(self) -> io::Result<Self::Listener> {
+        self.listener.set_nonblocking(true)?;
+        Ok(WatchedListener {
+            listener: tokio::net::TcpListener::from_std(self.listener)?,
+            connections: self.connections,
+        })
+    }
+}
+
+pub(crate) struct WatchedListener {
+    listener: tokio::net::TcpListener,
+    connections: Connections,
+}
+
+impl Listen for WatchedListener {
+    async fn accept(&self) -> io::Result<Stream> {
+        let (stream, peer) = self.listener.accept().await?;
+        stream.set_nodelay(true)?;
+        let stream = stream.into_std()?;
+        self.connections.add(peer, &stream);
+        Ok(Stream::Tcp(stream, peer))
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-web/src/server.rs
@@ -0,0 +1,162 @@
+use std::{
+    convert::Infallible,
+    future::Future,
+    io,
+    net::{SocketAddr, TcpListener},
+    pin::Pin,
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use xitca_web::{
+    HttpServer,
+    body::{RequestBody, ResponseBody},
+    http::RequestExt,
+    service::fn_service,
+};
+
+use crate::{
+    body,
+    connections::{Connections, Watched},
+};
+
+/// The largest head of a request, in bytes; docs/INTERFACES.md, "Limits".
+const HEAD_LIMIT: usize = 16 * 1024;
+/// The most header fields of a request.
+const HEADER_LIMIT: usize = 64;
+/// How much of an answer is gathered before it is written, in bytes.
+const WRITE_LIMIT: usize = 64 * 1024;
+/// The time between two searches for connections that their peer closed.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
+/// The time for which a connection may stay without a request.
+const KEEP_ALIVE: Duration = Duration::from_secs(120);
+
+/// A request that was read whole.
+pub struct Request {
+    /// Method, path and header fields.
+    pub head: http::request::Parts,
+    /// The whole body.
+    pub body: Bytes,
+    /// The address of the caller.
+    pub peer: SocketAddr,
+}
+
+/// A whole answer.
+pub type Response = http::Response<Bytes>;
+
+/// What a [`Handler`] returns; dropped when the caller leaves.
+pub type HandlerFuture = Pin<Box<dyn Future<Output = Response> + Send>>;
+
+/// Answers the requests of one listener.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request; the future is dropped when the caller leaves.
+    fn handle(&self, req: Request) -> HandlerFuture;
+}
+
+/// How a listener is opened.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The address to listen on; port 0 takes a free one.
+    pub address: SocketAddr,
+    /// The largest body of a request, in bytes.
+    pub body_limit: usize,
+    /// The time in which a head, and then a body, must have arrived.
+    pub patience: Duration,
+}
+
+/// A running listener; it goes on after the handle is dropped and ends by [`Server::stop`].
+pub struct Server {
+    address: SocketAddr,
+    handle: xitca_server::ServerHandle,
+}
+
+/// Access.
+impl Server {
+    /// The address on which the listener takes connections.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+/// Lifecycle.
+impl Server {
+    /// Takes no further connections; requests that run are finished.
+    pub fn stop(&self) {
+        self.handle.stop(true);
+    }
+}
+
+/// Opens a listener and answers its requests by `handler`.
+///
+/// # Errors
+///
+/// Returns the error of the socket when the address cannot be bound.
+pub fn bind(opts: Options, handler: Arc<dyn Handler>) -> io::Result<Server> {
+    let listener = TcpListener::bind(opts.address)?;
+    let address = listener.local_addr()?;
+    let connections = Connections::default();
+    tokio::spawn(sweep(connections.clone()));
+    let watched = Watched {
+        listener,
+        connections: connections.clone(),
+    };
+    let service = fn_service(move |req: http::Request<RequestExt<RequestBody>>| {
+        let handler = handler.clone();
+        let connections = connections.clone();
+        let (limit, patience) = (opts.body_limit, opts.patience);
+        async move { answer(req, &*handler, &connections, limit, patience).await }
+    });
+    let mut server = HttpServer::serve(service)
+        .worker_threads(1)
+        .worker_max_blocking_threads(1)
+        .disable_signal()
+        .keep_alive_timeout(KEEP_ALIVE)
+        .request_head_timeout(opts.patience)
+        .max_read_buf_size::<HEAD_LIMIT>()
+        .max_write_buf_size::<WRITE_LIMIT>()
+        .max_request_headers::<HEADER_LIMIT>()
+        .listen(watched)?
+        .run();
+    let handle = server.handle()?;
+    tokio::spawn(server);
+    Ok(Server { address, handle })
+}
+
+async fn sweep(connections: Connections) {
+    loop {
+        tokio::time::sleep(SWEEP_INTERVAL).await;
+        connections.sweep();
+    }
+}
+
+async fn answer(
+    req: http::Request<RequestExt<RequestBody>>,
+    handler: &dyn Handler,
+    connections: &Connections,
+    limit: usize,
+    patience: Duration,
+) -> Result<http::Response<ResponseBody>, Infallible> {
+    let (head, ext) = req.into_parts();
+    let peer = *ext.socket_addr();
+    let (_, body) = ext.replace_body(());
+    let body = match body::read(body, limit, patience).await {
+        Ok(body) => body,
+        Err(problem) => return Ok(problem.into_response().map(Into::into)),
+    };
+    let answer = handler.handle(Request { head, body, peer });
+    let res = tokio::select! {
+        res = answer => res,
+        // Nobody reads this answer; it only ends the connection.
+        () = connections.left(peer) => closed(),
+    };
+    Ok(res.map(Into::into))
+}
+
+fn closed() -> Response {
+    let mut res = Response::new(Bytes::new());
+    let close = http::HeaderValue::from_static("close");
+    res.headers_mut().insert(http::header::CONNECTION, close);
+    res
+}
