--- /dev/null
+++ b/crates/nutmegwheel-link/tests/common/mod.rs
@@ -0,0 +1,114 @@
+//! What the link tests share: options of an endpoint and a service that answers by topic.
+#![allow(dead_code)]
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use nutmegwheel_link::{
+    Endpoint, Limits, Options, Peer, Reply, Request, ServeFuture, Service, Topic,
+};
+
+/// Answered at once with the same head and body.
+pub(crate) const ECHO: Topic = Topic(1);
+/// Never answered.
+pub(crate) const NEVER: Topic = Topic(2);
+/// Answered after as many milliseconds as the head's first byte says.
+pub(crate) const LATER: Topic = Topic(3);
+
+pub(crate) fn options(name: &str) -> Options {
+    Options {
+        name: name.into(),
+        data_centre: "riga1".into(),
+        incarnation: 7,
+        listen: "127.0.0.1:0".parse().unwrap(),
+        fleet_secret: b"a secret for the tests of links.".to_vec(),
+        limits: Limits::default(),
+    }
+}
+
+/// Counts what it was asked and what it is still busy with.
+#[derive(Default)]
+pub(crate) struct Ledger {
+    pub(crate) begun: AtomicUsize,
+    pub(crate) open: Arc<AtomicUsize>,
+    pub(crate) notices: Mutex<Vec<(Peer, Topic, Bytes)>>,
+}
+
+struct Open(Arc<AtomicUsize>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Service for Ledger {
+    fn serve(&self, _peer: Peer, req: Request) -> ServeFuture {
+        self.begun.fetch_add(1, Ordering::SeqCst);
+        self.open.fetch_add(1, Ordering::SeqCst);
+        let open = Open(self.open.clone());
+        Box::pin(async move {
+            let _open = open;
+            match req.topic {
+                NEVER => std::future::pending().await,
+                LATER => {
+                    tokio::time::sleep(Duration::from_millis(u64::from(req.head[0]))).await;
+                }
+                _ => {}
+            }
+            Reply {
+                head: req.head,
+                body: req.body,
+            }
+        })
+    }
+
+    fn notice(&self, peer: Peer, topic: Topic, body: Bytes) {
+        self.notices.lock().unwrap().push((peer, topic, body));
+    }
+}
+
+pub(crate) async fn endpoint(name: &str) -> (Endpoint, Arc<Ledger>) {
+    endpoint_with(options(name)).await
+}
+
+pub(crate) async fn endpoint_with(opts: Options) -> (Endpoint, Arc<Ledger>) {
+    let ledger = Arc::new(Ledger::default());
+    let endpoint = Endpoint::bind(opts, ledger.clone()).await.unwrap();
+    (endpoint, ledger)
+}
+
+pub(crate) fn request(topic: Topic, head: impl Into<Bytes>, body: impl Into<Bytes>) -> Request {
+    Request {
+        topic,
+        head: head.into(),
+        body: body.into(),
+    }
+}
+
+pub(crate) fn within(time: Duration) -> Instant {
+    Instant::now() + time
+}
+
+pub(crate) const LONG: Duration = Duration::from_secs(20);
+
+/// Waits until the condition holds; the bound only ends a test that would hang.
+pub(crate) async fn eventually(what: &str, cond: impl Fn() -> bool) {
+    let end = Instant::now() + LONG;
+    while !cond() {
+        assert!(Instant::now() < end, "never: {what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+pub(crate) fn unused_addr() -> SocketAddr {
+    let socket = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    socket.local_addr().unwrap()
+}
--- /dev/null
+++ b/crates/nutmegwheel-link/tests/endpoint.rs
@@ -0,0 +1,103 @@
+//! Calls between two endpoints over loopback.
+
+mod common;
+
+use std::{
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use common::{ECHO, LONG, NEVER, endpoint, eventually, request, unused_addr, within};
+use nutmegwheel_link::{CallError, Step};
+
+#[tokio::test]
+async fn a_call_brings_back_the_whole_reply() {
+    let (a, _) = endpoint("a").await;
+    let (b, ledger) = endpoint("b").await;
+    let body = Bytes::from(vec![7; 300_000]);
+    let reply = a
+        .call(
+            b.local_addr(),
+            request(ECHO, "head", body.clone()),
+            within(LONG),
+        )
+        .await
+        .unwrap();
+    assert_eq!(reply.head, "head");
+    assert_eq!(reply.body, body);
+    assert_eq!(ledger.begun.load(Ordering::SeqCst), 1);
+}
+
+#[tokio::test]
+async fn a_notice_carries_its_sender() {
+    let (a, _) = endpoint("a").await;
+    let (b, ledger) = endpoint("b").await;
+    a.send(b.local_addr(), ECHO, Bytes::from_static(b"hello"));
+    eventually("the notice", || !ledger.notices.lock().unwrap().is_empty()).await;
+    let (peer, topic, body) = ledger.notices.lock().unwrap()[0].clone();
+    assert_eq!(
+        (&*peer.name, &*peer.data_centre, peer.incarnation),
+        ("a", "riga1", 7)
+    );
+    assert_eq!(peer.address, a.local_addr());
+    assert_eq!((topic, body), (ECHO, Bytes::from_static(b"hello")));
+}
+
+#[tokio::test]
+async fn a_dropped_call_is_cancelled_on_the_far_side() {
+    let (a, _) = endpoint("a").await;
+    let (b, ledger) = endpoint("b").await;
+    let call = a.call(b.local_addr(), request(NEVER, "", ""), within(LONG));
+    let task = tokio::spawn({
+        let ledger = ledger.clone();
+        async move { eventually("the start", || ledger.open.load(Ordering::SeqCst) == 1).await }
+    });
+    tokio::select! {
+        _ = call => panic!("answered"),
+        _ = task => {}
+    }
+    eventually("the cancellation", || {
+        ledger.open.load(Ordering::SeqCst) == 0
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_passed_deadline_ends_the_call_and_cancels_it() {
+    let (a, _) = endpoint("a").await;
+    let (b, ledger) = endpoint("b").await;
+    let deadline = within(Duration::from_millis(200));
+    let failed = a
+        .call(b.local_addr(), request(NEVER, "", ""), deadline)
+        .await;
+    assert!(
+        matches!(failed, Err(CallError::Expired { sent: true, .. })),
+        "{failed:?}"
+    );
+    assert!(Instant::now() >= deadline);
+    eventually("the cancellation", || {
+        ledger.open.load(Ordering::SeqCst) == 0
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_peer_that_is_not_there_proves_that_nothing_ran() {
+    let (a, _) = endpoint("a").await;
+    let failed = a
+        .call(unused_addr(), request(ECHO, "", ""), within(LONG))
+        .await
+        .unwrap_err();
+    assert!(
+        matches!(
+            failed,
+            CallError::NotSent {
+                step: Step::Connect,
+                ..
+            }
+        ),
+        "{failed:?}"
+    );
+    assert!(failed.proves_not_run());
+}
