--- /dev/null
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -0,0 +1,95 @@
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use anyhow::Context as _;
+use nutmegwheel_config::Settings;
+use nutmegwheel_events::{Event, Journal};
+use nutmegwheel_link::{Endpoint, Limits, Options};
+use nutmegwheel_supervisor::Supervisor;
+use nutmegwheel_types::Incarnation;
+
+use crate::{
+    log::{Log, SoleLog},
+    operators::Operators,
+    service::ControlService,
+};
+
+/// The largest body of an operator's request, in bytes.
+const BODY_LIMIT: usize = 1024 * 1024;
+/// The time in which an operator's request must have arrived.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// How long answers that are being written may take when the process stops.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// A running control VM.
+pub struct Control {
+    journal: Arc<Journal>,
+    tree: Supervisor,
+    endpoint: Endpoint,
+    web: nutmegwheel_web::Server,
+}
+
+/// Starts the control role.
+///
+/// # Errors
+///
+/// Names the listener that could not be opened.
+pub async fn spawn(
+    settings: Settings,
+    incarnation: Incarnation,
+    journal: Arc<Journal>,
+) -> anyhow::Result<Control> {
+    let tree = Supervisor::open(journal.clone());
+    let log: Arc<dyn Log> = Arc::new(SoleLog::default());
+    let opts = Options {
+        name: settings.name.clone(),
+        data_centre: settings.data_centre.clone(),
+        incarnation,
+        listen: settings.listen.link,
+        fleet_secret: settings.fleet_secret.clone().into_bytes(),
+        limits: Limits::default(),
+    };
+    let service = Arc::new(ControlService { log: log.clone() });
+    let endpoint = Endpoint::bind(opts, service)
+        .await
+        .context("open listen.link")?;
+    let operators = Operators {
+        log,
+        journal: journal.clone(),
+        secret: settings.operator_secret.as_str().into(),
+    };
+    let web = bind_web(settings.listen.platform, operators)?;
+    journal.emit(
+        Event::ProcessStarted,
+        &[("role", &"control"), ("platform", &web.address())],
+    );
+    Ok(Control {
+        journal,
+        tree,
+        endpoint,
+        web,
+    })
+}
+
+fn bind_web(address: SocketAddr, operators: Operators) -> anyhow::Result<nutmegwheel_web::Server> {
+    let opts = nutmegwheel_web::Options {
+        address,
+        body_limit: BODY_LIMIT,
+        patience: PATIENCE,
+    };
+    let handler = Arc::new(operators);
+    nutmegwheel_web::bind(opts, handler).context("open listen.platform")
+}
+
+/// Lifecycle.
+impl Control {
+    /// Takes nothing new, finishes what is in flight and ends.
+    pub async fn shutdown(self) {
+        self.journal.emit(Event::ProcessLeaving, &[]);
+        self.web.stop();
+        self.endpoint.shutdown().await;
+        tokio::time::sleep(GRACE).await;
+        self.tree.stop();
+        self.tree.stopped().await;
+        self.journal.emit(Event::ProcessStopped, &[]);
+    }
+}
--- a/crates/nutmegwheel-control/src/lib.rs
+++ b/crates/nutmegwheel-control/src/lib.rs
@@ -1,3 +1,14 @@
 //! The control role: durable configuration and the operators' interface.
+//!
+//! [`state`] is the replicated state machine, without I/O; [`spawn`] runs a control VM around it.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
+
+mod control;
+mod log;
+mod operators;
+mod service;
+/// What the replicated log makes of the operators' changes.
+pub mod state;
+
+pub use control::{Control, spawn};
--- /dev/null
+++ b/crates/nutmegwheel-control/src/operators.rs
@@ -0,0 +1,226 @@
+//! The operators' interface; docs/INTERFACES.md, "Operators" and "Platform".
+
+use std::sync::Arc;
+
+use http::{Method, StatusCode, request::Parts};
+use nutmegwheel_config::Change;
+use nutmegwheel_events::{Event, Journal};
+use nutmegwheel_types::{KeyHash, hex};
+use nutmegwheel_web::{Handler, HandlerFuture, Problem, Request, Response, authorize, json};
+use serde_json::{Value, json as value};
+
+use crate::{
+    log::{Log, LogError},
+    state::{ChangeNumber, Command, Verdict, Winner},
+};
+
+/// The greatest number of a change: the greatest integer that every JSON reader keeps.
+const NUMBER_MAX: ChangeNumber = 1 << 53;
+
+/// Answers operators and the platform on a control VM.
+#[derive(Clone)]
+pub(crate) struct Operators {
+    pub(crate) log: Arc<dyn Log>,
+    pub(crate) journal: Arc<Journal>,
+    pub(crate) secret: Arc<str>,
+}
+
+impl Handler for Operators {
+    fn handle(&self, req: Request) -> HandlerFuture {
+        let this = self.clone();
+        Box::pin(async move {
+            let answered = this.answer(req).await;
+            answered.unwrap_or_else(Problem::into_response)
+        })
+    }
+}
+
+impl Operators {
+    async fn answer(&self, req: Request) -> Result<Response, Problem> {
+        let path = req.head.uri.path().to_owned();
+        let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+        match (&req.head.method, segments.as_slice()) {
+            (&Method::GET, ["livez" | "readyz"]) => Ok(json(StatusCode::OK, &value!({"ok": true}))),
+            (method, ["v1", rest @ ..]) => {
+                authorize(&req.head, &self.secret)?;
+                self.operator(method, rest, &req).await
+            }
+            _ => Err(unknown_route()),
+        }
+    }
+
+    async fn operator(
+        &self,
+        method: &Method,
+        route: &[&str],
+        req: &Request,
+    ) -> Result<Response, Problem> {
+        match (method, route) {
+            (&Method::PUT, ["changes", number]) => self.change(number, &req.body).await,
+            (&Method::GET, ["changes", number]) => self.changed(number),
+            (&Method::GET, ["configuration"]) => self.configuration(),
+            (&Method::PUT, ["withdrawals", hash]) => self.withdraw(read_hash(hash)?).await,
+            (&Method::GET, ["withdrawals", hash]) => self.withdrawal(read_hash(hash)?),
+            (&Method::GET, ["status"]) => Ok(self.status()),
+            (&Method::GET, ["events"]) => Ok(self.events(&req.head)),
+            _ => Err(unknown_route()),
+        }
+    }
+}
+
+/// Changes.
+impl Operators {
+    async fn change(&self, number: &str, body: &[u8]) -> Result<Response, Problem> {
+        let number = read_number(number)?;
+        let text = std::str::from_utf8(body).map_err(|_| Problem::bad_request("not UTF-8"))?;
+        let change = Change::parse(text).map_err(|e| {
+            let detail = format!("line {}: {}", e.line, e.detail);
+            bad_configuration(&e.field, detail)
+        })?;
+        let content = change.to_json();
+        let verdict = self.commit(Command::Change { number, content }).await?;
+        self.record(number, &verdict);
+        verdict_to_response(number, verdict)
+    }
+
+    async fn commit(&self, command: Command) -> Result<Verdict, Problem> {
+        self.log.commit(command).await.map_err(|e| not_certain(&e))
+    }
+
+    fn record(&self, number: ChangeNumber, verdict: &Verdict) {
+        let event = match verdict {
+            Verdict::Committed { first: false, .. } => return,
+            Verdict::Committed { .. } => Event::ChangeCommitted,
+            _ => Event::ChangeRefused,
+        };
+        let verdict = serde_json::to_string(verdict).unwrap_or_default();
+        self.journal
+            .emit(event, &[("number", &number), ("verdict", &verdict)]);
+    }
+
+    fn changed(&self, number: &str) -> Result<Response, Problem> {
+        let number = read_number(number)?;
+        match self.log.answer(number) {
+            Some(winner) => Ok(json(StatusCode::OK, &shown(number, &winner))),
+            None => Err(Problem::new(
+                StatusCode::NOT_FOUND,
+                "unknown-change",
+                "this number was never committed, or too long ago to be remembered",
+            )),
+        }
+    }
+
+    fn configuration(&self) -> Result<Response, Problem> {
+        let view = self.log.view();
+        let configuration = serde_json::to_value(&view.configuration).map_err(|e| {
+            Problem::new(StatusCode::SERVICE_UNAVAILABLE, "internal", e.to_string())
+        })?;
+        let shown = value!({
+            "version": view.version,
+            "last_change": self.log.last_change(),
+            "configuration": configuration,
+        });
+        Ok(json(StatusCode::OK, &shown))
+    }
+}
+
+/// Withdrawals.
+impl Operators {
+    async fn withdraw(&self, hash: KeyHash) -> Result<Response, Problem> {
+        let command = Command::Withdraw {
+            hash: hex::encode(&hash),
+        };
+        self.commit(command).await?;
+        self.withdrawal(hash)
+    }
+
+    fn withdrawal(&self, hash: KeyHash) -> Result<Response, Problem> {
+        if !self.log.view().withdrawn.contains(&hash) {
+            let detail = "this key was never withdrawn";
+            return Err(Problem::new(StatusCode::NOT_FOUND, "not-withdrawn", detail));
+        }
+        let shown = value!({"state": "pending", "waiting_for": Vec::<String>::new()});
+        Ok(json(StatusCode::OK, &shown))
+    }
+}
+
+/// Views.
+impl Operators {
+    fn status(&self) -> Response {
+        let view = self.log.view();
+        let shown = value!({"version": view.version, "last_change": self.log.last_change()});
+        json(StatusCode::OK, &shown)
+    }
+
+    fn events(&self, head: &Parts) -> Response {
+        nutmegwheel_web::events(&self.journal, head)
+    }
+}
+
+fn read_number(text: &str) -> Result<ChangeNumber, Problem> {
+    let number = text.parse().ok();
+    number
+        .filter(|n| (1..=NUMBER_MAX).contains(n))
+        .ok_or_else(|| Problem::bad_request(format!("{text:?} is not a number from 1 to 2^53")))
+}
+
+fn read_hash(text: &str) -> Result<KeyHash, Problem> {
+    hex::decode(text).ok_or_else(|| Problem::bad_request(format!("{text:?} is not 64 hex digits")))
+}
+
+fn unknown_route() -> Problem {
+    Problem::new(
+        StatusCode::NOT_FOUND,
+        "unknown-route",
+        "see docs/INTERFACES.md",
+    )
+}
+
+fn bad_configuration(field: &str, detail: String) -> Problem {
+    let mut problem = Problem::new(StatusCode::BAD_REQUEST, "bad-configuration", detail);
+    problem.field = Some(field.into());
+    problem
+}
+
+fn not_certain(e: &LogError) -> Problem {
+    Problem::new(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "not-certain",
+        e.to_string(),
+    )
+}
+
+fn shown(number: ChangeNumber, winner: &Winner) -> Value {
+    value!({
+        "number": number,
+        "version": winner.version,
+        "state": "committed",
+        "kind": winner.kind,
+        "content": winner.content,
+    })
+}
+
+fn verdict_to_response(number: ChangeNumber, verdict: Verdict) -> Result<Response, Problem> {
+    let conflict = |reason, document: Value| {
+        let mut document = document;
+        document["reason"] = reason;
+        Ok(json(StatusCode::CONFLICT, &document))
+    };
+    match verdict {
+        Verdict::Committed { version, first } => {
+            let document = value!({"number": number, "version": version, "state": "committed", "first": first});
+            Ok(json(StatusCode::OK, &document))
+        }
+        Verdict::NumberTaken { winner } => conflict(
+            "number-taken".into(),
+            value!({"number": number, "winner": shown(number, &winner)}),
+        ),
+        Verdict::NumberTooLow { last_change } => conflict(
+            "number-too-low".into(),
+            value!({"number": number, "last_change": last_change}),
+        ),
+        Verdict::KeyTaken => conflict("key-taken".into(), value!({"number": number})),
+        Verdict::KeyWithdrawn => conflict("key-withdrawn".into(), value!({"number": number})),
+        Verdict::Refused { field, detail } => Err(bad_configuration(&field, detail)),
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-control/src/state.rs
@@ -0,0 +1,279 @@
+use std::collections::BTreeMap;
+
+use nutmegwheel_config::{Change, CheckError, Configuration, View};
+use nutmegwheel_types::{ConfigVersion, KeyHash, WorkspaceId, hex, plain};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+/// The number that an operator chose for a change.
+pub type ChangeNumber = u64;
+
+/// How many committed changes keep their answer.
+const ANSWERS_KEPT: usize = 4096;
+/// The most keys that a fleet holds, withdrawn ones included.
+const KEY_LIMIT: usize = 200_000;
+
+/// What the log replicates.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Command {
+    /// A change under the operator's number.
+    Change {
+        /// The number.
+        number: ChangeNumber,
+        /// The canonical form of the change.
+        content: String,
+    },
+    /// The withdrawal of a key, which needs no number.
+    Withdraw {
+        /// The key's hash in hex digits.
+        hash: String,
+    },
+}
+
+plain! {
+    /// What became of a command; the same on every replica.
+    #[derive(Serialize, Deserialize)]
+    #[serde(rename_all = "snake_case")]
+    pub enum Verdict {
+        /// The change is committed.
+        Committed {
+            /// The version that it made.
+            version: ConfigVersion,
+            /// Whether this very command made it, and not an earlier one that this one resends.
+            first: bool,
+        },
+        /// The number was committed with other content.
+        NumberTaken {
+            /// What was committed under it.
+            winner: Winner,
+        },
+        /// A later number is committed, and this one never was or is forgotten.
+        NumberTooLow {
+            /// The last committed number.
+            last_change: ChangeNumber,
+        },
+        /// The key belongs to another workspace already.
+        KeyTaken,
+        /// The key is withdrawn for good.
+        KeyWithdrawn,
+        /// The change does not fit what is committed by now.
+        Refused {
+            /// The field at fault.
+            field: String,
+            /// What is wrong.
+            detail: String,
+        },
+    }
+
+    /// The change that was committed under a number.
+    #[derive(Serialize, Deserialize)]
+    pub struct Winner {
+        /// The SHA-256 of its canonical form, in hex digits.
+        pub content: String,
+        /// What kind of change it is.
+        pub kind: String,
+        /// The version that it made.
+        pub version: ConfigVersion,
+    }
+}
+
+/// The replicated state: what every control VM holds after the same commands.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct State {
+    view: View,
+    last_change: ChangeNumber,
+    answers: BTreeMap<ChangeNumber, Winner>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Snapshot {
+    view: Box<serde_json::value::RawValue>,
+    last_change: ChangeNumber,
+    answers: BTreeMap<ChangeNumber, Winner>,
+}
+
+/// Access.
+impl State {
+    /// What the processes of the fleet hold.
+    #[must_use]
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// The greatest committed number.
+    #[must_use]
+    pub fn last_change(&self) -> ChangeNumber {
+        self.last_change
+    }
+
+    /// The change committed under a number, while it is remembered.
+    #[must_use]
+    pub fn answer(&self, number: ChangeNumber) -> Option<&Winner> {
+        self.answers.get(&number)
+    }
+}
+
+/// Lifecycle.
+impl State {
+    /// The bytes of a snapshot.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        let view = String::from_utf8(self.view.encode()).unwrap_or_default();
+        let snapshot = Snapshot {
+            view: serde_json::value::RawValue::from_string(view).unwrap_or_default(),
+            last_change: self.last_change,
+            answers: self.answers.clone(),
+        };
+        serde_json::to_vec(&snapshot).unwrap_or_default()
+    }
+
+    /// Reads what [`State::encode`] wrote.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a malformed snapshot as a whole.
+    pub fn decode(bytes: &[u8]) -> Result<Self, nutmegwheel_config::ViewError> {
+        let snapshot: Snapshot = serde_json::from_slice(bytes)?;
+        Ok(Self {
+            view: View::decode(snapshot.view.get().as_bytes())?,
+            last_change: snapshot.last_change,
+            answers: snapshot.answers,
+        })
+    }
+}
+
+/// Applying commands.
+impl State {
+    /// Applies one committed command.
+    pub fn apply(&mut self, command: &Command) -> Verdict {
+        match command {
+            Command::Change { number, content } => self.apply_change(*number, content),
+            Command::Withdraw { hash } => self.apply_withdrawal(hash),
+        }
+    }
+
+    fn apply_change(&mut self, number: ChangeNumber, content: &str) -> Verdict {
+        let digest = hex::encode(&Sha256::digest(content.as_bytes()));
+        if let Some(winner) = self.answers.get(&number) {
+            return resent(winner, &digest);
+        }
+        if number <= self.last_change {
+            let last_change = self.last_change;
+            return Verdict::NumberTooLow { last_change };
+        }
+        let change = match Change::parse(content) {
+            Ok(change) => change,
+            Err(e) => return e.into(),
+        };
+        let kind = kind(&change);
+        if let Err(refused) = self.make(change) {
+            return refused;
+        }
+        self.view.version += 1;
+        self.remember(number, digest, kind);
+        Verdict::Committed {
+            version: self.view.version,
+            first: true,
+        }
+    }
+
+    fn make(&mut self, change: Change) -> Result<(), Verdict> {
+        match change {
+            Change::Configure(configuration) => {
+                self.configure(configuration);
+                Ok(())
+            }
+            Change::GiveKey { workspace, hash } => self.give_key(workspace, hash),
+        }
+    }
+
+    fn configure(&mut self, configuration: Configuration) {
+        self.view.configuration = configuration;
+    }
+
+    fn give_key(&mut self, workspace: WorkspaceId, hash: KeyHash) -> Result<(), Verdict> {
+        if self.view.withdrawn.contains(&hash) {
+            return Err(Verdict::KeyWithdrawn);
+        }
+        if !self.view.configuration.workspaces.contains_key(&workspace) {
+            let detail = format!("there is no workspace {workspace:?}");
+            return Err(refused("give_key.workspace", detail));
+        }
+        match self.view.keys.get(&hash) {
+            Some(owner) if *owner != workspace => return Err(Verdict::KeyTaken),
+            None if self.key_count() >= KEY_LIMIT => {
+                let detail = format!("the fleet holds {KEY_LIMIT} keys already");
+                return Err(refused("give_key.hash", detail));
+            }
+            _ => {}
+        }
+        self.view.keys.insert(hash, workspace);
+        Ok(())
+    }
+
+    fn apply_withdrawal(&mut self, hash: &str) -> Verdict {
+        let Some(hash) = hex::decode(hash) else {
+            return refused("hash", "must be 64 hex digits".to_owned());
+        };
+        let first = self.view.withdrawn.insert(hash);
+        if first {
+            self.view.keys.remove(&hash);
+            self.view.version += 1;
+        }
+        Verdict::Committed {
+            version: self.view.version,
+            first,
+        }
+    }
+
+    fn remember(&mut self, number: ChangeNumber, content: String, kind: &str) {
+        self.last_change = number;
+        let winner = Winner {
+            content,
+            kind: kind.to_owned(),
+            version: self.view.version,
+        };
+        self.answers.insert(number, winner);
+        if self.answers.len() > ANSWERS_KEPT {
+            self.answers.pop_first();
+        }
+    }
+
+    fn key_count(&self) -> usize {
+        self.view.keys.len() + self.view.withdrawn.len()
+    }
+}
+
+impl From<CheckError> for Verdict {
+    fn from(e: CheckError) -> Self {
+        refused(&e.field, format!("line {}: {}", e.line, e.detail))
+    }
+}
+
+fn refused(field: &str, detail: String) -> Verdict {
+    Verdict::Refused {
+        field: field.to_owned(),
+        detail,
+    }
+}
+
+fn resent(winner: &Winner, digest: &str) -> Verdict {
+    if winner.content == digest {
+        Verdict::Committed {
+            version: winner.version,
+            first: false,
+        }
+    } else {
+        Verdict::NumberTaken {
+            winner: winner.clone(),
+        }
+    }
+}
+
+fn kind(change: &Change) -> &'static str {
+    match change {
+        Change::Configure(_) => "configure",
+        Change::GiveKey { .. } => "give_key",
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-ctl/src/client.rs
@@ -0,0 +1,132 @@
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::{BodyExt as _, Full};
+use hyper_util::{
+    client::legacy::{Client as HttpClient, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+
+use crate::Error;
+
+/// How processes are reached.
+#[derive(Clone)]
+pub struct Options {
+    /// The platform listeners of processes, asked in this order.
+    pub at: Vec<SocketAddr>,
+    /// The operators' secret.
+    pub secret: String,
+    /// The time that one process gets to answer.
+    pub timeout: Duration,
+}
+
+/// Speaks to the processes of a fleet as an operator.
+pub struct Client {
+    opts: Options,
+    http: HttpClient<HttpConnector, Full<Bytes>>,
+}
+
+/// An answer with the process that gave it.
+pub(crate) struct Answer {
+    pub(crate) peer: SocketAddr,
+    pub(crate) status: StatusCode,
+    pub(crate) body: Bytes,
+}
+
+/// Lifecycle.
+impl Client {
+    /// Opens a client; nothing is sent yet.
+    #[must_use]
+    pub fn open(opts: Options) -> Self {
+        let http = HttpClient::builder(TokioExecutor::new()).build_http();
+        Self { opts, http }
+    }
+}
+
+/// Access.
+impl Client {
+    /// The processes that are asked.
+    #[must_use]
+    pub fn peers(&self) -> &[SocketAddr] {
+        &self.opts.at
+    }
+}
+
+/// Asking.
+impl Client {
+    /// Asks one process after the other until one answers for certain.
+    pub(crate) async fn ask(
+        &self,
+        method: &Method,
+        path: &str,
+        body: &Bytes,
+    ) -> Result<Answer, Error> {
+        let mut tried = Vec::new();
+        for peer in &self.opts.at {
+            match self.ask_one(*peer, method, path, body).await {
+                Ok(answer) if answer.status.is_server_error() => {
+                    let text = String::from_utf8_lossy(&answer.body).into_owned();
+                    tried.push(format!("{peer}: {}: {text}", answer.status));
+                }
+                Ok(answer) => return certain(answer),
+                Err(e) => tried.push(e),
+            }
+        }
+        Err(Error::NotCertain { tried })
+    }
+
+    /// Asks one process.
+    pub(crate) async fn ask_one(
+        &self,
+        peer: SocketAddr,
+        method: &Method,
+        path: &str,
+        body: &Bytes,
+    ) -> Result<Answer, String> {
+        let exchange = tokio::time::timeout(self.opts.timeout, async {
+            let req = Request::builder()
+                .method(method.clone())
+                .uri(format!("http://{peer}{path}"))
+                .header(
+                    header::AUTHORIZATION,
+                    format!("Bearer {}", self.opts.secret),
+                )
+                .body(Full::new(body.clone()))
+                .map_err(|e| format!("{peer}: request: {e}"))?;
+            let res = self.http.request(req).await;
+            let res = res.map_err(|e| format!("{peer}: send: {e}"))?;
+            let status = res.status();
+            let body = res.into_body().collect().await;
+            let body = body.map_err(|e| format!("{peer}: receive: {e}"))?;
+            let body = body.to_bytes();
+            Ok(Answer { peer, status, body })
+        });
+        let late = |_| format!("{peer}: no answer in {:?}", self.opts.timeout);
+        exchange.await.map_err(late)?
+    }
+}
+
+fn certain(answer: Answer) -> Result<Answer, Error> {
+    if answer.status.is_success() {
+        return Ok(answer);
+    }
+    Err(Error::Refused {
+        peer: answer.peer,
+        status: answer.status.as_u16(),
+        document: String::from_utf8_lossy(&answer.body).into_owned(),
+    })
+}
+
+impl Answer {
+    pub(crate) fn read<T: serde::de::DeserializeOwned>(
+        &self,
+        step: &'static str,
+    ) -> Result<T, Error> {
+        serde_json::from_slice(&self.body).map_err(|e| Error::Malformed {
+            peer: self.peer,
+            step,
+            detail: e.to_string(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-ctl/src/withdrawal.rs
@@ -0,0 +1,72 @@
+use bytes::Bytes;
+use http::Method;
+use nutmegwheel_types::{KeyHash, hex, plain};
+use serde::{Deserialize, Serialize};
+
+use crate::{Client, Error};
+
+plain! {
+    /// How far a withdrawal has come.
+    #[derive(Serialize, Deserialize)]
+    pub struct Outcome {
+        /// `in-force` once no data centre takes the key any more, `pending` until then.
+        pub state: String,
+        /// The data centres that have not confirmed.
+        #[serde(default)]
+        pub waiting_for: Vec<String>,
+    }
+}
+
+impl Outcome {
+    /// Whether every data centre has confirmed.
+    #[must_use]
+    pub fn is_in_force(&self) -> bool {
+        self.state == "in-force"
+    }
+}
+
+/// Withdraws a key for good. Every process that was named takes the mark, so that a data centre
+/// that is cut off from the others can be reached through one of its own.
+///
+/// # Errors
+///
+/// Tells a refusal from a withdrawal that no process has taken.
+pub async fn withdraw(client: &Client, hash: &KeyHash) -> Result<Outcome, Error> {
+    let path = path(hash);
+    let mut tried = Vec::new();
+    let mut best: Option<Outcome> = None;
+    for peer in client.peers() {
+        match client
+            .ask_one(*peer, &Method::PUT, &path, &Bytes::new())
+            .await
+        {
+            Ok(answer) if answer.status.is_success() => {
+                let outcome: Outcome = answer.read("read the withdrawal")?;
+                let better = best.as_ref().is_none_or(|best| !best.is_in_force());
+                if better {
+                    best = Some(outcome);
+                }
+            }
+            Ok(answer) => {
+                let text = String::from_utf8_lossy(&answer.body).into_owned();
+                tried.push(format!("{peer}: {}: {text}", answer.status));
+            }
+            Err(e) => tried.push(e),
+        }
+    }
+    best.ok_or(Error::NotCertain { tried })
+}
+
+/// Asks how far a withdrawal has come.
+///
+/// # Errors
+///
+/// Tells a refusal from processes that are out of reach.
+pub async fn state(client: &Client, hash: &KeyHash) -> Result<Outcome, Error> {
+    let answer = client.ask(&Method::GET, &path(hash), &Bytes::new()).await?;
+    answer.read("read the withdrawal")
+}
+
+fn path(hash: &KeyHash) -> String {
+    format!("/v1/withdrawals/{}", hex::encode(hash))
+}
--- /dev/null
+++ b/crates/nutmegwheel-node/src/call.rs
@@ -0,0 +1,97 @@
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Method, StatusCode};
+use nutmegwheel_types::{Context, EndpointId, KeyHash, ServiceId, plain};
+use nutmegwheel_wire as wire;
+use nutmegwheel_wire::Malformed;
+
+plain! {
+    /// A request on its way through the system.
+    pub(crate) struct Call {
+        pub(crate) service: ServiceId,
+        pub(crate) endpoint: EndpointId,
+        pub(crate) method: Method,
+        /// The path with its query, as the caller wrote it.
+        pub(crate) path: String,
+        pub(crate) fields: Vec<(HeaderName, HeaderValue)>,
+        pub(crate) body: Bytes,
+        /// The context; its remaining time is that at the start of the hop, see `deadline`.
+        pub(crate) context: Context,
+        /// The hash of the key that came with the root request.
+        pub(crate) key: Option<KeyHash>,
+        pub(crate) deadline: Instant,
+    }
+
+    /// A backend server's whole answer.
+    pub(crate) struct Answer {
+        pub(crate) status: StatusCode,
+        pub(crate) fields: Vec<(HeaderName, HeaderValue)>,
+        pub(crate) body: Bytes,
+    }
+}
+
+impl Call {
+    /// The head of the call's message to a node in one of its lives.
+    pub(crate) fn to_wire(&self, now: Instant, target_incarnation: u64) -> wire::CallHead {
+        let mut context = self.context.clone();
+        context.remaining = self.deadline.saturating_duration_since(now);
+        wire::CallHead {
+            stamp: None,
+            context: Some(wire::context_to_wire(&context, self.key.as_ref())),
+            service: self.service.to_string(),
+            endpoint: self.endpoint.to_string(),
+            method: self.method.to_string(),
+            path_and_query: self.path.clone(),
+            fields: fields_to_wire(&self.fields),
+            attempt: Bytes::new(),
+            target_incarnation,
+        }
+    }
+
+    /// Reads a call at its target; `now` is the time of its arrival.
+    pub(crate) fn from_wire(
+        head: wire::CallHead,
+        body: Bytes,
+        now: Instant,
+    ) -> Result<Self, Malformed> {
+        let context = head.context.ok_or(Malformed { field: "context" })?;
+        let (context, key) = wire::context_from_wire(&context)?;
+        let method = head.method.parse();
+        Ok(Self {
+            service: head.service.into(),
+            endpoint: head.endpoint.into(),
+            method: method.map_err(|_| Malformed { field: "method" })?,
+            path: head.path_and_query,
+            fields: fields_from_wire(head.fields)?,
+            body,
+            deadline: now + context.remaining,
+            context,
+            key,
+        })
+    }
+}
+
+pub(crate) fn fields_to_wire(fields: &[(HeaderName, HeaderValue)]) -> Vec<wire::Field> {
+    let fields = fields.iter();
+    fields
+        .map(|(name, value)| wire::Field {
+            name: name.to_string(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
+}
+
+pub(crate) fn fields_from_wire(
+    fields: Vec<wire::Field>,
+) -> Result<Vec<(HeaderName, HeaderValue)>, Malformed> {
+    let malformed = Malformed { field: "fields" };
+    fields
+        .into_iter()
+        .map(|field| {
+            let name = field.name.parse().map_err(|_| malformed.clone())?;
+            let value = HeaderValue::from_maybe_shared(field.value);
+            Ok((name, value.map_err(|_| malformed.clone())?))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/nutmegwheel-node/src/door.rs
@@ -0,0 +1,170 @@
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use http::{HeaderValue, header};
+use nutmegwheel_config::{NoRoute, Route, View};
+use nutmegwheel_types::{Context, Priority, RootId, WorkspaceId};
+use nutmegwheel_web::{Handler, HandlerFuture, Request, Response};
+
+use crate::{
+    call::{Answer, Call},
+    forward::forward,
+    headers,
+    refusal::{Reason, Refusal},
+    shared::Shared,
+    views,
+};
+
+/// Answers callers.
+pub(crate) struct Door {
+    pub(crate) shared: Arc<Shared>,
+}
+
+impl Handler for Door {
+    fn handle(&self, req: Request) -> HandlerFuture {
+        let shared = self.shared.clone();
+        Box::pin(async move {
+            let _in_flight = shared.enter();
+            let root = rand::random();
+            let result = take(&shared, req, root).await;
+            respond(&shared, result, root)
+        })
+    }
+}
+
+async fn take(shared: &Shared, req: Request, root: RootId) -> Result<Answer, Refusal> {
+    let now = Instant::now();
+    let view = shared.views.current();
+    let mut call = admit(&view, req, root, now)?;
+    if call.deadline <= now {
+        return Err(Refusal::not_run(Reason::Deadline, "no time was left"));
+    }
+    forward(shared, &mut call).await
+}
+
+/// Makes the call of a caller's request, or tells why there is none.
+fn admit(view: &View, req: Request, root: RootId, now: Instant) -> Result<Call, Refusal> {
+    if view.version == 0 {
+        let refusal = Refusal::not_run(Reason::NotReady, "this node has no configuration yet");
+        return Err(refusal.after(Duration::from_secs(1)));
+    }
+    let path = Path::read(&req.head.uri)?;
+    let route = find_route(view, path.service, path.endpoint)?;
+    let key = headers::key(&req.head.headers)?;
+    let (workspace, key) = if route.open {
+        (None, None)
+    } else {
+        (Some(views::workspace_of(view, key.as_ref())?), key)
+    };
+    let headers = &req.head.headers;
+    headers::idempotency_key(headers)?;
+    let non_idempotent = headers::non_idempotent(headers)? || route.non_idempotent;
+    let context = context(view, route, workspace, root, non_idempotent)?;
+    let time = headers::deadline(headers)?.unwrap_or(context.remaining);
+    Ok(Call {
+        service: path.service.into(),
+        endpoint: path.endpoint.into(),
+        method: req.head.method.clone(),
+        path: path.whole.to_owned(),
+        fields: headers::passed_on(headers),
+        body: req.body,
+        deadline: now + time,
+        context,
+        key,
+    })
+}
+
+fn context(
+    view: &View,
+    route: &Route,
+    workspace: Option<WorkspaceId>,
+    root: RootId,
+    non_idempotent: bool,
+) -> Result<Context, Refusal> {
+    let class = view.configuration.classes.get(&route.class);
+    let class = class.ok_or_else(|| Refusal::not_run(Reason::NotReady, "the class is gone"))?;
+    Ok(Context {
+        root,
+        workspace,
+        class: route.class.clone(),
+        priority: Priority {
+            rank: class.rank,
+            over_share: 0,
+            root_hash: u16::try_from(root >> 112).unwrap_or_default(),
+        },
+        remaining: class.within,
+        depth: 0,
+        retry_tokens: view.configuration.retries_per_request,
+        non_idempotent,
+    })
+}
+
+pub(crate) fn find_route<'a>(
+    view: &'a View,
+    service: &str,
+    endpoint: &str,
+) -> Result<&'a Route, Refusal> {
+    let route = view.configuration.route(service, endpoint);
+    route.map_err(|missing| match missing {
+        NoRoute::Service => {
+            Refusal::not_run(Reason::UnknownService, format!("no service {service:?}"))
+        }
+        NoRoute::Endpoint => {
+            let detail = format!("{service} has no endpoint {endpoint:?}");
+            Refusal::not_run(Reason::UnknownEndpoint, detail)
+        }
+    })
+}
+
+/// The path of a request with its two names.
+pub(crate) struct Path<'a> {
+    pub(crate) service: &'a str,
+    pub(crate) endpoint: &'a str,
+    pub(crate) whole: &'a str,
+}
+
+impl<'a> Path<'a> {
+    pub(crate) fn read(uri: &'a http::Uri) -> Result<Self, Refusal> {
+        let bad = || {
+            let detail = "the path is not /{service}/{endpoint}";
+            Refusal::not_run(Reason::BadRequest, detail)
+        };
+        let whole = uri.path_and_query().ok_or_else(bad)?.as_str();
+        let mut names = uri.path().strip_prefix('/').ok_or_else(bad)?.split('/');
+        match (names.next(), names.next()) {
+            (Some(service), Some(endpoint)) if !service.is_empty() && !endpoint.is_empty() => {
+                Ok(Self {
+                    service,
+                    endpoint,
+                    whole,
+                })
+            }
+            _ => Err(bad()),
+        }
+    }
+}
+
+/// Turns the result into the answer to a caller or a downstream call.
+pub(crate) fn respond(shared: &Shared, result: Result<Answer, Refusal>, root: RootId) -> Response {
+    let mut res = match result {
+        Ok(answer) => {
+            let mut res = Response::new(answer.body);
+            *res.status_mut() = answer.status;
+            for (name, value) in answer.fields {
+                res.headers_mut().append(name, value);
+            }
+            res
+        }
+        Err(refusal) => refusal.into_problem(Some(root)).into_response(),
+    };
+    if let Ok(root) = HeaderValue::try_from(format!("{root:032x}")) {
+        res.headers_mut().insert(headers::REQUEST, root);
+    }
+    if shared.is_leaving() {
+        let close = HeaderValue::from_static("close");
+        res.headers_mut().insert(header::CONNECTION, close);
+    }
+    res
+}
--- /dev/null
+++ b/crates/nutmegwheel-node/src/headers.rs
@@ -0,0 +1,137 @@
+//! The header fields of docs/INTERFACES.md.
+
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderName, HeaderValue, header};
+use nutmegwheel_types::KeyHash;
+
+use crate::refusal::{Reason, Refusal};
+
+pub(crate) const CONTEXT: HeaderName = HeaderName::from_static("nutmegwheel-context");
+pub(crate) const DEADLINE: HeaderName = HeaderName::from_static("nutmegwheel-deadline-ms");
+pub(crate) const NON_IDEMPOTENT: HeaderName = HeaderName::from_static("nutmegwheel-non-idempotent");
+pub(crate) const OUTCOME: HeaderName = HeaderName::from_static("nutmegwheel-outcome");
+pub(crate) const REQUEST: HeaderName = HeaderName::from_static("nutmegwheel-request");
+pub(crate) const WORKSPACE: HeaderName = HeaderName::from_static("nutmegwheel-workspace");
+pub(crate) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Fields that belong to the system; a caller's own are never passed on.
+const PREFIX: &str = "nutmegwheel-";
+/// Fields that belong to one connection (RFC 9110, 7.6.1), or that the next hop writes itself.
+const PER_HOP: [HeaderName; 9] = [
+    header::CONNECTION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+];
+/// The longest deadline, in ms.
+const DEADLINE_MAX_MS: u64 = 600_000;
+/// The shortest key of a workspace, in bytes.
+const KEY_MIN: usize = 16;
+/// The longest key of a workspace, in bytes.
+const KEY_MAX: usize = 256;
+/// The longest idempotency key, in bytes.
+const ID_MAX: usize = 128;
+
+/// The value of a field that may appear once at most.
+pub(crate) fn single<'a>(
+    headers: &'a HeaderMap,
+    name: &HeaderName,
+) -> Result<Option<&'a str>, Refusal> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(bad(format!("{name} appears twice")));
+    }
+    let text = value.to_str().ok();
+    text.filter(|text| text.bytes().all(|b| (0x20..0x7f).contains(&b)))
+        .map(Some)
+        .ok_or_else(|| bad(format!("{name} is not visible ASCII")))
+}
+
+/// The hash of the workspace key, where there is one.
+pub(crate) fn key(headers: &HeaderMap) -> Result<Option<KeyHash>, Refusal> {
+    let Some(value) = single(headers, &header::AUTHORIZATION)? else {
+        return Ok(None);
+    };
+    let token = value
+        .split_once(' ')
+        .filter(|(scheme, _)| scheme.eq_ignore_ascii_case("bearer"))
+        .map(|(_, token)| token.trim())
+        .filter(|token| (KEY_MIN..=KEY_MAX).contains(&token.len()))
+        .ok_or_else(|| bad("Authorization is not Bearer with a key of 16 to 256 characters"))?;
+    Ok(Some(nutmegwheel_config::hash_key(token.as_bytes())))
+}
+
+/// The caller's deadline, counted from now.
+pub(crate) fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, Refusal> {
+    let Some(value) = single(headers, &DEADLINE)? else {
+        return Ok(None);
+    };
+    let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+    let millis = digits.then(|| value.parse().ok()).flatten();
+    millis
+        .filter(|n| *n <= DEADLINE_MAX_MS)
+        .map(|n| Some(Duration::from_millis(n)))
+        .ok_or_else(|| {
+            bad(format!(
+                "{DEADLINE} is not a number from 0 to {DEADLINE_MAX_MS}"
+            ))
+        })
+}
+
+/// Whether the caller asks that the request runs at most once.
+pub(crate) fn non_idempotent(headers: &HeaderMap) -> Result<bool, Refusal> {
+    match single(headers, &NON_IDEMPOTENT)? {
+        None | Some("false") => Ok(false),
+        Some("true") => Ok(true),
+        Some(_) => Err(bad(format!("{NON_IDEMPOTENT} is not true or false"))),
+    }
+}
+
+/// The caller's name for the request over all its resends.
+pub(crate) fn idempotency_key(headers: &HeaderMap) -> Result<Option<&str>, Refusal> {
+    match single(headers, &IDEMPOTENCY_KEY)? {
+        Some(id) if id.is_empty() || id.len() > ID_MAX => Err(bad(format!(
+            "{IDEMPOTENCY_KEY} is not 1 to {ID_MAX} characters"
+        ))),
+        id => Ok(id),
+    }
+}
+
+/// The fields that are passed on to the next hop.
+pub(crate) fn passed_on(headers: &HeaderMap) -> Vec<(HeaderName, HeaderValue)> {
+    let named: Vec<HeaderName> = connection_options(headers);
+    let own = |name: &HeaderName| {
+        name.as_str().starts_with(PREFIX)
+            || *name == header::AUTHORIZATION
+            || name.as_str() == "keep-alive"
+            || name.as_str() == "proxy-connection"
+            || PER_HOP.contains(name)
+            || named.contains(name)
+    };
+    let fields = headers.iter().filter(|(name, _)| !own(name));
+    fields
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
+
+fn connection_options(headers: &HeaderMap) -> Vec<HeaderName> {
+    let values = headers.get_all(header::CONNECTION).iter();
+    values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect()
+}
+
+fn bad(detail: impl Into<String>) -> Refusal {
+    Refusal::not_run(Reason::BadRequest, detail)
+}
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -1,3 +1,25 @@
 //! The node role: doors, proxying and the wiring of decisions.
+//!
+//! The path of a request: [`door`](crate) takes it from a caller, `forward` chooses a backend
+//! server, `serve` takes it at that server's node and `backend` runs it; docs/DESIGN.md,
+//! "Request path".
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
+
+mod backend;
+mod call;
+mod directory;
+mod door;
+mod forward;
+mod gossip;
+mod headers;
+mod local;
+mod node;
+mod platform;
+mod refusal;
+mod running;
+mod serve;
+mod shared;
+mod views;
+
+pub use node::{Node, spawn};
--- /dev/null
+++ b/crates/nutmegwheel-node/src/refusal.rs
@@ -0,0 +1,163 @@
+use std::time::Duration;
+
+use http::StatusCode;
+use nutmegwheel_types::{RootId, plain, plain_copy};
+use nutmegwheel_web::Problem;
+use nutmegwheel_wire as wire;
+
+macro_rules! reasons {
+    ($($(#[$doc:meta])* $name:ident = $word:literal, $status:ident;)*) => {
+        plain_copy! {
+            /// Why a request was refused; the words are those of docs/INTERFACES.md.
+            pub(crate) enum Reason {
+                $($(#[$doc])* $name,)*
+            }
+        }
+
+        impl Reason {
+            pub(crate) fn word(self) -> &'static str {
+                match self { $(Self::$name => $word,)* }
+            }
+
+            pub(crate) fn status(self) -> StatusCode {
+                match self { $(Self::$name => StatusCode::$status,)* }
+            }
+
+            pub(crate) fn from_word(word: &str) -> Option<Self> {
+                match word { $($word => Some(Self::$name),)* _ => None }
+            }
+        }
+    };
+}
+
+reasons! {
+    BadRequest = "bad-request", BAD_REQUEST;
+    NoKey = "no-key", UNAUTHORIZED;
+    UnknownKey = "unknown-key", UNAUTHORIZED;
+    KeyWithdrawn = "key-withdrawn", UNAUTHORIZED;
+    UnknownService = "unknown-service", NOT_FOUND;
+    UnknownEndpoint = "unknown-endpoint", NOT_FOUND;
+    OverRate = "over-rate", TOO_MANY_REQUESTS;
+    NotReady = "not-ready", SERVICE_UNAVAILABLE;
+    Overloaded = "overloaded", SERVICE_UNAVAILABLE;
+    NoBackendServer = "no-backend-server", SERVICE_UNAVAILABLE;
+    Leaving = "leaving", SERVICE_UNAVAILABLE;
+    RetriesSpent = "retries-spent", SERVICE_UNAVAILABLE;
+    ClaimUnavailable = "claim-unavailable", SERVICE_UNAVAILABLE;
+    InProgress = "in-progress", SERVICE_UNAVAILABLE;
+    AlreadyRun = "already-run", SERVICE_UNAVAILABLE;
+    Quarantined = "quarantined", SERVICE_UNAVAILABLE;
+    BackendLost = "backend-lost", SERVICE_UNAVAILABLE;
+    LinkLost = "link-lost", SERVICE_UNAVAILABLE;
+    AnswerTooLarge = "answer-too-large", SERVICE_UNAVAILABLE;
+    Deadline = "deadline", GATEWAY_TIMEOUT;
+}
+
+plain_copy! {
+    /// Whether a refused request ran.
+    pub(crate) enum Outcome {
+        /// It is proved that no backend server began it.
+        NotRun,
+        /// A backend server may have begun it.
+        MayHaveRun,
+        /// It must not be sent again.
+        DoNotResend,
+    }
+}
+
+plain! {
+    /// A refusal on its way to the caller.
+    pub(crate) struct Refusal {
+        pub(crate) reason: Reason,
+        pub(crate) outcome: Outcome,
+        pub(crate) detail: String,
+        pub(crate) retry_after: Option<Duration>,
+    }
+}
+
+/// Construction.
+impl Refusal {
+    pub(crate) fn not_run(reason: Reason, detail: impl Into<String>) -> Self {
+        Self::new(reason, Outcome::NotRun, detail)
+    }
+
+    pub(crate) fn may_have_run(reason: Reason, detail: impl Into<String>) -> Self {
+        Self::new(reason, Outcome::MayHaveRun, detail)
+    }
+
+    pub(crate) fn new(reason: Reason, outcome: Outcome, detail: impl Into<String>) -> Self {
+        Self {
+            reason,
+            outcome,
+            detail: detail.into(),
+            retry_after: None,
+        }
+    }
+
+    pub(crate) fn after(mut self, time: Duration) -> Self {
+        self.retry_after = Some(time);
+        self
+    }
+}
+
+/// Answering a caller.
+impl Refusal {
+    pub(crate) fn into_problem(self, root: Option<RootId>) -> Problem {
+        let mut problem = Problem::new(self.reason.status(), self.reason.word(), self.detail);
+        problem.outcome = Some(self.outcome.word());
+        problem.retry_after = self.retry_after;
+        problem.request = root.map(|root| format!("{root:032x}").into());
+        problem
+    }
+}
+
+/// Travelling between nodes.
+impl Refusal {
+    pub(crate) fn to_wire(&self) -> wire::Refusal {
+        let retry_after = self.retry_after.unwrap_or_default();
+        wire::Refusal {
+            reason: self.reason.word().to_owned(),
+            outcome: self.outcome.to_wire().into(),
+            detail: self.detail.clone(),
+            retry_after_ms: u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// A refusal that does not say clearly that the request did not run counts as one that may
+    /// have.
+    pub(crate) fn from_wire(wire: wire::Refusal) -> Self {
+        let retry_after = Duration::from_millis(wire.retry_after_ms);
+        Self {
+            reason: Reason::from_word(&wire.reason).unwrap_or(Reason::LinkLost),
+            outcome: Outcome::from_wire(wire.outcome()),
+            detail: wire.detail,
+            retry_after: (!retry_after.is_zero()).then_some(retry_after),
+        }
+    }
+}
+
+impl Outcome {
+    pub(crate) fn word(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::MayHaveRun => "may-have-run",
+            Self::DoNotResend => "do-not-resend",
+        }
+    }
+
+    fn to_wire(self) -> wire::Outcome {
+        match self {
+            Self::NotRun => wire::Outcome::NotRun,
+            Self::MayHaveRun => wire::Outcome::MayHaveRun,
+            Self::DoNotResend => wire::Outcome::DoNotResend,
+        }
+    }
+
+    fn from_wire(wire: wire::Outcome) -> Self {
+        match wire {
+            wire::Outcome::NotRun => Self::NotRun,
+            wire::Outcome::DoNotResend => Self::DoNotResend,
+            wire::Outcome::MayHaveRun | wire::Outcome::Unspecified => Self::MayHaveRun,
+        }
+    }
+}
--- a/crates/nutmegwheel-web/src/lib.rs
+++ b/crates/nutmegwheel-web/src/lib.rs
@@ -8,8 +8,10 @@
 
 mod body;
 mod connections;
+mod operator;
 mod problem;
 mod server;
 
+pub use operator::{authorize, bearer, events, json, typed};
 pub use problem::Problem;
 pub use server::{Handler, HandlerFuture, Options, Request, Response, Server, bind};
--- a/crates/nutmegwheel-web/src/problem.rs
+++ b/crates/nutmegwheel-web/src/problem.rs
@@ -15,11 +15,11 @@
         /// The stable word that programs match on.
         pub reason: &'static str,
         /// What a person needs to know.
-        pub detail: String,
+        pub detail: Box<str>,
         /// The field of a refused document, where there is one.
-        pub field: Option<String>,
+        pub field: Option<Box<str>>,
         /// The root id of the refused request, where it has one.
-        pub request: Option<String>,
+        pub request: Option<Box<str>>,
         /// Whether the request ran, as the word of the `Nutmegwheel-Outcome` header field.
         pub outcome: Option<&'static str>,
         /// When it is worth asking again.
@@ -49,7 +49,7 @@
 /// Construction.
 impl Problem {
     /// A refusal with a status, its word and a detail for people.
-    pub fn new(status: StatusCode, reason: &'static str, detail: impl Into<String>) -> Self {
+    pub fn new(status: StatusCode, reason: &'static str, detail: impl Into<Box<str>>) -> Self {
         Self {
             status,
             reason,
@@ -63,7 +63,7 @@
     }
 
     /// 400 for a request that is malformed.
-    pub fn bad_request(detail: impl Into<String>) -> Self {
+    pub fn bad_request(detail: impl Into<Box<str>>) -> Self {
         Self::new(StatusCode::BAD_REQUEST, "bad-request", detail).not_run()
     }
 
--- a/crates/nutmegwheel-web/src/server.rs
+++ b/crates/nutmegwheel-web/src/server.rs
@@ -30,7 +30,7 @@
 /// The time between two searches for connections that their peer closed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 /// The time for which a connection may stay without a request.
-const KEEP_ALIVE: Duration = Duration::from_secs(120);
+const KEEP_ALIVE: Duration = Duration::from_mins(2);
 
 /// A request that was read whole.
 pub struct Request {
@@ -55,7 +55,7 @@
 }
 
 /// How a listener is opened.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 pub struct Options {
     /// The address to listen on; port 0 takes a free one.
     pub address: SocketAddr,
--- /dev/null
+++ b/crates/nutmegwheel/src/ctl.rs
@@ -0,0 +1,168 @@
+use std::{path::Path, time::Duration};
+
+use anyhow::Context as _;
+use nutmegwheel_ctl::{Client, Error, Options, change, show, timeline, withdrawal};
+use nutmegwheel_types::{KeyHash, hex};
+use serde_json::Value;
+
+use crate::flags::{Ctl, CtlCmd};
+
+/// The time that one process gets to answer.
+const TIMEOUT: Duration = Duration::from_secs(5);
+/// The system refused.
+const REFUSED: u8 = 1;
+/// Nobody could be reached, or nobody was certain.
+const NOT_CERTAIN: u8 = 3;
+/// A withdrawal is not confirmed everywhere yet.
+const PENDING: u8 = 4;
+
+/// What is printed, and the exit code.
+struct Printed {
+    text: String,
+    code: u8,
+}
+
+/// Runs one command of the operator's tool and returns the exit code.
+pub(crate) fn run(cmd: Ctl) -> u8 {
+    match execute(cmd) {
+        Ok(printed) => {
+            println!("{}", printed.text.trim_end());
+            printed.code
+        }
+        Err(e) => {
+            eprintln!("{e:#}");
+            match e.downcast_ref::<Error>() {
+                Some(Error::NotCertain { .. }) => NOT_CERTAIN,
+                _ => REFUSED,
+            }
+        }
+    }
+}
+
+fn execute(cmd: Ctl) -> anyhow::Result<Printed> {
+    let client = Client::open(Options {
+        at: read_addresses(&cmd.at)?,
+        secret: read_trimmed(&cmd.secret_file)?,
+        timeout: TIMEOUT,
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(command(&client, cmd.subcommand, cmd.json))
+}
+
+async fn command(client: &Client, cmd: CtlCmd, json: bool) -> anyhow::Result<Printed> {
+    match cmd {
+        CtlCmd::Apply(cmd) => {
+            let text = read_trimmed(&cmd.file)?;
+            commit(client, cmd.number, change::configure(&text), json).await
+        }
+        CtlCmd::GiveKey(cmd) => {
+            let key = read_trimmed(&cmd.key_file)?;
+            let body = change::give_key(&cmd.workspace, &key);
+            commit(client, cmd.number, body, json).await
+        }
+        CtlCmd::WithdrawKey(cmd) => {
+            let hash = read_hash(cmd.key_file.as_deref(), cmd.hash.as_deref())?;
+            withdraw(client, &hash, json).await
+        }
+        CtlCmd::Show(_) => Ok(done(pretty(&show::configuration(client).await?))),
+        CtlCmd::Status(_) => status(client, json).await,
+        CtlCmd::Timeline(_) => show_timeline(client, json).await,
+    }
+}
+
+async fn commit(client: &Client, number: u64, body: String, json: bool) -> anyhow::Result<Printed> {
+    let outcome = change::commit(client, change::Options { number, body }).await?;
+    if json {
+        return Ok(done(serde_json::to_string(&outcome)?));
+    }
+    let again = if outcome.first { "" } else { " (before)" };
+    Ok(done(format!(
+        "change {} committed as version {}{again}",
+        outcome.number, outcome.version
+    )))
+}
+
+async fn withdraw(client: &Client, hash: &KeyHash, json: bool) -> anyhow::Result<Printed> {
+    let outcome = withdrawal::withdraw(client, hash).await?;
+    let code = if outcome.is_in_force() { 0 } else { PENDING };
+    let text = if json {
+        serde_json::to_string(&outcome)?
+    } else if outcome.is_in_force() {
+        "in force in every data centre".to_owned()
+    } else {
+        format!("pending, waiting for {}", outcome.waiting_for.join(", "))
+    };
+    Ok(Printed { text, code })
+}
+
+async fn status(client: &Client, json: bool) -> anyhow::Result<Printed> {
+    let all = show::status(client).await;
+    let missing = all.iter().any(|(_, status)| status.is_err());
+    let code = if missing { NOT_CERTAIN } else { 0 };
+    let value = |status: Result<Value, String>| status.unwrap_or_else(Value::from);
+    let text = if json {
+        let map: serde_json::Map<String, Value> = all
+            .into_iter()
+            .map(|(peer, status)| (peer.to_string(), value(status)))
+            .collect();
+        Value::from(map).to_string()
+    } else {
+        let lines = all
+            .into_iter()
+            .map(|(peer, status)| format!("{peer}: {}", pretty(&value(status))));
+        lines.collect::<Vec<_>>().join("\n")
+    };
+    Ok(Printed { text, code })
+}
+
+async fn show_timeline(client: &Client, json: bool) -> anyhow::Result<Printed> {
+    let outcome = timeline::fetch(client).await;
+    for missing in &outcome.missing {
+        eprintln!("missing: {missing}");
+    }
+    let code = if outcome.missing.is_empty() {
+        0
+    } else {
+        NOT_CERTAIN
+    };
+    let text = if json {
+        serde_json::to_string(&outcome.records)?
+    } else {
+        nutmegwheel_events::render(&outcome.records)
+    };
+    Ok(Printed { text, code })
+}
+
+fn done(text: String) -> Printed {
+    Printed { text, code: 0 }
+}
+
+fn pretty(value: &Value) -> String {
+    serde_json::to_string_pretty(value).unwrap_or_default()
+}
+
+fn read_addresses(text: &str) -> anyhow::Result<Vec<std::net::SocketAddr>> {
+    text.split(',')
+        .map(|part| {
+            let part = part.trim();
+            part.parse()
+                .with_context(|| format!("--at: {part:?} is not IP:PORT"))
+        })
+        .collect()
+}
+
+fn read_trimmed(path: &Path) -> anyhow::Result<String> {
+    let text = std::fs::read_to_string(path);
+    let text = text.with_context(|| format!("{}: read", path.display()))?;
+    Ok(text.trim().to_owned())
+}
+
+fn read_hash(key_file: Option<&Path>, hash: Option<&str>) -> anyhow::Result<KeyHash> {
+    match (key_file, hash) {
+        (Some(path), None) => Ok(nutmegwheel_config::hash_key(read_trimmed(path)?.as_bytes())),
+        (None, Some(hash)) => hex::decode(hash).context("--hash: not 64 hex digits"),
+        _ => anyhow::bail!("give either --key-file or --hash"),
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel/src/flags.rs
@@ -0,0 +1,61 @@
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Overload control for service call graphs. See docs/OPERATORS.md.
+    cmd nutmegwheel {
+        /// Run the door and sidecar of a backend server on this VM.
+        cmd node {
+            /// The settings file, JSON with comments.
+            required --settings settings: PathBuf
+        }
+        /// Run a control VM, which keeps what must survive on its disk.
+        cmd control {
+            /// The settings file, JSON with comments.
+            required --settings settings: PathBuf
+        }
+        /// Check a settings file without starting anything.
+        cmd check-settings {
+            /// The settings file.
+            required file: PathBuf
+        }
+        /// Operate a fleet. Every command takes --at and --secret-file.
+        cmd ctl {
+            /// Platform listeners (IP:PORT, separated by commas), asked in this order.
+            required --at at: String
+            /// The file that holds the operators' secret.
+            required --secret-file secret_file: PathBuf
+            /// Print JSON.
+            optional --json
+
+            /// Commit a whole configuration under a number of your choice.
+            cmd apply {
+                /// The configuration, JSON with comments.
+                required file: PathBuf
+                /// The number of the change; resend under the same one when not certain.
+                required --number number: u64
+            }
+            /// Show the committed configuration.
+            cmd show { }
+            /// Give a key, read from a file, to a workspace.
+            cmd give-key {
+                /// The workspace.
+                required workspace: String
+                /// The file that holds the key.
+                required --key-file key_file: PathBuf
+                /// The number of the change.
+                required --number number: u64
+            }
+            /// Withdraw a key for good; exit code 4 while some data centre has not confirmed.
+            cmd withdraw-key {
+                /// The file that holds the key.
+                optional --key-file key_file: PathBuf
+                /// The key's SHA-256 in hex digits, instead of the key.
+                optional --hash hash: String
+            }
+            /// Show what every named process holds.
+            cmd status { }
+            /// Merge the events of all named processes into one time line.
+            cmd timeline { }
+        }
+    }
+}
--- a/crates/nutmegwheel/src/main.rs
+++ b/crates/nutmegwheel/src/main.rs
@@ -1,3 +1,36 @@
-//! The binary of nutmegwheel.
+//! The binary of nutmegwheel: `node`, `control`, `ctl` and `check-settings`.
+//!
+//! This crate parses the command line, prints, and sets the exit code; the work is done by the
+//! libraries. Exit codes: 0 done, 1 refused, 2 usage, 3 not reached or not certain, 4 pending.
 
-fn main() {}
+mod ctl;
+mod flags;
+mod role;
+
+use std::process::ExitCode;
+
+use flags::{Nutmegwheel, NutmegwheelCmd};
+
+/// The command line is wrong.
+const USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let flags = match Nutmegwheel::from_env() {
+        Ok(flags) => flags,
+        Err(e) if e.is_help() => {
+            println!("{e}");
+            return ExitCode::SUCCESS;
+        }
+        Err(e) => {
+            eprintln!("{e}\n\nTry: nutmegwheel --help");
+            return ExitCode::from(USAGE);
+        }
+    };
+    let code = match flags.subcommand {
+        NutmegwheelCmd::Node(cmd) => role::run(&cmd.settings, nutmegwheel_config::Role::Node),
+        NutmegwheelCmd::Control(cmd) => role::run(&cmd.settings, nutmegwheel_config::Role::Control),
+        NutmegwheelCmd::CheckSettings(cmd) => role::check(&cmd.file),
+        NutmegwheelCmd::Ctl(cmd) => ctl::run(cmd),
+    };
+    ExitCode::from(code)
+}
--- /dev/null
+++ b/tests/support/src/ledger.rs
@@ -0,0 +1,64 @@
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::Instant,
+};
+
+/// One request that a backend server began.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The service of the backend server.
+    pub service: String,
+    /// Which backend server of the fleet it was.
+    pub backend: String,
+    /// The path with its query.
+    pub path: String,
+    /// The root id that came with it.
+    pub root: String,
+    /// The workspace that came with it.
+    pub workspace: Option<String>,
+    /// Every header field, names in lower case.
+    pub fields: HashMap<String, String>,
+    /// The body.
+    pub body: Vec<u8>,
+    /// When it began.
+    pub began: Instant,
+    /// When it was answered, `None` when it never was.
+    pub ended: Option<Instant>,
+}
+
+/// What ran, over all backend servers of a test.
+#[derive(Clone, Default)]
+pub struct Ledger {
+    runs: Arc<Mutex<Vec<Run>>>,
+}
+
+impl Ledger {
+    /// Notes that a request began and returns its place.
+    pub(crate) fn begin(&self, run: Run) -> usize {
+        let mut runs = self.lock();
+        runs.push(run);
+        runs.len() - 1
+    }
+
+    /// Notes that a request was answered.
+    pub(crate) fn end(&self, place: usize) {
+        self.lock()[place].ended = Some(Instant::now());
+    }
+
+    /// Everything that ran so far.
+    #[must_use]
+    pub fn runs(&self) -> Vec<Run> {
+        self.lock().clone()
+    }
+
+    /// How many requests began whose path is this one.
+    #[must_use]
+    pub fn count(&self, path: &str) -> usize {
+        self.lock().iter().filter(|run| run.path == path).count()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Run>> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
