--- /dev/null
+++ b/crates/nutmegwheel-config/tests/configuration.rs
@@ -0,0 +1,110 @@
+//! A configuration is read whole or refused with line and field, and keeps its canonical form.
+
+use nutmegwheel_config::{Change, Configuration, NoRoute, View, hash_key};
+
+const GOOD: &str = r#"{
+  "classes": {"crews": {"rank": 0, "finish": 0.999, "within_ms": 800}},
+  "services": {
+    "dispatch": {"crew": {"class": "crews", "non_idempotent": true}, "*": {"class": "crews"}},
+    "intake": {"count": {"class": "crews", "open": true}}
+  },
+  "workspaces": {"vidzeme": {"rate": 0.5, "burst": 1}}
+}"#;
+
+#[test]
+fn routes_are_found_by_name_and_by_star() {
+    let configuration = Configuration::parse(GOOD).expect("good");
+    let route = |service, endpoint| configuration.route(service, endpoint);
+    assert!(route("dispatch", "crew").is_ok_and(|route| route.non_idempotent));
+    assert!(route("dispatch", "other").is_ok_and(|route| !route.non_idempotent));
+    assert_eq!(route("intake", "other"), Err(NoRoute::Endpoint));
+    assert_eq!(route("billing", "x"), Err(NoRoute::Service));
+    assert_eq!(configuration.retries_per_request, 3);
+}
+
+#[test]
+fn every_fault_is_refused_with_line_and_field() {
+    let faults = [
+        ("\"rank\": 0", "\"rank\": 16"),
+        ("\"rank\": 0", "\"rank\": -1"),
+        ("\"rank\": 0", "\"rank\": 0.5"),
+        ("\"finish\": 0.999", "\"finish\": 0"),
+        ("\"finish\": 0.999", "\"finish\": 1.01"),
+        ("\"finish\": 0.999", "\"finish\": 1e999"),
+        ("\"within_ms\": 800", "\"within_ms\": 0"),
+        ("\"within_ms\": 800", "\"within_ms\": 600001"),
+        (
+            "\"class\": \"crews\", \"non",
+            "\"class\": \"nobody\", \"non",
+        ),
+        ("\"open\": true", "\"open\": \"yes\""),
+        ("\"open\": true", "\"address\": \"10.0.0.1\""),
+        ("\"rate\": 0.5", "\"rate\": 0"),
+        ("\"burst\": 1", "\"burst\": 0.5"),
+        ("\"vidzeme\"", "\"Vidzeme\""),
+        ("\"workspaces\"", "\"weights\": 1, \"workspaces\""),
+        (
+            "\"workspaces\"",
+            "\"retries_per_request\": 17, \"workspaces\"",
+        ),
+        (
+            "\"workspaces\"",
+            "\"when_cut_off\": \"stop\", \"workspaces\"",
+        ),
+        ("\"intake\"", "\"dispatch\""),
+    ];
+    let mut shown = String::new();
+    for (good, bad) in faults {
+        assert!(
+            GOOD.contains(good),
+            "the table names what is not there: {good}"
+        );
+        let e = Configuration::parse(&GOOD.replacen(good, bad, 1)).expect_err(bad);
+        shown.push_str(&format!("{bad:40} {e}\n"));
+    }
+    insta::assert_snapshot!(shown);
+}
+
+#[test]
+fn the_canonical_form_reads_back_equal() {
+    let configuration = Configuration::parse(GOOD).expect("good");
+    let again = Configuration::parse(&configuration.to_json()).expect("canonical");
+    assert_eq!(again, configuration);
+    let spaced = GOOD.replace(':', " : // a comment\n");
+    let spaced = Configuration::parse(&spaced).expect("with comments");
+    assert_eq!(spaced.to_json(), configuration.to_json());
+}
+
+#[test]
+fn a_change_reads_back_equal() {
+    let hash = nutmegwheel_types::hex::encode(&hash_key(b"a key of vidzeme"));
+    let give = format!(r#"{{"give_key": {{"workspace": "vidzeme", "hash": "{hash}"}}}}"#);
+    for text in [format!("{{\"configure\": {GOOD}}}"), give] {
+        let change = Change::parse(&text).expect("good");
+        assert_eq!(Change::parse(&change.to_json()), Ok(change));
+    }
+    for bad in [
+        "{}",
+        "[]",
+        "",
+        "{\"give_key\": {\"workspace\": \"v\", \"hash\": \"12\"}}",
+    ] {
+        assert!(Change::parse(bad).is_err(), "{bad}");
+    }
+}
+
+#[test]
+fn a_view_reads_back_equal_and_refuses_noise() {
+    let mut view = View {
+        version: 7,
+        configuration: Configuration::parse(GOOD).expect("good"),
+        ..View::default()
+    };
+    view.keys.insert(hash_key(b"one"), "vidzeme".into());
+    view.withdrawn.insert(hash_key(b"two"));
+    let bytes = view.encode();
+    assert_eq!(View::decode(&bytes).expect("its own bytes"), view);
+    for end in 0..bytes.len() {
+        assert!(View::decode(&bytes[..end]).is_err(), "cut at {end}");
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-config/tests/settings.rs
@@ -0,0 +1,57 @@
+//! A settings file is read whole or refused with line and field.
+
+use nutmegwheel_config::{Role, Settings};
+
+const NODE: &str = r#"{
+  // A node in Riga.
+  "name": "riga1-0", "data_centre": "riga1", "role": "node",
+  "listen": {
+    "callers": "10.0.0.1:7000", "backend": "127.0.0.1:7001",
+    "platform": "10.0.0.1:7002", "link": "10.0.0.1:7003"
+  },
+  "seeds": [
+    {"name": "control-0", "data_centre": "riga1", "link": "10.0.0.9:7003", "control": true}
+  ],
+  "fleet_secret": "0123456789abcdef", "operator_secret": "fedcba9876543210",
+}"#;
+
+#[test]
+fn a_good_file_is_read() {
+    let settings = Settings::parse(NODE).expect("good settings");
+    assert_eq!(&*settings.name, "riga1-0");
+    assert_eq!(settings.role, Role::Node);
+    assert_eq!(settings.control_vms().count(), 1);
+}
+
+#[test]
+fn every_fault_is_refused_with_line_and_field() {
+    let faults = [
+        ("\"role\": \"node\"", "\"role\": \"nod\""),
+        ("\"name\": \"riga1-0\"", "\"name\": \"Riga 1\""),
+        ("\"name\": \"riga1-0\", ", ""),
+        ("\"10.0.0.1:7000\"", "\"10.0.0.1\""),
+        ("\"10.0.0.1:7000\"", "7000"),
+        ("\"10.0.0.1:7000\"", "\"10.0.0.1:7003\""),
+        ("\"127.0.0.1:7001\"", "\"10.0.0.1:7001\""),
+        ("\"control\": true", "\"control\": false"),
+        ("\"control\": true", "\"control\": 1"),
+        ("\"control\": true", "\"controll\": true"),
+        ("\"0123456789abcdef\"", "\"short\""),
+        ("\"0123456789abcdef\"", "\"fedcba9876543210\""),
+        ("\"seeds\": [", "\"data_folder\": \"/d\", \"seeds\": ["),
+        ("\"seeds\": [", "\"weights\": {}, \"seeds\": ["),
+        ("\"seeds\": [", "\"name\": \"again\", \"seeds\": ["),
+        ("\"seeds\": [", "\"seeds\": [,"),
+        ("\"role\": \"node\"", "\"role\": \"control\""),
+    ];
+    let mut shown = String::new();
+    for (good, bad) in faults {
+        assert!(
+            NODE.contains(good),
+            "the table names what is not there: {good}"
+        );
+        let e = Settings::parse(&NODE.replacen(good, bad, 1)).expect_err(bad);
+        shown.push_str(&format!("{bad:40} {e}\n"));
+    }
+    insta::assert_snapshot!(shown);
+}
--- /dev/null
+++ b/crates/nutmegwheel-control/tests/state.rs
@@ -0,0 +1,116 @@
+//! What becomes of changes with numbers: resends, races, late ones, and keys.
+
+use nutmegwheel_config::hash_key;
+use nutmegwheel_control::state::{Command, State, Verdict};
+use nutmegwheel_types::hex;
+
+const CONFIGURATION: &str = r#"{"configure": {"classes": {}, "services": {},
+  "workspaces": {"vidzeme": {"rate": 1, "burst": 1}, "zemgale": {"rate": 1, "burst": 1}}}}"#;
+
+fn change(number: u64, content: &str) -> Command {
+    let content = nutmegwheel_config::Change::parse(content).expect("good change");
+    Command::Change {
+        number,
+        content: content.to_json(),
+    }
+}
+
+fn give(number: u64, workspace: &str, key: &str) -> Command {
+    let hash = hex::encode(&hash_key(key.as_bytes()));
+    let content = format!(r#"{{"give_key": {{"workspace": "{workspace}", "hash": "{hash}"}}}}"#);
+    change(number, &content)
+}
+
+fn withdraw(key: &str) -> Command {
+    let hash = hex::encode(&hash_key(key.as_bytes()));
+    Command::Withdraw { hash }
+}
+
+fn state() -> State {
+    let mut state = State::default();
+    let verdict = state.apply(&change(1, CONFIGURATION));
+    let expected = Verdict::Committed {
+        version: 1,
+        first: true,
+    };
+    assert_eq!(verdict, expected);
+    state
+}
+
+#[test]
+fn a_resend_gets_the_first_answer_also_after_later_changes() {
+    let mut state = state();
+    state.apply(&give(5, "vidzeme", "a"));
+    let verdict = state.apply(&change(1, CONFIGURATION));
+    let expected = Verdict::Committed {
+        version: 1,
+        first: false,
+    };
+    assert_eq!(verdict, expected);
+    assert_eq!(state.view().version, 2);
+}
+
+#[test]
+fn of_two_changes_with_one_number_the_first_wins_and_the_other_learns_it() {
+    let mut state = state();
+    state.apply(&give(2, "vidzeme", "a"));
+    let Verdict::NumberTaken { winner } = state.apply(&give(2, "zemgale", "b")) else {
+        panic!("two changes were committed under one number");
+    };
+    assert_eq!((winner.version, winner.kind.as_str()), (2, "give_key"));
+    assert!(!state.view().keys.contains_key(&hash_key(b"b")));
+}
+
+#[test]
+fn a_number_below_the_last_one_never_commits_late() {
+    let mut state = state();
+    state.apply(&give(9, "vidzeme", "a"));
+    let verdict = state.apply(&give(4, "vidzeme", "b"));
+    assert_eq!(verdict, Verdict::NumberTooLow { last_change: 9 });
+    assert_eq!(state.view().version, 2);
+}
+
+#[test]
+fn a_withdrawn_key_is_gone_for_good() {
+    let mut state = state();
+    state.apply(&give(2, "vidzeme", "a"));
+    state.apply(&withdraw("a"));
+    let before = state.view().version;
+    assert!(!state.view().keys.contains_key(&hash_key(b"a")));
+    assert_eq!(state.apply(&give(3, "vidzeme", "a")), Verdict::KeyWithdrawn);
+    state.apply(&withdraw("a"));
+    assert_eq!(
+        state.view().version,
+        before,
+        "a second withdrawal changes nothing"
+    );
+}
+
+#[test]
+fn a_key_speaks_for_one_workspace() {
+    let mut state = state();
+    state.apply(&give(2, "vidzeme", "a"));
+    assert_eq!(state.apply(&give(3, "zemgale", "a")), Verdict::KeyTaken);
+    let unknown = state.apply(&give(3, "kurzeme", "b"));
+    assert!(matches!(unknown, Verdict::Refused { .. }));
+    assert_eq!(
+        state.last_change(),
+        2,
+        "a refused change leaves its number free"
+    );
+}
+
+#[test]
+fn a_snapshot_reads_back_equal_and_answers_stay_bounded() {
+    let mut state = state();
+    for number in 2..6000 {
+        state.apply(&give(number, "vidzeme", &number.to_string()));
+    }
+    let again = State::decode(&state.encode()).expect("its own snapshot");
+    assert_eq!(again, state);
+    assert!(state.answer(1).is_none() && state.answer(5999).is_some());
+    assert_eq!(
+        state.apply(&change(1, CONFIGURATION)),
+        Verdict::NumberTooLow { last_change: 5999 }
+    );
+}
