--- a/crates/nutmegwheel-config/tests/configuration.rs
+++ b/crates/nutmegwheel-config/tests/configuration.rs
@@ -1,5 +1,7 @@
 //! A configuration is read whole or refused with line and field, and keeps its canonical form.
 
+use std::fmt::Write as _;
+
 use nutmegwheel_config::{Change, Configuration, NoRoute, View, hash_key};
 
 const GOOD: &str = r#"{
@@ -60,7 +62,7 @@
             "the table names what is not there: {good}"
         );
         let e = Configuration::parse(&GOOD.replacen(good, bad, 1)).expect_err(bad);
-        shown.push_str(&format!("{bad:40} {e}\n"));
+        let _ = writeln!(shown, "{bad:40} {e}");
     }
     insta::assert_snapshot!(shown);
 }
--- a/crates/nutmegwheel-config/tests/settings.rs
+++ b/crates/nutmegwheel-config/tests/settings.rs
@@ -1,5 +1,7 @@
 //! A settings file is read whole or refused with line and field.
 
+use std::fmt::Write as _;
+
 use nutmegwheel_config::{Role, Settings};
 
 const NODE: &str = r#"{
@@ -51,7 +53,7 @@
             "the table names what is not there: {good}"
         );
         let e = Settings::parse(&NODE.replacen(good, bad, 1)).expect_err(bad);
-        shown.push_str(&format!("{bad:40} {e}\n"));
+        let _ = writeln!(shown, "{bad:40} {e}");
     }
     insta::assert_snapshot!(shown);
 }
