feat: choose backend servers by two random choices

Cause: a node needs to pick a backend server without agreement among nodes and without trusting load endpoints. Ruled out: least loaded of all (all senders crowd onto one), weights (operators never set any).

--- /dev/null
+++ b/crates/nutmegwheel-policy/src/routing/choose.rs
@@ -0,0 +1,158 @@
+use std::time::Instant;
+
+use rand::Rng;
+
+use super::{BackendKey, Error, Request, Table};
+
+/// The random draws made before the whole pool is looked through.
+const DRAWS: usize = 8;
+
+#[derive(Clone, Copy)]
+struct Candidate {
+    key: BackendKey,
+    load: f64,
+}
+
+impl Table {
+    /// Chooses the less loaded of two random backend servers and counts the request as
+    /// outstanding there until [`finish`](Table::finish).
+    ///
+    /// The own data centre comes first; work spills over only when the choice there is loaded
+    /// past [`spill_percent`](super::Options::spill_percent) and the one elsewhere has clearly
+    /// more headroom. Ejected ones are a last resort, for an ejection is only a suspicion.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NoneReady`] when no backend server takes new work, [`Error::AllTried`] when this
+    /// request was already sent to all that do.
+    pub fn choose(
+        &mut self,
+        now: Instant,
+        req: &Request<'_>,
+        rng: &mut impl Rng,
+    ) -> Result<BackendKey, Error> {
+        let candidate = self
+            .candidate(now, req, false, rng)
+            .or_else(|| self.candidate(now, req, true, rng))
+            .ok_or_else(|| self.no_choice())?;
+        self.servers[candidate.key].outstanding += 1;
+        Ok(candidate.key)
+    }
+
+    fn candidate(
+        &self,
+        now: Instant,
+        req: &Request<'_>,
+        ejected: bool,
+        rng: &mut impl Rng,
+    ) -> Option<Candidate> {
+        let near = self.better_of_two(now, &self.near, req, ejected, rng);
+        let spill = f64::from(self.options.spill_percent) / 100.0;
+        if near.is_some_and(|near| near.load < spill) {
+            return near;
+        }
+        let far = self.better_of_two(now, &self.far, req, ejected, rng);
+        match (near, far) {
+            (Some(near), Some(far)) => Some(self.nearer_unless_loaded(near, far)),
+            (near, far) => near.or(far),
+        }
+    }
+
+    fn nearer_unless_loaded(&self, near: Candidate, far: Candidate) -> Candidate {
+        let margin = f64::from(self.options.spill_margin_percent) / 100.0;
+        if far.load + margin < near.load {
+            far
+        } else {
+            near
+        }
+    }
+
+    fn better_of_two(
+        &self,
+        now: Instant,
+        pool: &[BackendKey],
+        req: &Request<'_>,
+        ejected: bool,
+        rng: &mut impl Rng,
+    ) -> Option<Candidate> {
+        let is_eligible = |key: BackendKey| self.is_eligible(now, key, req, ejected);
+        let pair = draw_two(pool, is_eligible, rng);
+        pair.into_iter()
+            .flatten()
+            .map(|key| Candidate {
+                key,
+                load: self.servers[key].load(now, req.priority, &self.options),
+            })
+            .min_by(|a, b| a.load.total_cmp(&b.load))
+    }
+
+    fn is_eligible(&self, now: Instant, key: BackendKey, req: &Request<'_>, ejected: bool) -> bool {
+        let server = &self.servers[key];
+        server.is_available() && (ejected || !server.is_ejected(now)) && !req.tried.contains(&key)
+    }
+
+    fn no_choice(&self) -> Error {
+        let ready = self
+            .servers
+            .values()
+            .filter(|server| server.is_available())
+            .count();
+        let data_centre = self.data_centre.clone();
+        if ready == 0 {
+            Error::NoneReady {
+                data_centre,
+                known: self.servers.len(),
+            }
+        } else {
+            Error::AllTried {
+                data_centre,
+                tried: ready,
+            }
+        }
+    }
+}
+
+/// Draws two different eligible keys: by a few random draws first, which is enough in a mostly
+/// healthy pool, or else by looking through the whole pool.
+fn draw_two(
+    pool: &[BackendKey],
+    is_eligible: impl Fn(BackendKey) -> bool,
+    rng: &mut impl Rng,
+) -> [Option<BackendKey>; 2] {
+    if pool.len() <= DRAWS {
+        return sample_two(pool, is_eligible, rng);
+    }
+    let mut first = None;
+    for _ in 0..DRAWS {
+        let key = pool[rng.random_range(0..pool.len())];
+        if first == Some(key) || !is_eligible(key) {
+            continue;
+        }
+        if first.is_some() {
+            return [first, Some(key)];
+        }
+        first = Some(key);
+    }
+    sample_two(pool, is_eligible, rng)
+}
+
+/// Reservoir sampling of two eligible keys.
+fn sample_two(
+    pool: &[BackendKey],
+    is_eligible: impl Fn(BackendKey) -> bool,
+    rng: &mut impl Rng,
+) -> [Option<BackendKey>; 2] {
+    let mut chosen = [None, None];
+    let eligible = pool.iter().copied().filter(|key| is_eligible(*key));
+    for (seen, key) in eligible.enumerate() {
+        let place = if seen < 2 {
+            seen
+        } else {
+            rng.random_range(0..=seen)
+        };
+        if let Some(slot) = chosen.get_mut(place) {
+            *slot = Some(key);
+        }
+    }
+    chosen
+}
--- /dev/null
+++ b/crates/nutmegwheel-policy/src/routing/ejection.rs
@@ -0,0 +1,49 @@
+use std::time::Instant;
+
+use super::{BackendKey, Table};
+
+impl Table {
+    /// Ejects an outlier unless that passes the bound on the ejected part.
+    pub(crate) fn eject_within_bound(&mut self, now: Instant, key: BackendKey) {
+        if !self.servers[key].is_available() || self.servers[key].is_ejected(now) {
+            return;
+        }
+        if self.ejected(now) < self.max_ejected() {
+            self.servers[key].eject(now, &self.options);
+        }
+    }
+
+    /// Ends the ejections that would end first until the bound holds again, as when healthy
+    /// backend servers have left.
+    pub(crate) fn restore_ejection_bound(&mut self, now: Instant) {
+        for _ in self.max_ejected()..self.ejected(now) {
+            let first = self
+                .servers
+                .values_mut()
+                .filter(|server| server.is_available() && server.is_ejected(now))
+                .min_by_key(|server| server.ejected_until);
+            if let Some(server) = first {
+                server.ejected_until = None;
+                server.start_slowly(now);
+            }
+        }
+    }
+
+    /// The number of available backend servers that are ejected now.
+    #[must_use]
+    pub fn ejected(&self, now: Instant) -> usize {
+        self.servers
+            .values()
+            .filter(|server| server.is_available() && server.is_ejected(now))
+            .count()
+    }
+
+    /// The number of available backend servers that may be ejected: a fraction, yet one of two.
+    #[must_use]
+    pub fn max_ejected(&self) -> usize {
+        let available = self.available();
+        let percent = usize::try_from(self.options.max_ejected_percent).unwrap_or(usize::MAX);
+        let part = available.saturating_mul(percent) / 100;
+        part.max(1).min(available.saturating_sub(1))
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-policy/src/routing/mod.rs
@@ -0,0 +1,184 @@
+//! The choice of a backend server among those of one service; see docs/POLICY.md.
+//!
+//! Two random choices compared by outstanding work keep senders from crowding onto the one that
+//! looked best a moment ago, and need no agreement among senders.
+
+mod choose;
+mod ejection;
+mod error;
+mod server;
+mod types;
+
+use std::{collections::HashMap, time::Instant};
+
+use nutmegwheel_types::{DataCentreId, ProcessName};
+use slotmap::SlotMap;
+
+pub use error::Error;
+pub use types::{Announcement, BackendKey, LoadReport, Options, Outcome, Request, ServerState};
+
+use server::Server;
+
+/// The backend servers of one service, as seen by one node.
+#[derive(Debug)]
+pub struct Table {
+    options: Options,
+    data_centre: DataCentreId,
+    servers: SlotMap<BackendKey, Server>,
+    by_node: HashMap<ProcessName, BackendKey>,
+    near: Vec<BackendKey>,
+    far: Vec<BackendKey>,
+}
+
+/// Lifecycle
+impl Table {
+    /// Opens an empty table for a chooser in `data_centre`.
+    #[must_use]
+    pub fn open(data_centre: DataCentreId, options: Options) -> Self {
+        Self {
+            options,
+            data_centre,
+            servers: SlotMap::with_key(),
+            by_node: HashMap::new(),
+            near: Vec::new(),
+            far: Vec::new(),
+        }
+    }
+
+    /// Takes over an announcement; repeats of the same one change nothing.
+    ///
+    /// A new incarnation gets a new key, so that outcomes of the former life do not count
+    /// against it. Older incarnations are ignored.
+    pub fn announce(&mut self, now: Instant, announcement: Announcement) -> BackendKey {
+        let key = match self.known(&announcement) {
+            Some(key) if self.is_same_life(key, &announcement) => {
+                self.servers[key].update(now, announcement);
+                key
+            }
+            Some(key) if self.is_former_life(key, &announcement) => key,
+            Some(key) => {
+                self.remove(now, key);
+                self.insert_starting(now, announcement)
+            }
+            None => self.insert(announcement),
+        };
+        self.restore_ejection_bound(now);
+        key
+    }
+
+    /// Forgets a backend server whose lease has ended.
+    pub fn remove(&mut self, now: Instant, key: BackendKey) {
+        if let Some(server) = self.servers.remove(key) {
+            self.by_node.remove(&server.announcement.node);
+            self.near.retain(|other| *other != key);
+            self.far.retain(|other| *other != key);
+            self.restore_ejection_bound(now);
+        }
+    }
+
+    /// Marks whether the link to a backend server's node is silent; it then gets nothing new.
+    pub fn set_silent(&mut self, now: Instant, key: BackendKey, silent: bool) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.silent = silent;
+            self.restore_ejection_bound(now);
+        }
+    }
+
+    /// Counts the end of a chosen request and the load that its answer reported.
+    pub fn finish(
+        &mut self,
+        now: Instant,
+        key: BackendKey,
+        outcome: Outcome,
+        report: Option<LoadReport>,
+    ) {
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        server.outstanding = server.outstanding.saturating_sub(1);
+        if let Some(report) = report {
+            server.report(now, report);
+        }
+        if server.count(now, outcome, &self.options) {
+            self.eject_within_bound(now, key);
+        }
+    }
+
+    fn insert(&mut self, announcement: Announcement) -> BackendKey {
+        let is_near = announcement.data_centre == self.data_centre;
+        let node = announcement.node.clone();
+        let key = self.servers.insert(Server::new(announcement));
+        self.by_node.insert(node, key);
+        if is_near {
+            &mut self.near
+        } else {
+            &mut self.far
+        }
+        .push(key);
+        key
+    }
+
+    /// Inserts a backend server that was started again a moment ago.
+    fn insert_starting(&mut self, now: Instant, announcement: Announcement) -> BackendKey {
+        let key = self.insert(announcement);
+        self.servers[key].start_slowly(now);
+        key
+    }
+}
+
+/// Access
+impl Table {
+    /// The key of a node's backend server.
+    #[must_use]
+    pub fn find(&self, node: &str) -> Option<BackendKey> {
+        self.by_node.get(node).copied()
+    }
+
+    /// What the backend server last announced.
+    #[must_use]
+    pub fn announcement(&self, key: BackendKey) -> Option<&Announcement> {
+        self.servers.get(key).map(|server| &server.announcement)
+    }
+
+    /// The requests of this chooser that are under way at a backend server.
+    #[must_use]
+    pub fn outstanding(&self, key: BackendKey) -> u32 {
+        self.servers.get(key).map_or(0, |server| server.outstanding)
+    }
+
+    /// Whether a backend server is ejected now.
+    #[must_use]
+    pub fn is_ejected(&self, now: Instant, key: BackendKey) -> bool {
+        self.servers
+            .get(key)
+            .is_some_and(|server| server.is_ejected(now))
+    }
+
+    /// The number of backend servers that are ready and reachable, ejected ones included.
+    #[must_use]
+    pub fn available(&self) -> usize {
+        self.servers
+            .values()
+            .filter(|server| server.is_available())
+            .count()
+    }
+
+    /// All backend servers with their announcements.
+    pub fn iter(&self) -> impl Iterator<Item = (BackendKey, &Announcement)> {
+        self.servers
+            .iter()
+            .map(|(key, server)| (key, &server.announcement))
+    }
+
+    fn known(&self, announcement: &Announcement) -> Option<BackendKey> {
+        self.find(&announcement.node)
+    }
+
+    fn is_same_life(&self, key: BackendKey, announcement: &Announcement) -> bool {
+        self.servers[key].announcement.incarnation == announcement.incarnation
+    }
+
+    fn is_former_life(&self, key: BackendKey, announcement: &Announcement) -> bool {
+        self.servers[key].announcement.incarnation > announcement.incarnation
+    }
+}
