feat: admission queue, concurrency limit and shed levels

Cause: one backend server needs a queue that never starts what cannot finish and sheds by priority; doors need to know the level at which it sheds. Ruled out: announced slots as the limit (real capacity differs), latency alone as the sign of overload (a slow downstream service would starve the limit).

--- /dev/null
+++ b/crates/nutmegwheel-policy/src/admission/queue.rs
@@ -0,0 +1,373 @@
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+use nutmegwheel_types::{EndpointId, Priority, plain_copy};
+use rand::Rng;
+use slotmap::SlotMap;
+
+use super::{
+    Completion, Event, Offer, Options, Reason, Refusal, Request, Ticket,
+    level::LevelControl,
+    rank::{Rank, is_shed},
+    service_time::ServiceTimes,
+    waiting::{Place, Waiting},
+};
+use crate::{
+    concurrency::{Limiter, Outcome, Sample},
+    routing::LoadReport,
+};
+
+plain_copy! {
+    /// What a cancelled request was doing.
+    pub enum Cancelled {
+        /// It waited and will not run.
+        Waiting,
+        /// It was running; its slot is free again.
+        Running,
+        /// It has already ended.
+        Ended,
+    }
+}
+
+#[derive(Debug)]
+enum State {
+    Waiting(Place),
+    Running { since: Instant },
+}
+
+#[derive(Debug)]
+struct Entry {
+    endpoint: EndpointId,
+    priority: Priority,
+    deadline: Instant,
+    state: State,
+}
+
+/// The queue in front of one backend server.
+///
+/// Call [`poll`](Queue::poll) until it gives `None` after every other call that changes the
+/// queue, and at [`next_wakeup`](Queue::next_wakeup).
+#[derive(Debug)]
+pub struct Queue {
+    pub(crate) options: Options,
+    pub(crate) limiter: Box<dyn Limiter>,
+    pub(crate) service_times: ServiceTimes,
+    pub(crate) level: LevelControl,
+    pub(crate) waiting: Waiting,
+    entries: SlotMap<Ticket, Entry>,
+    events: VecDeque<Event>,
+    running: u32,
+    arrivals: u64,
+}
+
+/// Lifecycle
+impl Queue {
+    /// Opens an empty queue whose concurrency `limiter` decides.
+    #[must_use]
+    pub fn open(now: Instant, limiter: Box<dyn Limiter>, options: Options) -> Self {
+        Self {
+            limiter,
+            service_times: ServiceTimes::new(options.first_service_time),
+            level: LevelControl::new(now, &options),
+            waiting: Waiting::default(),
+            entries: SlotMap::with_key(),
+            events: VecDeque::new(),
+            running: 0,
+            arrivals: 0,
+            options,
+        }
+    }
+
+    /// Offers a request: it starts, waits or is refused at once.
+    pub fn offer(&mut self, now: Instant, req: Request, rng: &mut impl Rng) -> Offer {
+        self.level.roll(now, self.waiting.len());
+        self.level.count_arrival(now, req.priority, req.is_deep);
+        let priority = req.priority;
+        match self.try_offer(now, req, rng) {
+            Ok(offer) => offer,
+            Err(reason) => Offer::Refused(self.refusal(now, reason, priority, rng)),
+        }
+    }
+
+    /// Counts the end of a started request.
+    pub fn finish(&mut self, now: Instant, ticket: Ticket, completion: Completion) {
+        let Some(Entry {
+            state: State::Running { since },
+            ..
+        }) = self.entries.get(ticket)
+        else {
+            return;
+        };
+        let latency = now.saturating_duration_since(*since);
+        let entry = self.entries.remove(ticket);
+        self.learn(now, latency, completion, entry.map(|entry| entry.endpoint));
+        self.running -= 1;
+        self.level.roll(now, self.waiting.len());
+    }
+
+    /// Gives up a request whose caller has left.
+    pub fn cancel(&mut self, now: Instant, ticket: Ticket) -> Cancelled {
+        match self.entries.get(ticket).map(|entry| &entry.state) {
+            Some(State::Waiting(place)) => {
+                let place = *place;
+                self.waiting.remove(&place);
+                self.entries.remove(ticket);
+                self.level.note_waiting(self.waiting.len());
+                Cancelled::Waiting
+            }
+            Some(State::Running { .. }) => {
+                self.finish(now, ticket, Completion::Uninformative);
+                Cancelled::Running
+            }
+            None => Cancelled::Ended,
+        }
+    }
+
+    /// Tells the next start or refusal of a waiting request.
+    pub fn poll(&mut self, now: Instant, rng: &mut impl Rng) -> Option<Event> {
+        self.level.roll(now, self.waiting.len());
+        if let Some(event) = self.events.pop_front() {
+            return Some(event);
+        }
+        if let Some(place) = self.waiting.pop_too_late(now) {
+            return Some(self.give_up(now, place, rng));
+        }
+        self.start_next(now)
+    }
+
+    /// Refuses all that wait, because the backend server is gone or leaving; none was run.
+    pub fn refuse_waiting(&mut self, now: Instant, rng: &mut impl Rng) {
+        while let Some(place) = self.waiting.pop_least_important() {
+            self.refuse_later(now, place, Reason::NotServing, rng);
+        }
+        self.level.note_waiting(0);
+    }
+
+    /// Takes over an announced ceiling of requests at a time.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.limiter.set_slots(slots);
+    }
+
+    /// Begins a slow start, because the backend server was started again.
+    pub fn cold_start(&mut self, now: Instant) {
+        self.limiter.cold_start(now);
+    }
+}
+
+/// Access
+impl Queue {
+    /// The load to be reported on every answer.
+    #[must_use]
+    pub fn report(&self) -> LoadReport {
+        LoadReport {
+            running: self.running,
+            waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
+            limit: self.limiter.limit(),
+            shed_level: self.level.level(),
+        }
+    }
+
+    /// The instant at which the next waiting request must be given up, unless it starts before.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Option<Instant> {
+        self.waiting.next_latest_start()
+    }
+
+    fn has_free_slot(&self) -> bool {
+        self.running < self.limiter.limit()
+    }
+}
+
+/// Decisions
+impl Queue {
+    fn try_offer(
+        &mut self,
+        now: Instant,
+        req: Request,
+        rng: &mut impl Rng,
+    ) -> Result<Offer, Reason> {
+        if req.deadline <= now {
+            return Err(Reason::Expired);
+        }
+        let latest_start = self.latest_start(now, &req);
+        if self.has_free_slot() && self.waiting.is_empty() {
+            return self.start_at_once(now, req, latest_start);
+        }
+        self.check_level(&req)?;
+        let rank = Rank::of(&req);
+        self.check_wait(now, rank, latest_start)?;
+        self.make_room(now, rank, rng)?;
+        Ok(Offer::Waiting(self.enqueue(req, rank, latest_start)))
+    }
+
+    /// The last instant at which the request can start and still likely finish in time.
+    fn latest_start(&self, now: Instant, req: &Request) -> Option<Instant> {
+        let service = self.service_times.likely(now, &req.endpoint);
+        let left = req.deadline.saturating_duration_since(now);
+        left.checked_sub(service).map(|spare| now + spare)
+    }
+
+    /// Starts a request in a free slot. When nothing else runs it starts even against the
+    /// estimate, for otherwise a wrong estimate would never be corrected.
+    fn start_at_once(
+        &mut self,
+        now: Instant,
+        req: Request,
+        latest_start: Option<Instant>,
+    ) -> Result<Offer, Reason> {
+        if latest_start.is_none() && self.running > 0 {
+            return Err(Reason::CannotFinish);
+        }
+        self.running += 1;
+        let ticket = self.entries.insert(Entry {
+            endpoint: req.endpoint,
+            priority: req.priority,
+            deadline: req.deadline,
+            state: State::Running { since: now },
+        });
+        Ok(Offer::Started(ticket))
+    }
+
+    fn check_level(&self, req: &Request) -> Result<(), Reason> {
+        match self.level.level() {
+            Some(level) if is_shed(level, req.priority, req.is_deep) => Err(Reason::BelowShedLevel),
+            _ => Ok(()),
+        }
+    }
+
+    fn check_wait(
+        &self,
+        now: Instant,
+        rank: Rank,
+        latest_start: Option<Instant>,
+    ) -> Result<(), Reason> {
+        let latest_start = latest_start.ok_or(Reason::CannotFinish)?;
+        let ahead = self.waiting.ahead_of(rank, self.options.max_waiting);
+        if now + self.time_to_start(now, ahead) > latest_start {
+            return Err(Reason::CannotFinish);
+        }
+        Ok(())
+    }
+
+    /// Displaces the least important waiting request from a full queue, if it is less important.
+    fn make_room(&mut self, now: Instant, rank: Rank, rng: &mut impl Rng) -> Result<(), Reason> {
+        if self.waiting.len() < self.options.max_waiting {
+            return Ok(());
+        }
+        if self
+            .waiting
+            .least_important()
+            .is_none_or(|least| least.rank <= rank)
+        {
+            return Err(Reason::QueueFull);
+        }
+        if let Some(place) = self.waiting.pop_least_important() {
+            self.refuse_later(now, place, Reason::Displaced, rng);
+        }
+        Ok(())
+    }
+
+    fn enqueue(&mut self, req: Request, rank: Rank, latest_start: Option<Instant>) -> Ticket {
+        let arrival = self.arrivals;
+        self.arrivals += 1;
+        let latest_start = latest_start.unwrap_or(req.deadline);
+        let ticket = self.entries.insert_with_key(|ticket| Entry {
+            endpoint: req.endpoint,
+            priority: req.priority,
+            deadline: req.deadline,
+            state: State::Waiting(Place {
+                rank,
+                arrival,
+                latest_start,
+                ticket,
+            }),
+        });
+        self.waiting.insert(Place {
+            rank,
+            arrival,
+            latest_start,
+            ticket,
+        });
+        ticket
+    }
+
+    fn start_next(&mut self, now: Instant) -> Option<Event> {
+        if !self.has_free_slot() {
+            return None;
+        }
+        let place = self.waiting.pop_most_important()?;
+        self.level.note_waiting(self.waiting.len());
+        self.entries[place.ticket].state = State::Running { since: now };
+        self.running += 1;
+        Some(Event::Started(place.ticket))
+    }
+
+    fn give_up(&mut self, now: Instant, place: Place, rng: &mut impl Rng) -> Event {
+        let deadline = self.entries.get(place.ticket).map(|entry| entry.deadline);
+        let reason = if deadline.is_some_and(|deadline| deadline <= now) {
+            // That a deadline passed while waiting shows a lack of capacity all the same.
+            self.level.count_refusal();
+            Reason::Expired
+        } else {
+            Reason::CannotFinish
+        };
+        let refusal = self.end_waiting(now, place, reason, rng);
+        Event::Refused(place.ticket, refusal)
+    }
+
+    fn refuse_later(&mut self, now: Instant, place: Place, reason: Reason, rng: &mut impl Rng) {
+        let refusal = self.end_waiting(now, place, reason, rng);
+        self.events.push_back(Event::Refused(place.ticket, refusal));
+    }
+
+    fn end_waiting(
+        &mut self,
+        now: Instant,
+        place: Place,
+        reason: Reason,
+        rng: &mut impl Rng,
+    ) -> Refusal {
+        let entry = self.entries.remove(place.ticket);
+        self.level.note_waiting(self.waiting.len());
+        let priority = entry.map_or(LEAST_IMPORTANT, |entry| entry.priority);
+        self.refusal(now, reason, priority, rng)
+    }
+
+    fn learn(
+        &mut self,
+        now: Instant,
+        latency: Duration,
+        completion: Completion,
+        endpoint: Option<EndpointId>,
+    ) {
+        let outcome = match completion {
+            Completion::Answered => Outcome::Answered,
+            Completion::TimedOut => Outcome::TimedOut,
+            Completion::Refused => Outcome::Refused,
+            Completion::Uninformative => Outcome::Uninformative,
+        };
+        self.limiter.observe(
+            now,
+            Sample {
+                latency,
+                running: self.running,
+                outcome,
+            },
+        );
+        if matches!(completion, Completion::Answered | Completion::TimedOut) {
+            self.level.count_completion();
+            if let Some(endpoint) = endpoint {
+                self.service_times.add(now, &endpoint, latency);
+            }
+        }
+    }
+}
+
+/// The priority that stands in where none is known.
+const LEAST_IMPORTANT: Priority = Priority {
+    rank: u8::MAX,
+    over_share: u8::MAX,
+    root_hash: u16::MAX,
+};
--- /dev/null
+++ b/crates/nutmegwheel-policy/src/admission/rank.rs
@@ -0,0 +1,40 @@
+use nutmegwheel_types::{ClassRank, Priority, plain_copy};
+
+use super::Request;
+
+plain_copy! {
+    /// The order in which requests are started; the greatest is shed first.
+    ///
+    /// The fields are in order of weight: work already begun deep in a chain comes before new
+    /// work of its class, for giving it up wastes what was done for it.
+    pub(crate) struct Rank {
+        pub(crate) class: ClassRank,
+        pub(crate) is_new: bool,
+        pub(crate) over_share: u8,
+        pub(crate) root_hash: u16,
+    }
+}
+
+impl Rank {
+    pub(crate) fn of(req: &Request) -> Self {
+        Self::new(req.priority, req.is_deep)
+    }
+
+    pub(crate) fn new(priority: Priority, is_deep: bool) -> Self {
+        Self {
+            class: priority.rank,
+            is_new: !is_deep,
+            over_share: priority.over_share,
+            root_hash: priority.root_hash,
+        }
+    }
+}
+
+/// Whether a shed level refuses a request. Deep work is refused only together with its class.
+pub(crate) fn is_shed(level: Priority, priority: Priority, is_deep: bool) -> bool {
+    if is_deep {
+        priority.rank > level.rank
+    } else {
+        priority > level
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-policy/src/admission/service_time.rs
@@ -0,0 +1,112 @@
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use nutmegwheel_types::EndpointId;
+
+/// The most endpoints that are told apart; further ones share one estimate.
+const MAX_ENDPOINTS: usize = 256;
+/// The weight of a sample in the mean and the deviation, 1 in this many.
+const SMOOTHING: u32 = 8;
+/// The mean deviations above the mean within which most requests finish.
+const DEVIATIONS: u32 = 2;
+/// The time without a sample after which an estimate begins to halve.
+const STALE_AFTER: Duration = Duration::from_secs(1);
+/// The time in which a stale estimate halves, so that a slow spell ends without a sample.
+const HALF_LIFE: Duration = Duration::from_millis(500);
+
+/// A smoothed mean and mean deviation.
+#[derive(Clone, Copy, Debug)]
+struct Estimate {
+    mean: Duration,
+    deviation: Duration,
+    at: Instant,
+}
+
+impl Estimate {
+    fn first(now: Instant, sample: Duration) -> Self {
+        Self {
+            mean: sample,
+            deviation: sample / 4,
+            at: now,
+        }
+    }
+
+    fn add(&mut self, now: Instant, sample: Duration) {
+        let error = sample.abs_diff(self.mean);
+        self.deviation = smooth(self.deviation, error);
+        self.mean = smooth(self.mean, sample);
+        self.at = now;
+    }
+
+    /// The halvings that staleness has brought.
+    fn halvings(&self, now: Instant) -> u32 {
+        let idle = now
+            .saturating_duration_since(self.at)
+            .saturating_sub(STALE_AFTER);
+        u32::try_from(idle.as_millis() / HALF_LIFE.as_millis())
+            .unwrap_or(u32::MAX)
+            .min(20)
+    }
+
+    fn mean(&self, now: Instant) -> Duration {
+        self.mean / (1 << self.halvings(now))
+    }
+
+    fn likely(&self, now: Instant) -> Duration {
+        (self.mean + self.deviation * DEVIATIONS) / (1 << self.halvings(now))
+    }
+}
+
+fn smooth(old: Duration, new: Duration) -> Duration {
+    (old * (SMOOTHING - 1) + new) / SMOOTHING
+}
+
+/// The service times of a backend server, over all and by endpoint.
+#[derive(Debug)]
+pub(crate) struct ServiceTimes {
+    assumed: Duration,
+    all: Option<Estimate>,
+    by_endpoint: HashMap<EndpointId, Estimate>,
+}
+
+impl ServiceTimes {
+    pub(crate) fn new(assumed: Duration) -> Self {
+        Self {
+            assumed,
+            all: None,
+            by_endpoint: HashMap::new(),
+        }
+    }
+
+    pub(crate) fn add(&mut self, now: Instant, endpoint: &EndpointId, sample: Duration) {
+        add_to(&mut self.all, now, sample);
+        if let Some(estimate) = self.by_endpoint.get_mut(endpoint) {
+            estimate.add(now, sample);
+        } else if self.by_endpoint.len() < MAX_ENDPOINTS {
+            self.by_endpoint
+                .insert(endpoint.clone(), Estimate::first(now, sample));
+        }
+    }
+
+    /// The time within which most requests of an endpoint finish.
+    pub(crate) fn likely(&self, now: Instant, endpoint: &EndpointId) -> Duration {
+        let estimate = self.by_endpoint.get(endpoint).or(self.all.as_ref());
+        estimate.map_or(self.assumed, |estimate| estimate.likely(now))
+    }
+
+    /// The mean over all endpoints.
+    pub(crate) fn mean(&self, now: Instant) -> Duration {
+        self.all
+            .as_ref()
+            .map_or(self.assumed, |estimate| estimate.mean(now))
+    }
+}
+
+fn add_to(estimate: &mut Option<Estimate>, now: Instant, sample: Duration) {
+    match estimate {
+        Some(estimate) => estimate.add(now, sample),
+        None => *estimate = Some(Estimate::first(now, sample)),
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-policy/src/concurrency/gradient.rs
@@ -0,0 +1,196 @@
+use std::time::{Duration, Instant};
+
+use super::{
+    Limiter, Options, Sample,
+    window::{Summary, Window},
+};
+
+/// The weight of a new, higher latency below the queueing mark in the baseline, 1 in this many.
+const BASELINE_DRIFT: u32 = 16;
+
+/// What the limiter is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Doubling after a cold start.
+    SlowStart,
+    /// Probing upward in small steps.
+    Search,
+    /// Waiting to see whether a step down from `limit` lowers the latency below `latency`.
+    SteppedDown { from: u32, latency: Duration },
+}
+
+/// Compares the mean latency with a baseline and steps down while that lowers the latency.
+///
+/// When a step down does not help, concurrency was not the cause: a slow downstream service
+/// becomes the new baseline and the limit returns, so that it never starves the backend server.
+/// Health and load endpoints are no input.
+#[derive(Debug)]
+pub struct Gradient {
+    options: Options,
+    slots: u32,
+    limit: u32,
+    phase: Phase,
+    baseline: Option<Duration>,
+    window: Window,
+    probed_at: Instant,
+}
+
+/// Lifecycle
+impl Gradient {
+    /// Opens a limiter that starts at the announced slots.
+    #[must_use]
+    pub fn open(now: Instant, slots: u32, options: Options) -> Self {
+        let slots = slots.max(1);
+        Self {
+            options,
+            slots,
+            limit: slots,
+            phase: Phase::Search,
+            baseline: None,
+            window: Window::new(now),
+            probed_at: now,
+        }
+    }
+}
+
+/// Access
+impl Gradient {
+    /// The latency that counts as free of queueing, once known.
+    #[must_use]
+    pub fn baseline(&self) -> Option<Duration> {
+        self.baseline
+    }
+
+    fn floor(&self) -> u32 {
+        percent(self.slots, self.options.floor_percent).max(1)
+    }
+
+    /// Whether the latency is so far above the baseline that requests queue inside.
+    fn is_queueing(&self, latency: Duration) -> bool {
+        self.baseline
+            .is_some_and(|baseline| latency * 100 > baseline * self.options.queueing_percent)
+    }
+}
+
+/// Decisions
+impl Gradient {
+    fn decide(&mut self, now: Instant, seen: Summary) {
+        if seen.refused {
+            self.step_down_after_refusal();
+            return;
+        }
+        let Some(latency) = seen.latency else { return };
+        if let Phase::SteppedDown {
+            from,
+            latency: before,
+        } = self.phase
+        {
+            self.judge_step(latency, from, before);
+        }
+        let is_used_up = seen.most_running >= self.limit;
+        if self.is_queueing(latency) {
+            self.step_down(latency);
+        } else if is_used_up && self.is_probe_due(now) {
+            self.probed_at = now;
+            self.step_down(latency);
+        } else {
+            self.learn_baseline(latency);
+            self.grow(is_used_up);
+        }
+    }
+
+    /// Decides whether the last step down lowered the latency.
+    fn judge_step(&mut self, latency: Duration, from: u32, before: Duration) {
+        self.phase = Phase::Search;
+        if latency * 100 > before * self.options.helped_percent {
+            self.baseline = Some(latency);
+            self.limit = from.min(self.slots);
+        } else {
+            self.baseline = Some(self.baseline.map_or(latency, |known| known.min(latency)));
+        }
+    }
+
+    fn step_down(&mut self, latency: Duration) {
+        let lower = percent(self.limit, self.options.step_down_percent).max(self.floor());
+        if lower < self.limit {
+            self.phase = Phase::SteppedDown {
+                from: self.limit,
+                latency,
+            };
+            self.limit = lower;
+        } else {
+            // At the floor no step can tell the cause, so the latency is taken as it is.
+            self.baseline = Some(latency);
+            self.phase = Phase::Search;
+        }
+    }
+
+    fn step_down_after_refusal(&mut self) {
+        self.phase = Phase::Search;
+        self.limit = percent(self.limit, self.options.step_down_percent).max(self.floor());
+    }
+
+    fn grow(&mut self, is_used_up: bool) {
+        let wanted = match self.phase {
+            Phase::SlowStart => self.limit * 2,
+            _ if is_used_up => self.limit + self.limit.isqrt(),
+            _ => self.limit,
+        };
+        self.limit = wanted.min(self.slots);
+        if self.limit == self.slots {
+            self.phase = Phase::Search;
+        }
+    }
+
+    fn learn_baseline(&mut self, latency: Duration) {
+        self.baseline = Some(match self.baseline {
+            Some(known) if latency > known => {
+                (known * (BASELINE_DRIFT - 1) + latency) / BASELINE_DRIFT
+            }
+            Some(known) => (known + latency) / 2,
+            None => latency,
+        });
+    }
+
+    fn is_probe_due(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.probed_at) >= self.options.probe_interval
+    }
+}
+
+impl Limiter for Gradient {
+    fn limit(&self) -> u32 {
+        self.limit
+    }
+
+    fn observe(&mut self, now: Instant, sample: Sample) {
+        self.window.add(now, sample);
+        if self.window.is_complete(now, self.limit, &self.options) {
+            let seen = self.window.summary();
+            self.decide(now, seen);
+            self.window = Window::new(now);
+        }
+    }
+
+    fn set_slots(&mut self, slots: u32) {
+        let slots = slots.max(1);
+        let was_ceiling = self.limit == self.slots && self.phase == Phase::Search;
+        self.slots = slots;
+        self.limit = if was_ceiling {
+            slots
+        } else {
+            self.limit.min(slots)
+        };
+    }
+
+    fn cold_start(&mut self, now: Instant) {
+        self.limit = percent(self.slots, self.options.cold_percent).max(1);
+        self.phase = Phase::SlowStart;
+        self.baseline = None;
+        self.window = Window::new(now);
+        self.probed_at = now;
+    }
+}
+
+fn percent(whole: u32, part: u32) -> u32 {
+    whole.saturating_mul(part) / 100
+}
--- a/crates/nutmegwheel-policy/src/lib.rs
+++ b/crates/nutmegwheel-policy/src/lib.rs
@@ -5,4 +5,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+pub mod admission;
+pub mod concurrency;
 pub mod routing;
+pub mod shed;
--- /dev/null
+++ b/crates/nutmegwheel-policy/src/shed.rs
@@ -0,0 +1,173 @@
+//! The shed levels that a door holds per service, and its decision; see docs/POLICY.md.
+//!
+//! Levels come with answers. A door that knows them refuses at once what would be refused deep
+//! inside, after others have worked for it.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use nutmegwheel_types::{Priority, ProcessName, ServiceId, plain};
+use rand::Rng;
+
+use crate::admission::is_shed;
+
+plain! {
+    /// How long levels are believed.
+    pub struct Options {
+        /// The time after its report at which a level is forgotten. In the second half of it
+        /// more and more requests are let through, so that news of its end comes back.
+        pub level_lifetime: Duration,
+        /// The shortest time after which a refused caller is told to come back.
+        pub min_retry_after: Duration,
+        /// The most backend servers whose levels are held.
+        pub max_levels: usize,
+    }
+
+    /// A request of which the door decides.
+    pub struct Request {
+        /// The service that it needs, be it called at once or deep in the chain.
+        pub service: ServiceId,
+        /// Where it stands when capacity runs short.
+        pub priority: Priority,
+        /// Whether it is a call deep in a chain.
+        pub is_deep: bool,
+        /// The number of backend servers of the service that take new work.
+        pub available: usize,
+    }
+
+    /// What the door decides.
+    pub enum Decision {
+        /// The request goes on.
+        Pass,
+        /// It gets its final answer now; it was not run.
+        Refuse {
+            /// The jittered time after which a resend may be admitted.
+            retry_after: Duration,
+        },
+    }
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            level_lifetime: Duration::from_secs(1),
+            min_retry_after: Duration::from_millis(200),
+            max_levels: 4096,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Held {
+    level: Priority,
+    at: Instant,
+}
+
+/// The levels that one door holds.
+#[derive(Debug)]
+pub struct Levels {
+    options: Options,
+    services: HashMap<ServiceId, HashMap<ProcessName, Held>>,
+    held: usize,
+}
+
+/// Lifecycle
+impl Levels {
+    /// Opens a door without levels.
+    #[must_use]
+    pub fn open(options: Options) -> Self {
+        Self {
+            options,
+            services: HashMap::new(),
+            held: 0,
+        }
+    }
+
+    /// Takes over the level that came with an answer of `node`; `None` clears it.
+    pub fn observe(
+        &mut self,
+        now: Instant,
+        service: &ServiceId,
+        node: &ProcessName,
+        level: Option<Priority>,
+    ) {
+        match level {
+            Some(level) => self.hold(now, service, node, level),
+            None => self.clear(service, node),
+        }
+    }
+
+    /// Forgets the levels that are too old; to be called about once a second.
+    pub fn expire(&mut self, now: Instant) {
+        let lifetime = self.options.level_lifetime;
+        for nodes in self.services.values_mut() {
+            nodes.retain(|_, held| now.saturating_duration_since(held.at) < lifetime);
+        }
+        self.services.retain(|_, nodes| !nodes.is_empty());
+        self.held = self.services.values().map(HashMap::len).sum();
+    }
+
+    fn hold(&mut self, now: Instant, service: &ServiceId, node: &ProcessName, level: Priority) {
+        if self.held >= self.options.max_levels {
+            self.expire(now);
+        }
+        let nodes = self.services.entry(service.clone()).or_default();
+        if let Some(held) = nodes.get_mut(node) {
+            *held = Held { level, at: now };
+        } else if self.held < self.options.max_levels {
+            nodes.insert(node.clone(), Held { level, at: now });
+            self.held += 1;
+        }
+    }
+
+    fn clear(&mut self, service: &ServiceId, node: &ProcessName) {
+        let Some(nodes) = self.services.get_mut(service) else {
+            return;
+        };
+        if nodes.remove(node).is_some() {
+            self.held -= 1;
+        }
+    }
+}
+
+/// Decisions
+impl Levels {
+    /// Refuses a request that every available backend server of the service would shed.
+    pub fn decide(&self, now: Instant, req: &Request, rng: &mut impl Rng) -> Decision {
+        let shedding = self.shedding(now, req, rng);
+        if req.available == 0 || shedding < req.available {
+            return Decision::Pass;
+        }
+        let least = self
+            .options
+            .min_retry_after
+            .max(self.options.level_lifetime / 2);
+        Decision::Refuse {
+            retry_after: least.mul_f64(rng.random_range(1.0..2.0)),
+        }
+    }
+
+    fn shedding(&self, now: Instant, req: &Request, rng: &mut impl Rng) -> usize {
+        let Some(nodes) = self.services.get(&req.service) else {
+            return 0;
+        };
+        let draw = rng.random_range(0.5..1.0);
+        nodes
+            .values()
+            .filter(|held| self.age(now, held) < draw)
+            .filter(|held| is_shed(held.level, req.priority, req.is_deep))
+            .count()
+    }
+
+    /// The age of a level in lifetimes.
+    fn age(&self, now: Instant, held: &Held) -> f64 {
+        let age = now.saturating_duration_since(held.at).as_secs_f64();
+        age / self
+            .options
+            .level_lifetime
+            .as_secs_f64()
+            .max(f64::MIN_POSITIVE)
+    }
+}
