feat: chain retry budget, deadlines and quarantine

Cause: retries of each layer multiply, and a request that crashes backend servers is sent again by its caller. Ruled out: a retry count per hop (multiplies with depth), a wall-clock deadline (clocks differ), quarantine after the first death (innocents share a crash).

--- a/crates/nutmegwheel-policy/src/lib.rs
+++ b/crates/nutmegwheel-policy/src/lib.rs
@@ -7,5 +7,8 @@
 
 pub mod admission;
 pub mod concurrency;
+pub mod deadline;
+pub mod quarantine;
+pub mod retry;
 pub mod routing;
 pub mod shed;
--- /dev/null
+++ b/crates/nutmegwheel-policy/src/retry/mod.rs
@@ -0,0 +1,17 @@
+//! One retry budget for a whole call chain, and a share of retries per workspace; see
+//! docs/POLICY.md.
+//!
+//! Each layer of a chain that retries by itself multiplies the load of the layers below; one
+//! budget for the chain makes it a sum.
+
+mod chain;
+mod decide;
+mod error;
+mod ratio;
+mod types;
+
+pub use chain::Chain;
+pub use decide::{Budgets, decide};
+pub use error::Error;
+pub use ratio::{RatioOptions, Ratios};
+pub use types::{Attempt, Begun, CallId, ChildKey, Decision, End, Options, Proof, Reason};
