feat(limits): token bucket, shares, steward's lease and batches, purses

A token that a door holds keeps its place in the bucket until it is reported spent, given back or over. Ruled out: counting tokens at the moment of the grant, since spending them late adds up to the life of a batch to a burst.

--- /dev/null
+++ b/crates/nutmegwheel-claims/src/lib.rs
@@ -0,0 +1,3 @@
+//! Claims of non-idempotent requests, the record of started attempts and the fence, without I/O.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
--- /dev/null
+++ b/crates/nutmegwheel-limits/src/lease/holder.rs
@@ -0,0 +1,181 @@
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+use nutmegwheel_types::{ProcessName, plain};
+
+use super::{
+    Candidate, LEASE_TERM, LeaseRelease, LeaseReply, LeaseRequest, RENEW_INTERVAL, Round, Vote,
+};
+use crate::{share::ShareVersion, shorten_for_drift};
+
+plain! {
+    /// How a candidate begins.
+    pub struct Options {
+        /// This life of the process.
+        pub candidate: Candidate,
+        /// The number of seeds of the data centre.
+        pub seeds: usize,
+        /// The time at which it begins.
+        pub now: Instant,
+    }
+
+    /// The candidate's side of the lease.
+    pub struct Holder {
+        candidate: Candidate,
+        majority: usize,
+        round: Round,
+        sent: Instant,
+        sent_shares: ShareVersion,
+        granted: BTreeSet<ProcessName>,
+        valid_until: Option<Instant>,
+        seen_shares: ShareVersion,
+        backed_shares: ShareVersion,
+        next_try: Instant,
+    }
+
+    /// What an answer of a seed led to.
+    pub enum RoundOutcome {
+        /// The round has no majority yet.
+        Pending,
+        /// The lease was taken anew: the steward starts empty.
+        Acquired,
+        /// The lease goes on.
+        Renewed,
+    }
+}
+
+/// Lifecycle.
+impl Holder {
+    /// A candidate that holds nothing.
+    #[must_use]
+    pub fn open(options: Options) -> Self {
+        Holder {
+            candidate: options.candidate,
+            majority: options.seeds / 2 + 1,
+            round: 0,
+            sent: options.now,
+            sent_shares: 0,
+            granted: BTreeSet::new(),
+            valid_until: None,
+            seen_shares: 0,
+            backed_shares: 0,
+            next_try: options.now,
+        }
+    }
+
+    /// Begins a round: the message goes to every seed of the data centre.
+    pub fn begin_round(&mut self, shares: ShareVersion, now: Instant) -> LeaseRequest {
+        self.round += 1;
+        self.sent = now;
+        self.sent_shares = shares;
+        self.granted.clear();
+        self.next_try = now + RENEW_INTERVAL;
+        LeaseRequest {
+            candidate: self.candidate.clone(),
+            round: self.round,
+            shares,
+        }
+    }
+
+    /// Takes in a seed's answer to the current round; any other answer changes nothing.
+    pub fn reply(&mut self, seed: &ProcessName, reply: &LeaseReply, now: Instant) -> RoundOutcome {
+        if reply.round != self.round {
+            return RoundOutcome::Pending;
+        }
+        match reply.vote {
+            Vote::Granted => self.count_grant(seed, now),
+            Vote::StaleShares(newest) => {
+                self.seen_shares = self.seen_shares.max(newest);
+                RoundOutcome::Pending
+            }
+            Vote::Held(wait) if !self.is_valid(now) && !wait.is_zero() => {
+                self.next_try = self.next_try.min(now + wait);
+                RoundOutcome::Pending
+            }
+            Vote::Held(_) | Vote::Recovering(_) => RoundOutcome::Pending,
+        }
+    }
+
+    /// Gives up the current round and the lease; the message goes to every seed.
+    ///
+    /// A candidate whose round failed sends it so that its votes do not block another for a whole
+    /// term. A steward sends it only once no batch of its own is valid any more.
+    pub fn release(&mut self) -> LeaseRelease {
+        let release = LeaseRelease {
+            candidate: self.candidate.clone(),
+            round: self.round,
+        };
+        self.round += 1;
+        self.granted.clear();
+        self.valid_until = None;
+        release
+    }
+
+    /// Puts off the next try by a random time of the caller's, so that candidates do not collide.
+    pub fn delay(&mut self, jitter: Duration) {
+        self.next_try += jitter;
+    }
+
+    fn count_grant(&mut self, seed: &ProcessName, now: Instant) -> RoundOutcome {
+        self.granted.insert(seed.clone());
+        if self.granted.len() < self.majority {
+            return RoundOutcome::Pending;
+        }
+        let ends = self.sent + shorten_for_drift(LEASE_TERM);
+        if now >= ends {
+            return RoundOutcome::Pending;
+        }
+        let renewed = self.is_valid(now);
+        self.valid_until = Some(ends);
+        self.backed_shares = self.sent_shares;
+        if renewed {
+            RoundOutcome::Renewed
+        } else {
+            RoundOutcome::Acquired
+        }
+    }
+}
+
+/// Access.
+impl Holder {
+    /// Whether the lease is held now.
+    #[must_use]
+    pub fn is_valid(&self, now: Instant) -> bool {
+        self.valid_until.is_some_and(|until| now < until)
+    }
+
+    /// How long the lease still lasts.
+    #[must_use]
+    pub fn remaining(&self, now: Instant) -> Duration {
+        self.valid_until
+            .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    /// When the next round is due, for the holder as for a candidate.
+    #[must_use]
+    pub fn next_try(&self) -> Instant {
+        self.next_try
+    }
+
+    /// Whether the current round got some votes but no lease, so that they should be released.
+    #[must_use]
+    pub fn is_split(&self, now: Instant) -> bool {
+        !self.is_valid(now) && !self.granted.is_empty() && self.granted.len() < self.majority
+    }
+
+    /// The newest version of the shares that a seed has named.
+    #[must_use]
+    pub fn seen_shares(&self) -> ShareVersion {
+        self.seen_shares
+    }
+
+    /// The version of the shares that a majority of the seeds keeps later stewards from undercutting.
+    ///
+    /// Only this version may be confirmed to the control leader.
+    #[must_use]
+    pub fn backed_shares(&self) -> ShareVersion {
+        self.backed_shares
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-limits/src/meter.rs
@@ -0,0 +1,59 @@
+use std::time::{Duration, Instant};
+
+use nutmegwheel_types::plain;
+
+use crate::{MicroTokens, TOKEN};
+
+/// The time over which arrivals are counted before they enter the average.
+const WINDOW: Duration = Duration::from_millis(100);
+/// The age at which an arrival has lost about half of its weight in the average.
+const HALF_LIFE: Duration = Duration::from_millis(700);
+
+plain! {
+    /// An exponentially weighted average of arrivals per second.
+    pub(crate) struct Meter {
+        count: u64,
+        since: Instant,
+        rate: MicroTokens,
+    }
+}
+
+impl Meter {
+    pub(crate) fn new(now: Instant) -> Self {
+        Meter {
+            count: 0,
+            since: now,
+            rate: 0,
+        }
+    }
+
+    pub(crate) fn note(&mut self, tokens: u64, now: Instant) {
+        self.advance(now);
+        self.count += tokens;
+    }
+
+    /// The arrivals per second, in millionths.
+    pub(crate) fn rate(&mut self, now: Instant) -> MicroTokens {
+        self.advance(now);
+        self.rate
+    }
+
+    /// The arrivals per second as of the last one noted.
+    pub(crate) fn peek(&self) -> MicroTokens {
+        self.rate
+    }
+
+    /// Brings the average up to the present, also where nothing arrived.
+    pub(crate) fn advance(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.since);
+        if elapsed < WINDOW {
+            return;
+        }
+        let (elapsed, half) = (elapsed.as_nanos(), HALF_LIFE.as_nanos());
+        let newest = u128::from(self.count) * u128::from(TOKEN) * 1_000_000_000 / elapsed;
+        let mixed = (u128::from(self.rate) * half + newest * elapsed) / (half + elapsed);
+        self.rate = u64::try_from(mixed).unwrap_or(u64::MAX);
+        self.count = 0;
+        self.since = now;
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-limits/src/share/leader.rs
@@ -0,0 +1,97 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Instant,
+};
+
+use nutmegwheel_types::{DataCentreId, plain};
+
+use super::{Change, ChangeSet, EXTRA_TERM, Renewal, RenewalRequest, Table};
+
+plain! {
+    /// The control leader's memory of when it last renewed the shares of each data centre.
+    ///
+    /// A new leader opens one after it has applied every entry of earlier terms. It counts each data
+    /// centre as renewed at that moment, since it cannot know what its predecessor answered.
+    pub struct Renewals {
+        since: Instant,
+        answered: BTreeMap<DataCentreId, Instant>,
+        expiring: BTreeSet<DataCentreId>,
+    }
+}
+
+impl Renewals {
+    /// Starts the memory of a leader that took office at `now`.
+    #[must_use]
+    pub fn open(now: Instant) -> Self {
+        Renewals {
+            since: now,
+            answered: BTreeMap::new(),
+            expiring: BTreeSet::new(),
+        }
+    }
+
+    /// Answers a renewal, or returns `None` while an expiry of the data centre is being committed.
+    ///
+    /// The caller must hold its leader lease at this moment.
+    pub fn answer(&mut self, table: &Table, req: &RenewalRequest, now: Instant) -> Option<Renewal> {
+        if self.expiring.contains(&req.data_centre) {
+            return None;
+        }
+        self.answered.insert(req.data_centre.clone(), now);
+        Some(Renewal {
+            number: req.number,
+            version: table.version(),
+            shares: table.shares_of(&req.data_centre),
+        })
+    }
+
+    /// The command that records a request's confirmation, or `None` when it would change nothing.
+    #[must_use]
+    pub fn confirmation(&self, table: &Table, req: &RenewalRequest) -> Option<ChangeSet> {
+        let data_centre = req.data_centre.clone();
+        let confirms = table
+            .workspaces()
+            .filter_map(|w| table.entry(w, &data_centre));
+        let mut open = confirms.filter(|e| e.version <= req.confirmed && e.bound != e.share);
+        open.next()?;
+        let change = Change::Confirmed {
+            data_centre,
+            version: req.confirmed,
+        };
+        Some(ChangeSet {
+            based_on: table.version(),
+            changes: vec![change],
+        })
+    }
+
+    /// The data centres whose lease above the floors is over; none is answered until [`Self::expired`].
+    pub fn expire(&mut self, table: &Table, now: Instant) -> Option<ChangeSet> {
+        let mut changes = Vec::new();
+        for data_centre in data_centres_above_floor(table) {
+            let renewed = *self.answered.get(&data_centre).unwrap_or(&self.since);
+            if now < renewed + EXTRA_TERM || !self.expiring.insert(data_centre.clone()) {
+                continue;
+            }
+            changes.push(Change::Expired { data_centre });
+        }
+        (!changes.is_empty()).then(|| ChangeSet {
+            based_on: table.version(),
+            changes,
+        })
+    }
+
+    /// Ends the silence towards data centres whose expiry was applied.
+    pub fn expired(&mut self, set: &ChangeSet) {
+        for change in &set.changes {
+            if let Change::Expired { data_centre } = change {
+                self.expiring.remove(data_centre);
+            }
+        }
+    }
+}
+
+fn data_centres_above_floor(table: &Table) -> BTreeSet<DataCentreId> {
+    let entries = table.workspaces().flat_map(|w| table.entries(w));
+    let above = entries.filter(|(_, e)| e.bound.whole != e.bound.floor);
+    above.map(|(data_centre, _)| data_centre.clone()).collect()
+}
--- /dev/null
+++ b/crates/nutmegwheel-limits/src/share/rebalance.rs
@@ -0,0 +1,213 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use nutmegwheel_types::{DataCentreId, WorkspaceId, plain};
+
+use super::{Change, ChangeSet, Entry, Share, Table};
+use crate::{Limit, MicroTokens, TOKEN};
+
+/// The part of a workspace's limit that a share must be off its target by before it is decreased.
+///
+/// Hysteresis keeps small changes of demand out of the log.
+const HYSTERESIS_PART: u64 = 8;
+
+/// What the decision rests on.
+#[derive(Clone, Copy, Debug)]
+pub struct Options<'a> {
+    /// The shares as committed.
+    pub table: &'a Table,
+    /// The workspace to decide on.
+    pub workspace: &'a WorkspaceId,
+    /// Its limit as configured, or [`Limit::ZERO`] once it is no longer configured.
+    pub configured: Limit,
+    /// The data centres of the fleet.
+    pub data_centres: &'a BTreeSet<DataCentreId>,
+    /// What each data centre asked for, per second; one that is not named keeps its weight.
+    pub demand: &'a BTreeMap<DataCentreId, MicroTokens>,
+}
+
+plain! {
+    /// What was decided.
+    pub struct Outcome {
+        /// The command for the log, or `None` when all is as it should be.
+        pub change: Option<ChangeSet>,
+    }
+}
+
+/// Decides on the shares of one workspace.
+///
+/// Decreases are told at once. Increases are told as far as what no data centre may be using allows, so
+/// the matching increase waits until the decrease is confirmed or has expired.
+#[must_use]
+pub fn rebalance(options: &Options) -> Outcome {
+    let current = current_entries(options);
+    let targets = targets(options, &current);
+    let mut shares = decreased(options, &current, &targets);
+    increase(options, &current, &targets, &mut shares);
+    let changes: Vec<_> = shares
+        .into_iter()
+        .filter(|(dc, share)| current[dc].share != *share)
+        .map(|(data_centre, share)| Change::Told {
+            workspace: options.workspace.clone(),
+            data_centre,
+            share,
+        })
+        .collect();
+    let based_on = options.table.version();
+    Outcome {
+        change: (!changes.is_empty()).then_some(ChangeSet { based_on, changes }),
+    }
+}
+
+fn current_entries(options: &Options) -> BTreeMap<DataCentreId, Entry> {
+    let none = Entry {
+        share: Share::ZERO,
+        bound: Share::ZERO,
+        version: 0,
+    };
+    let fleet = options.data_centres.iter().map(|dc| (dc.clone(), none));
+    let known = options
+        .table
+        .entries(options.workspace)
+        .map(|(dc, e)| (dc.clone(), *e));
+    fleet.chain(known).collect()
+}
+
+/// Where the shares should go: a floor for each holder, the rest by demand.
+fn targets(
+    options: &Options,
+    current: &BTreeMap<DataCentreId, Entry>,
+) -> BTreeMap<DataCentreId, Share> {
+    let weights = holders(options, current);
+    let mut targets: BTreeMap<_, _> = current.keys().map(|dc| (dc.clone(), Share::ZERO)).collect();
+    let floor = floor(options.configured, weights.len() as u64);
+    let total: u128 = weights.iter().map(|(_, w)| u128::from(*w)).sum();
+    let mut left = options.configured;
+    for (dc, weight) in &weights {
+        let extra = Limit {
+            rate: part(
+                spare(options.configured.rate, floor.rate, weights.len()),
+                *weight,
+                total,
+            ),
+            burst: whole_tokens(part(
+                spare(options.configured.burst, floor.burst, weights.len()),
+                *weight,
+                total,
+            )),
+        };
+        let whole = floor.plus(extra);
+        left = left.minus(whole);
+        targets.insert(dc.clone(), Share { whole, floor });
+    }
+    if let Some(first) = weights.first().and_then(|(dc, _)| targets.get_mut(dc)) {
+        first.whole = first.whole.plus(left);
+    }
+    targets
+}
+
+/// The data centres that get a share and their weights, the heaviest first.
+///
+/// A burst of fewer tokens than there are data centres cannot give each a whole one.
+fn holders(
+    options: &Options,
+    current: &BTreeMap<DataCentreId, Entry>,
+) -> Vec<(DataCentreId, MicroTokens)> {
+    let weight = |dc: &DataCentreId| {
+        let kept = current[dc].share.whole.rate;
+        options.demand.get(dc).copied().unwrap_or(kept).max(1)
+    };
+    let holds = |dc: &DataCentreId| current[dc].bound.whole.burst >= TOKEN;
+    let mut all: Vec<_> = options
+        .data_centres
+        .iter()
+        .map(|dc| (dc.clone(), weight(dc)))
+        .collect();
+    all.sort_by_key(|(dc, w)| {
+        let favoured = if holds(dc) { w.saturating_mul(2) } else { *w };
+        (std::cmp::Reverse(favoured), dc.clone())
+    });
+    let tokens = usize::try_from(options.configured.burst / TOKEN).unwrap_or(usize::MAX);
+    all.truncate(tokens);
+    all
+}
+
+fn floor(configured: Limit, holders: u64) -> Limit {
+    if holders == 0 {
+        return Limit::ZERO;
+    }
+    let burst = whole_tokens(configured.burst / (2 * holders)).max(TOKEN);
+    Limit {
+        rate: configured.rate / (2 * holders),
+        burst,
+    }
+}
+
+fn spare(whole: u64, floor: u64, holders: usize) -> u64 {
+    whole.saturating_sub(floor.saturating_mul(holders as u64))
+}
+
+fn part(amount: u64, weight: u64, total: u128) -> u64 {
+    let part = u128::from(amount) * u128::from(weight) / total.max(1);
+    u64::try_from(part).unwrap_or(amount)
+}
+
+fn whole_tokens(amount: MicroTokens) -> MicroTokens {
+    amount - amount % TOKEN
+}
+
+fn decreased(
+    options: &Options,
+    current: &BTreeMap<DataCentreId, Entry>,
+    targets: &BTreeMap<DataCentreId, Share>,
+) -> BTreeMap<DataCentreId, Share> {
+    let sum = current
+        .values()
+        .fold(Limit::ZERO, |sum, e| sum.plus(e.share.whole));
+    let is_forced = !sum.fits_in(options.configured);
+    let mut shares = BTreeMap::new();
+    for (dc, entry) in current {
+        let target = targets[dc];
+        let is_unused = target == Share::ZERO;
+        let is_settled = entry.bound == entry.share;
+        let moves = is_settled && is_far(entry.share.whole, target.whole, options.configured);
+        let mut share = entry.share;
+        if is_forced || is_unused || moves {
+            share.whole = share.whole.min(target.whole);
+        }
+        share.floor = target.floor.min(share.whole);
+        shares.insert(dc.clone(), share);
+    }
+    shares
+}
+
+fn is_far(share: Limit, target: Limit, configured: Limit) -> bool {
+    share.rate
+        > target
+            .rate
+            .saturating_add(configured.rate / HYSTERESIS_PART)
+        || share.burst
+            > target
+                .burst
+                .saturating_add(configured.burst / HYSTERESIS_PART)
+}
+
+fn increase(
+    options: &Options,
+    current: &BTreeMap<DataCentreId, Entry>,
+    targets: &BTreeMap<DataCentreId, Share>,
+    shares: &mut BTreeMap<DataCentreId, Share>,
+) {
+    let in_use = |dc: &DataCentreId, share: &Share| share.whole.max(current[dc].bound.whole);
+    let used = shares
+        .iter()
+        .fold(Limit::ZERO, |sum, (dc, s)| sum.plus(in_use(dc, s)));
+    let mut free = options.configured.minus(used);
+    for (dc, share) in shares.iter_mut() {
+        let own = current[dc].bound.whole.minus(share.whole);
+        let wanted = targets[dc].whole.minus(share.whole);
+        let granted = wanted.min(own.plus(free));
+        free = free.minus(granted.minus(own));
+        share.whole = share.whole.plus(granted);
+        share.floor = targets[dc].floor.min(share.whole);
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-limits/src/steward/mod.rs
@@ -0,0 +1,122 @@
+//! The steward of a data centre: the one process that hands out its tokens to the doors.
+//!
+//! Every process that may be the steward runs a [`Steward`], which takes part in the lease and grants
+//! only while it holds it. A new steward starts with empty buckets once the old lease is over, and
+//! every batch ends with the lease under which it was granted; see docs/spec/SHARES.md.
+
+mod book;
+mod tenure;
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use nutmegwheel_types::{DataCentreId, ProcessName, WorkspaceId, plain};
+
+use crate::{
+    lease::{Candidate, Holder, HolderOptions, LeaseRelease, LeaseRequest},
+    messages::{AskSeq, DoorId},
+    share::{Held, RenewalRequest},
+};
+use book::Book;
+
+/// How long a batch of tokens lasts at most.
+pub const BATCH_TERM: Duration = Duration::from_secs(2);
+/// How often the shares are renewed at the control leader.
+pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
+
+plain! {
+    /// How a possible steward begins.
+    pub struct Options {
+        /// This life of the process.
+        pub candidate: Candidate,
+        /// Its data centre.
+        pub data_centre: DataCentreId,
+        /// The number of seeds of the data centre.
+        pub seeds: usize,
+        /// The time at which it begins.
+        pub now: Instant,
+    }
+
+    /// A process that is the steward or may become it.
+    pub struct Steward {
+        holder: Holder,
+        held: Held,
+        books: BTreeMap<WorkspaceId, Book>,
+        doors: BTreeMap<DoorId, AskSeq>,
+        next_renewal: Instant,
+        is_stopping: bool,
+    }
+
+    /// What [`Steward::poll`] wants to be sent.
+    pub enum Output {
+        /// To every seed of the data centre, the own process included.
+        Lease(LeaseRequest),
+        /// To every seed of the data centre.
+        Release(LeaseRelease),
+        /// To the control leader.
+        Renewal(RenewalRequest),
+    }
+}
+
+/// Why an ask was not answered.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// The process does not hold the lease, or holds it with shares that are out of date.
+    #[error("answer ask {seq} of {door}: this process is not the steward")]
+    NotSteward {
+        /// The door that asked.
+        door: ProcessName,
+        /// The number of its message.
+        seq: AskSeq,
+    },
+}
+
+/// Lifecycle.
+impl Steward {
+    /// A process that holds no lease and knows no shares.
+    #[must_use]
+    pub fn open(options: Options) -> Self {
+        Steward {
+            holder: Holder::open(HolderOptions {
+                candidate: options.candidate,
+                seeds: options.seeds,
+                now: options.now,
+            }),
+            held: Held::open(options.data_centre),
+            books: BTreeMap::new(),
+            doors: BTreeMap::new(),
+            next_renewal: options.now,
+            is_stopping: false,
+        }
+    }
+
+    /// Grants nothing more, and releases the lease once no batch is out.
+    pub fn stop(&mut self) {
+        self.is_stopping = true;
+    }
+}
+
+/// Access.
+impl Steward {
+    /// Whether it answers asks now.
+    #[must_use]
+    pub fn is_serving(&self, now: Instant) -> bool {
+        let knows_newest =
+            self.held.version() > 0 && self.held.version() >= self.holder.seen_shares();
+        self.holder.is_valid(now) && knows_newest && !self.is_stopping
+    }
+
+    /// The lease as this process sees it.
+    #[must_use]
+    pub fn lease(&self) -> &Holder {
+        &self.holder
+    }
+
+    /// The shares as this process knows them.
+    #[must_use]
+    pub fn shares(&self) -> &Held {
+        &self.held
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-limits/tests/purse.rs
@@ -0,0 +1,146 @@
+//! What a door holds: local spending, asking ahead, giving back, refusals.
+
+mod support;
+
+use nutmegwheel_limits::{
+    purse::{RefusalCause, Spend},
+    steward::BATCH_TERM,
+};
+use support::{DataCentre, assert_within, limit, ms};
+
+#[test]
+fn a_request_normally_spends_a_token_that_is_already_here() {
+    let mut dc = DataCentre::serving(limit(200.0, 400), 4);
+    dc.advance(2000);
+    let mut local = 0;
+    for request in 0..400_u64 {
+        let spend = dc.spend(usize::try_from(request % 4).unwrap(), request);
+        local += usize::from(request >= 100 && spend == Spend::Spent);
+        dc.advance(10);
+    }
+    assert_eq!(dc.spent.len(), 400);
+    assert!(local >= 290, "only {local} of 300 were local");
+    assert_within(&dc.spent, limit(200.0, 400));
+}
+
+#[test]
+fn a_very_small_rate_over_many_doors_is_used_up_and_not_starved() {
+    let limit = limit(0.5, 1);
+    let mut dc = DataCentre::serving(limit, 20);
+    for request in 0..6000_u64 {
+        let door = usize::try_from(request * 7 % 20).unwrap();
+        dc.spend(door, request);
+        dc.advance(20);
+    }
+    // 120 s at half a token a second.
+    assert!(
+        (57..=60).contains(&dc.spent.len()),
+        "{} spent",
+        dc.spent.len()
+    );
+    assert_within(&dc.spent, limit);
+}
+
+#[test]
+fn a_lone_request_at_a_very_small_rate_passes_at_any_door() {
+    let mut dc = DataCentre::serving(limit(0.5, 1), 20);
+    for request in 0..40_u64 {
+        dc.advance(2100);
+        let door = usize::try_from(request % 20).unwrap();
+        assert_eq!(dc.spend(door, request), Spend::Waiting);
+        assert_eq!(dc.spent.len() as u64, request + 1);
+    }
+}
+
+#[test]
+fn a_small_burst_does_not_slow_down_a_high_rate() {
+    let limit = limit(100.0, 1);
+    let mut dc = DataCentre::serving(limit, 3);
+    for request in 0..5000_u64 {
+        dc.spend(usize::try_from(request % 3).unwrap(), request);
+        dc.advance(1);
+    }
+    assert!(dc.spent.len() > 400, "{} of 500 spent", dc.spent.len());
+    assert_within(&dc.spent, limit);
+}
+
+#[test]
+fn a_refusal_tells_when_to_come_back_and_holds_for_a_while_without_asking() {
+    let mut dc = DataCentre::serving(limit(0.5, 1), 1);
+    assert_eq!(dc.spend(0, 1), Spend::Waiting);
+    let Spend::Refused(refusal) = dc.decisions[0].spend else {
+        panic!("{:?}", dc.decisions)
+    };
+    assert_eq!(refusal.cause, RefusalCause::OverRate);
+    assert_eq!(refusal.retry_after, ms(2000));
+    let asks = dc.asks;
+    assert!(matches!(dc.spend(0, 2), Spend::Refused(r) if r.retry_after <= ms(2000)));
+    assert_eq!(dc.asks, asks);
+}
+
+#[test]
+fn without_a_steward_requests_are_refused_after_the_timeout() {
+    let mut dc = DataCentre::serving(limit(5.0, 5), 1);
+    dc.steward = support::steward("b", dc.now);
+    assert_eq!(dc.spend(0, 1), Spend::Waiting);
+    dc.advance(150);
+    let Spend::Refused(refusal) = dc.decisions[0].spend else {
+        panic!("{:?}", dc.decisions)
+    };
+    assert_eq!(refusal.cause, RefusalCause::NoSteward);
+}
+
+#[test]
+fn unused_tokens_go_back_before_they_end() {
+    let limit = limit(50.0, 100);
+    let mut dc = DataCentre::serving(limit, 2);
+    dc.advance(2000);
+    for request in 0..100 {
+        dc.spend(0, request);
+        dc.advance(20);
+    }
+    let key = dc.key(0);
+    assert!(dc.doors[0].tokens(key, dc.now) > 10);
+    // The recent demand fades, then the last batch ends.
+    dc.advance(6000);
+    assert_eq!(dc.doors[0].tokens(key, dc.now), 0);
+    let before = dc.spent.len();
+    for request in 0..150 {
+        dc.spend(1, request);
+    }
+    assert_eq!(
+        dc.spent.len() - before,
+        100,
+        "the other door gets the whole burst"
+    );
+    assert_within(&dc.spent, limit);
+}
+
+#[test]
+fn a_cancelled_request_takes_no_token() {
+    let mut dc = DataCentre::serving(limit(5.0, 5), 1);
+    let key = dc.key(0);
+    assert_eq!(dc.doors[0].spend(key, 1, dc.now), Spend::Waiting);
+    dc.doors[0].cancel(key, 1);
+    dc.advance(500);
+    assert!(dc.decisions.is_empty() && dc.spent.is_empty());
+}
+
+#[test]
+fn a_late_or_doubled_grant_adds_nothing() {
+    let mut dc = DataCentre::serving(limit(10.0, 10), 1);
+    dc.advance(1000);
+    let key = dc.key(0);
+    dc.doors[0].spend(key, 1, dc.now);
+    let ask = dc.doors[0].poll(dc.now).ask.unwrap();
+    let grant = dc.steward.ask(&ask, dc.now).unwrap();
+    let doubled = dc.steward.ask(&ask, dc.now).unwrap();
+    assert_eq!(grant, doubled);
+    assert_eq!(dc.doors[0].granted(&grant, dc.now).len(), 1);
+    let tokens = dc.doors[0].tokens(key, dc.now);
+    assert_eq!(dc.doors[0].granted(&doubled, dc.now), []);
+    assert_eq!(dc.doors[0].tokens(key, dc.now), tokens);
+    let mut late = dc.doors[0].clone();
+    assert_eq!(late.tokens(key, dc.now + BATCH_TERM), 0);
+    assert_eq!(late.spend(key, 9, dc.now + BATCH_TERM), Spend::Waiting);
+}
