feat(claims): claims by a majority of seeds, recovery of a seed, started record and fence

A grant names the life of the seed, and a seed that another one recovered through names the new life with each grant, so that a door does not count a forgotten grant. Ruled out: reading from a majority alone, since a claim that reaches that majority after the read would be counted together with the forgotten grant.

--- /dev/null
+++ b/crates/nutmegwheel-claims/src/claim.rs
@@ -0,0 +1,225 @@
+//! The door's side of a claim.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use nutmegwheel_types::{Incarnation, ProcessName, RequestId, plain};
+
+use crate::{
+    AttemptId, Phase, SeedGeneration, Target,
+    messages::{ClaimReply, ClaimRequest, Update, Vote},
+};
+
+/// How long a door waits for a majority.
+pub const CLAIM_TIMEOUT: Duration = Duration::from_millis(300);
+
+plain! {
+    /// What to claim.
+    #[derive(Hash)]
+    pub struct Options {
+        /// The request.
+        pub id: RequestId,
+        /// The attempt.
+        pub attempt: AttemptId,
+        /// Where it would run.
+        pub target: Target,
+        /// An earlier attempt of this door that is proved not run.
+        pub replaces: Option<AttemptId>,
+        /// The seeds of the home data centre.
+        pub seeds: BTreeSet<ProcessName>,
+        /// The number of that list.
+        pub generation: SeedGeneration,
+        /// The time at which the claim begins.
+        pub now: Instant,
+    }
+
+    /// A claim that a door is making. Its first decision is final.
+    #[derive(Hash)]
+    pub struct Claim {
+        options: Options,
+        replies: BTreeMap<ProcessName, ClaimReply>,
+        state: State,
+    }
+
+    /// Where a claim stands.
+    #[derive(Hash)]
+    pub enum State {
+        /// No decision yet.
+        Pending,
+        /// The attempt may be sent to its target, and nowhere else.
+        Held,
+        /// The attempt must not run. [`Claim::released`] is to be sent to every seed.
+        Refused(Refusal),
+    }
+
+    /// Why an attempt must not run.
+    #[derive(Hash)]
+    pub enum Refusal {
+        /// Another attempt may be running; its target can be asked to fence it.
+        InProgress(AttemptId, Target),
+        /// The request has run, and this was its answer.
+        Replay(Bytes),
+        /// The request has run, and its answer is not kept.
+        AlreadyRun,
+        /// A majority of the seeds could not be reached, or is recovering.
+        Unavailable,
+        /// The seeds have no room for another claim.
+        Full,
+    }
+}
+
+/// Lifecycle.
+impl Claim {
+    /// Begins a claim: the message goes to every seed of the home data centre.
+    #[must_use]
+    pub fn open(options: Options) -> (Self, ClaimRequest) {
+        let req = ClaimRequest {
+            generation: options.generation,
+            id: options.id,
+            attempt: options.attempt.clone(),
+            target: options.target.clone(),
+            replaces: options.replaces.clone(),
+        };
+        (
+            Claim {
+                options,
+                replies: BTreeMap::new(),
+                state: State::Pending,
+            },
+            req,
+        )
+    }
+
+    /// Takes in a seed's answer.
+    pub fn reply(&mut self, seed: &ProcessName, reply: ClaimReply, now: Instant) -> &State {
+        let is_own = reply.attempt == self.options.attempt && self.options.seeds.contains(seed);
+        if self.state == State::Pending && is_own {
+            self.replies.insert(seed.clone(), reply);
+            self.decide(now);
+        }
+        &self.state
+    }
+
+    /// Ends a claim that has waited for too long.
+    pub fn tick(&mut self, now: Instant) -> &State {
+        if self.state == State::Pending {
+            self.decide(now);
+        }
+        &self.state
+    }
+
+    fn decide(&mut self, now: Instant) {
+        let majority = self.options.seeds.len() / 2 + 1;
+        let is_complete = self.replies.len() == self.options.seeds.len();
+        let is_done = self.votes().any(|v| matches!(v, Vote::Done(_)));
+        if let Some(answer) = self.replies.values().find_map(kept_answer) {
+            self.state = State::Refused(Refusal::Replay(answer));
+        } else if now >= self.deadline() || is_complete && is_done {
+            self.state = State::Refused(self.refusal());
+        } else if is_done {
+            // Another seed may still have the answer.
+        } else if self.grants() >= majority {
+            self.state = State::Held;
+        } else if is_complete || self.against() >= majority {
+            self.state = State::Refused(self.refusal());
+        }
+    }
+
+    /// The most telling of the answers, once there can be no majority.
+    fn refusal(&self) -> Refusal {
+        if self.votes().any(|v| matches!(v, Vote::Done(_))) {
+            return Refusal::AlreadyRun;
+        }
+        let busy = self.votes().find_map(|v| match v {
+            Vote::Busy(attempt, target) => Some((attempt.clone(), target.clone())),
+            _ => None,
+        });
+        match busy {
+            Some((attempt, target)) => Refusal::InProgress(attempt, target),
+            None if self.votes().any(|v| *v == Vote::Full) => Refusal::Full,
+            None => Refusal::Unavailable,
+        }
+    }
+}
+
+/// Access.
+impl Claim {
+    /// Where the claim stands.
+    #[must_use]
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// When [`Self::tick`] ends the claim.
+    #[must_use]
+    pub fn deadline(&self) -> Instant {
+        self.options.now + CLAIM_TIMEOUT
+    }
+
+    /// The news for every seed that the attempt was sent to its target.
+    #[must_use]
+    pub fn running(&self) -> Update {
+        self.update(Phase::Running(self.options.target.clone()))
+    }
+
+    /// The news for every seed that the attempt ran; an answer above [`crate::MAX_ANSWER`] is left out.
+    #[must_use]
+    pub fn done(&self, answer: Option<Bytes>) -> Update {
+        self.update(Phase::Done(answer.filter(|a| a.len() <= crate::MAX_ANSWER)))
+    }
+
+    /// The news for every seed that the attempt did not run and never will.
+    ///
+    /// It may be sent when the claim was refused, when the attempt was not sent, when the target
+    /// refused it before it began, and when the target's fence answered so.
+    #[must_use]
+    pub fn released(&self) -> Update {
+        self.update(Phase::Released)
+    }
+
+    fn update(&self, phase: Phase) -> Update {
+        Update {
+            id: self.options.id,
+            attempt: self.options.attempt.clone(),
+            phase,
+        }
+    }
+
+    /// The grants by lives of seeds that no other answer knows to be over.
+    fn grants(&self) -> usize {
+        let granted = self.replies.iter().filter(|(_, r)| r.vote == Vote::Granted);
+        granted
+            .filter(|(seed, r)| self.newest_life(seed) == r.incarnation)
+            .count()
+    }
+
+    fn votes(&self) -> impl Iterator<Item = &Vote> {
+        self.replies.values().map(|r| &r.vote)
+    }
+
+    fn against(&self) -> usize {
+        self.replies
+            .values()
+            .filter(|r| r.vote != Vote::Granted)
+            .count()
+    }
+
+    fn newest_life(&self, seed: &ProcessName) -> Incarnation {
+        let own = self.replies.get(seed).map(|r| r.incarnation);
+        let told = self
+            .replies
+            .values()
+            .filter_map(|r| r.peers.get(seed).copied());
+        told.chain(own).max().unwrap_or_default()
+    }
+}
+
+fn kept_answer(reply: &ClaimReply) -> Option<Bytes> {
+    match &reply.vote {
+        Vote::Done(answer) => answer.clone(),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-claims/src/seed/recovery.rs
@@ -0,0 +1,113 @@
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Instant,
+};
+
+use nutmegwheel_types::{ProcessName, RequestId, plain};
+
+use super::{Options, Seed};
+use crate::messages::{RecoverReply, RecoverRequest};
+
+/// The claims on a page of a recovery.
+const PAGE: usize = 512;
+/// The part of the retention by which clocks may differ, in percent, twice over.
+const DRIFT_MARGIN_PERCENT: u32 = 4;
+
+plain! {
+    /// What a restarted seed has read from the others so far.
+    #[derive(Hash)]
+    pub(super) struct Recovery {
+        majority: usize,
+        others: BTreeSet<ProcessName>,
+        next: BTreeMap<ProcessName, Option<RequestId>>,
+        finished: BTreeSet<ProcessName>,
+        waits_until: Instant,
+    }
+}
+
+impl Recovery {
+    pub(super) fn open(options: &Options) -> Self {
+        let is_other = |seed: &&ProcessName| **seed != options.name;
+        let retention = options.bounds.retention;
+        Recovery {
+            majority: options.seeds.len() / 2 + 1,
+            others: options.seeds.iter().filter(is_other).cloned().collect(),
+            next: BTreeMap::new(),
+            finished: BTreeSet::new(),
+            waits_until: options.now + retention + retention * DRIFT_MARGIN_PERCENT / 100,
+        }
+    }
+
+    pub(super) fn is_over(&self, now: Instant) -> bool {
+        self.finished.len() >= self.majority || now >= self.waits_until
+    }
+}
+
+/// Recovery.
+impl Seed {
+    /// What to ask the other seeds for, to be sent again every 200 ms or so until it is answered.
+    #[must_use]
+    pub fn recover_requests(&self) -> Vec<(ProcessName, RecoverRequest)> {
+        let Some(recovery) = &self.recovery else {
+            return Vec::new();
+        };
+        let open = recovery.others.difference(&recovery.finished);
+        open.map(|seed| (seed.clone(), self.recover_request(recovery, seed)))
+            .collect()
+    }
+
+    /// Answers a seed that recovers, or returns `None` when this one has nothing to stand by.
+    ///
+    /// From now on it names the other's new life with every grant, so that no door counts a grant that
+    /// the other has forgotten together with one that it could not learn from here.
+    pub fn recover(&mut self, req: &RecoverRequest, now: Instant) -> Option<RecoverReply> {
+        self.tick(now);
+        if self.is_recovering() || self.generation != req.generation {
+            return None;
+        }
+        let life = self.peers.entry(req.seed.clone()).or_default();
+        *life = req.incarnation.max(*life);
+        let claims = self.records.page(req.after, PAGE, now);
+        let is_last = claims.len() < PAGE;
+        Some(RecoverReply {
+            incarnation: req.incarnation,
+            after: req.after,
+            claims,
+            is_last,
+        })
+    }
+
+    /// Takes in a page of another seed; a late or doubled one changes nothing.
+    pub fn recovered(&mut self, seed: &ProcessName, reply: RecoverReply, now: Instant) {
+        let Some(recovery) = &mut self.recovery else {
+            return;
+        };
+        let expected = recovery.next.get(seed).copied().flatten();
+        let is_expected = recovery.others.contains(seed) && reply.after == expected;
+        if reply.incarnation != self.incarnation || !is_expected {
+            return;
+        }
+        if let Some(last) = reply.claims.last() {
+            recovery.next.insert(seed.clone(), Some(last.id));
+        }
+        if reply.is_last {
+            recovery.finished.insert(seed.clone());
+        }
+        for claim in reply.claims {
+            let touched = now.checked_sub(claim.age).unwrap_or(now);
+            for (attempt, phase) in claim.attempts {
+                self.records.merge(claim.id, attempt, phase, touched);
+            }
+        }
+        self.recovery.take_if(|r| r.is_over(now));
+    }
+
+    fn recover_request(&self, recovery: &Recovery, seed: &ProcessName) -> RecoverRequest {
+        RecoverRequest {
+            seed: self.name.clone(),
+            incarnation: self.incarnation,
+            generation: self.generation,
+            after: recovery.next.get(seed).copied().flatten(),
+        }
+    }
+}
--- a/crates/nutmegwheel-limits/tests/bucket.rs
+++ b/crates/nutmegwheel-limits/tests/bucket.rs
@@ -37,9 +37,9 @@
 fn a_time_that_goes_back_changes_nothing_and_a_long_one_fills_only_the_burst() {
     let now = Instant::now() + Duration::from_hours(1);
     let mut bucket = Bucket::empty(limit(1e6, 7), now);
-    bucket.refill(now - ms(1000));
+    bucket.refill(now.checked_sub(ms(1000)).unwrap());
     assert_eq!(bucket.level(), 0);
-    bucket.refill(now + Duration::from_secs(100 * 365 * 24 * 3600));
+    bucket.refill(now + Duration::from_hours(100 * 365 * 24));
     assert_eq!(bucket.level(), 7 * TOKEN);
 }
 
--- a/crates/nutmegwheel-limits/tests/support/mod.rs
+++ b/crates/nutmegwheel-limits/tests/support/mod.rs
@@ -81,7 +81,9 @@
     pub(crate) fn serving(limit: Limit, doors: usize) -> Self {
         let start = Instant::now();
         let mut seeds: BTreeMap<_, _> = SEEDS.map(|s| (s.into(), seed(start))).into();
-        seeds.values_mut().for_each(|s| s.learn_from_control(1));
+        for seed in seeds.values_mut() {
+            seed.learn_from_control(1);
+        }
         let now = start + LEASE_TERM;
         let doors = (0..doors).map(|i| Purse::open(door(i))).collect();
         let mut dc = DataCentre {
