--- /dev/null
+++ b/crates/nutmegwheel-membership/src/configuration.rs
@@ -0,0 +1,262 @@
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use nutmegwheel_types::{ConfigVersion, plain};
+
+use crate::{ConfigurationPart, LinkAddress};
+
+plain! {
+    /// A configuration that the process accepted, in the caller's own encoding.
+    pub struct Configuration {
+        /// Its version.
+        pub version: ConfigVersion,
+        /// The whole of it.
+        pub snapshot: Arc<[u8]>,
+        /// What turned the version before into this one, if that is known and small.
+        pub change: Option<Arc<[u8]>>,
+    }
+
+    /// A configuration, or the change that leads to it, that a peer sent; the caller checks it,
+    /// applies it and hands the result to `Gossip::hold`.
+    pub struct Change {
+        /// The version it leads to.
+        pub version: ConfigVersion,
+        /// The version to which it must be applied, or 0 when `bytes` is a whole snapshot.
+        pub base: ConfigVersion,
+        /// The encoded change or snapshot.
+        pub bytes: Vec<u8>,
+    }
+
+    /// The configuration that is held, and the fetching of newer ones.
+    pub(crate) struct Store {
+        version: ConfigVersion,
+        heard: ConfigVersion,
+        snapshot: Arc<[u8]>,
+        changes: VecDeque<(ConfigVersion, Arc<[u8]>)>,
+        fetching: Option<Fetching>,
+        ahead: VecDeque<(LinkAddress, ConfigVersion)>,
+        wants_snapshot: bool,
+        quiet_until: Option<Instant>,
+    }
+
+    struct Fetching {
+        from: LinkAddress,
+        sent: Instant,
+        version: ConfigVersion,
+        base: ConfigVersion,
+        bytes: Vec<u8>,
+    }
+
+    /// A request for a configuration.
+    pub(crate) struct Request {
+        pub(crate) to: LinkAddress,
+        pub(crate) from_version: ConfigVersion,
+        pub(crate) offset: u32,
+    }
+
+    /// What a part led to.
+    pub(crate) enum Received {
+        Nothing,
+        More(Request),
+        Whole(Change),
+    }
+}
+
+/// The bytes of a configuration in one message.
+pub(crate) const PART_BYTES: usize = 16 * 1024;
+/// The longest configuration that is fetched, in bytes.
+const CONFIGURATION_BYTES: u32 = 8 * 1024 * 1024;
+/// The changes that are kept for peers that are a little behind.
+const CHANGES_KEPT: usize = 16;
+/// How long an answer is waited for before another peer is asked.
+const ANSWER_WITHIN: Duration = Duration::from_millis(400);
+/// How long nothing is fetched after the caller refused a configuration.
+const PAUSE_AFTER_REFUSAL: Duration = Duration::from_secs(1);
+/// How long the caller has to hold what it was given before it is fetched again.
+const HOLD_WITHIN: Duration = Duration::from_secs(2);
+/// The peers remembered to hold a newer version.
+const AHEAD_KEPT: usize = 4;
+
+/// Lifecycle.
+impl Store {
+    pub(crate) fn open() -> Self {
+        Self {
+            version: 0,
+            heard: 0,
+            snapshot: Arc::from([]),
+            changes: VecDeque::new(),
+            fetching: None,
+            ahead: VecDeque::new(),
+            wants_snapshot: false,
+            quiet_until: None,
+        }
+    }
+
+    /// Takes a newer configuration over; an older one is refused, so that versions only go up.
+    pub(crate) fn hold(&mut self, configuration: Configuration) -> bool {
+        if configuration.version <= self.version {
+            return false;
+        }
+        match configuration.change {
+            Some(change) if configuration.version == self.version + 1 => {
+                self.changes.push_back((configuration.version, change));
+            }
+            _ => self.changes.clear(),
+        }
+        if self.changes.len() > CHANGES_KEPT {
+            self.changes.pop_front();
+        }
+        self.version = configuration.version;
+        self.snapshot = configuration.snapshot;
+        self.fetching = None;
+        self.wants_snapshot = false;
+        self.quiet_until = None;
+        true
+    }
+
+    /// Takes note that the caller could not use what it was given.
+    pub(crate) fn refuse(&mut self, now: Instant) {
+        self.wants_snapshot = true;
+        self.fetching = None;
+        self.quiet_until = now.checked_add(PAUSE_AFTER_REFUSAL);
+    }
+
+    /// Takes note of the version that a peer holds.
+    ///
+    /// Returns whether no peer told of so new a version before.
+    pub(crate) fn heard(&mut self, from: LinkAddress, version: ConfigVersion) -> bool {
+        if version <= self.version {
+            return false;
+        }
+        let is_news = version > self.heard;
+        self.heard = self.heard.max(version);
+        self.ahead.retain(|(peer, _)| *peer != from);
+        self.ahead.push_back((from, version));
+        if self.ahead.len() > AHEAD_KEPT {
+            self.ahead.pop_front();
+        }
+        is_news
+    }
+
+    /// Returns the request that is due, to the peer that told of the newest version.
+    pub(crate) fn request(&mut self, now: Instant) -> Option<Request> {
+        if self.quiet_until.is_some_and(|until| now < until) {
+            return None;
+        }
+        if let Some(fetching) = &self.fetching {
+            if now.saturating_duration_since(fetching.sent) < ANSWER_WITHIN {
+                return None;
+            }
+            let silent = fetching.from;
+            self.ahead.retain(|(peer, _)| *peer != silent);
+            self.fetching = None;
+        }
+        let held = self.version;
+        self.ahead.retain(|(_, version)| *version > held);
+        let (to, _) = *self.ahead.iter().max_by_key(|(_, version)| *version)?;
+        self.fetching = Some(Fetching {
+            from: to,
+            sent: now,
+            version: 0,
+            base: 0,
+            bytes: Vec::new(),
+        });
+        let from_version = if self.wants_snapshot { 0 } else { held };
+        Some(Request {
+            to,
+            from_version,
+            offset: 0,
+        })
+    }
+
+    /// Takes a part in that answers the open request.
+    pub(crate) fn receive(
+        &mut self,
+        now: Instant,
+        from: LinkAddress,
+        part: &ConfigurationPart,
+    ) -> Received {
+        let held = self.version;
+        let Some(fetching) = self.fetching.as_mut().filter(|f| f.from == from) else {
+            return Received::Nothing;
+        };
+        if part.version <= held || part.length > CONFIGURATION_BYTES {
+            return Received::Nothing;
+        }
+        let is_next = fetching.accepts(part);
+        if !is_next {
+            fetching.restart(part);
+            if part.offset != 0 {
+                return Received::Nothing;
+            }
+        }
+        fetching.sent = now;
+        fetching.bytes.extend_from_slice(&part.bytes);
+        let read = u32::try_from(fetching.bytes.len()).unwrap_or(u32::MAX);
+        if read < part.length && !part.bytes.is_empty() {
+            let from_version = if part.base == 0 { 0 } else { held };
+            return Received::More(Request {
+                to: from,
+                from_version,
+                offset: read,
+            });
+        }
+        let bytes = std::mem::take(&mut fetching.bytes);
+        self.fetching = None;
+        if read != part.length {
+            return Received::Nothing;
+        }
+        self.quiet_until = now.checked_add(HOLD_WITHIN);
+        Received::Whole(Change {
+            version: part.version,
+            base: part.base,
+            bytes,
+        })
+    }
+}
+
+/// Access.
+impl Store {
+    pub(crate) fn version(&self) -> ConfigVersion {
+        self.version
+    }
+
+    /// Answers a fetch: with the next change when that is kept, else with the snapshot.
+    pub(crate) fn answer(&self, from: ConfigVersion, offset: u32) -> Option<ConfigurationPart> {
+        if from >= self.version {
+            return None;
+        }
+        let next = self
+            .changes
+            .iter()
+            .find(|(version, _)| *version == from + 1);
+        let (version, base, whole) = match next {
+            Some((version, change)) if from > 0 => (*version, from, change),
+            _ => (self.version, 0, &self.snapshot),
+        };
+        let start = usize::try_from(offset).ok()?.min(whole.len());
+        let end = whole.len().min(start + PART_BYTES);
+        Some(ConfigurationPart {
+            version,
+            base,
+            offset,
+            length: u32::try_from(whole.len()).ok()?,
+            bytes: whole[start..end].to_vec(),
+        })
+    }
+}
+
+impl Fetching {
+    /// Says whether the part goes on where the last one ended.
+    fn accepts(&self, part: &ConfigurationPart) -> bool {
+        let read = u32::try_from(self.bytes.len()).unwrap_or(u32::MAX);
+        part.offset == read && part.version == self.version && part.base == self.base
+    }
+
+    fn restart(&mut self, part: &ConfigurationPart) {
+        self.version = part.version;
+        self.base = part.base;
+        self.bytes.clear();
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-membership/src/freshness/decision.rs
@@ -0,0 +1,51 @@
+use std::time::{Duration, Instant};
+
+use nutmegwheel_types::{ConfigVersion, plain_copy};
+
+use super::Lease;
+use crate::CutOff;
+
+plain_copy! {
+    /// Whether a node may start keyed work at this moment.
+    pub enum Decision {
+        /// It may, for keys that it does not hold as withdrawn.
+        Serve,
+        /// It must refuse with `not-ready`.
+        Fenced(Why),
+    }
+
+    /// Why a node refuses keyed work.
+    pub enum Why {
+        /// It holds no configuration yet.
+        NoConfiguration,
+        /// No majority of its data centre's seeds confirmed its view lately.
+        NoMajority,
+        /// Its data centre is set to refuse when cut off, and the newest stamp is too old.
+        CutOff,
+    }
+}
+
+impl Decision {
+    /// Decides by what the node holds at `now`, which must be read right before the use.
+    #[must_use]
+    pub fn at(
+        now: Instant,
+        version: ConfigVersion,
+        lease: &Lease,
+        stamp_age: Option<Duration>,
+        cut_off: CutOff,
+    ) -> Self {
+        if version == 0 {
+            return Self::Fenced(Why::NoConfiguration);
+        }
+        if !lease.is_valid(now) {
+            return Self::Fenced(Why::NoMajority);
+        }
+        match cut_off {
+            CutOff::RefuseAfter(limit) if stamp_age.is_none_or(|age| age > limit) => {
+                Self::Fenced(Why::CutOff)
+            }
+            CutOff::Serve | CutOff::RefuseAfter(_) => Self::Serve,
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-membership/src/freshness/duty.rs
@@ -0,0 +1,278 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use nutmegwheel_types::{KeyHash, plain, plain_copy};
+
+use super::{LEASE_RUN_OUT, majority};
+use crate::{Held, LinkAddress, Withdraw};
+
+plain! {
+    /// What a process does as a seed of its data centre: it confirms views, and counts on how many
+    /// seeds a withdrawn key rests until the withdrawal is in force in the data centre.
+    #[derive(Hash)]
+    pub struct SeedDuty {
+        own: LinkAddress,
+        others: Vec<LinkAddress>,
+        settled: bool,
+        next_sequence: u64,
+        pending: BTreeMap<KeyHash, Pending>,
+        in_force: BTreeSet<KeyHash>,
+        rounds: Vec<Round>,
+    }
+
+    /// Counting the holders of one committed withdrawal, in two passes.
+    ///
+    /// The first pass gathers a majority; the second asks it again, and counts only answers of the
+    /// same lives. So there is a moment at which the whole majority held the key, which a count of
+    /// answers spread over restarts would not prove.
+    #[derive(Hash)]
+    struct Pending {
+        holders: BTreeMap<LinkAddress, LogId>,
+        verified: BTreeSet<LinkAddress>,
+        majority_at: Option<Instant>,
+    }
+
+    #[derive(Hash)]
+    struct Round {
+        sequence: u64,
+        to: LinkAddress,
+        sent: Instant,
+        pass: Pass,
+        keys: Vec<KeyHash>,
+    }
+}
+
+/// The id of a seed's list of withdrawn keys, another one in each of its lives.
+type LogId = u64;
+
+plain_copy! {
+    /// What a restarted seed has caught up with.
+    pub struct Settling {
+        /// The number of other, settled seeds of the data centre.
+        pub seeds: usize,
+        /// Whether it has caught up with a control VM that holds all that was committed.
+        pub authority: bool,
+    }
+
+    enum Pass {
+        Gather,
+        Verify,
+    }
+
+    enum Count {
+        GoesOn,
+        StartedOver,
+    }
+}
+
+/// How soon a seed that does not answer is asked again.
+const RETRY: Duration = Duration::from_millis(300);
+/// The number of keys in one request.
+const KEYS_IN_REQUEST: usize = 64;
+
+/// Lifecycle.
+impl SeedDuty {
+    /// Opens the duty of the seed at `own` among `seeds`.
+    ///
+    /// It is not settled: a seed keeps no disk, so that its word counts again only when it has
+    /// caught up with enough others to hold all that an earlier life of it had confirmed.
+    #[must_use]
+    pub fn open(own: LinkAddress, seeds: &[LinkAddress], first_sequence: u64) -> Self {
+        Self {
+            own,
+            others: seeds.iter().copied().filter(|s| *s != own).collect(),
+            settled: false,
+            next_sequence: first_sequence,
+            pending: BTreeMap::new(),
+            in_force: BTreeSet::new(),
+            rounds: Vec::new(),
+        }
+    }
+
+    /// Settles the seed if it has caught up with an authority or with enough other seeds.
+    ///
+    /// Enough are so many that they meet every majority that may have counted on this seed's
+    /// earlier life: all seeds less a majority, plus one.
+    pub fn settle(&mut self, caught_up: Settling) {
+        let seeds = self.others.len() + 1;
+        let enough = seeds - majority(seeds) + 1;
+        if caught_up.authority || caught_up.seeds >= enough {
+            self.settled = true;
+        }
+    }
+
+    /// Starts to count the holders of withdrawals that are committed.
+    pub fn committed(&mut self, now: Instant, keys: &[KeyHash]) {
+        let is_alone = self.others.is_empty();
+        for key in keys {
+            if !self.in_force.contains(key) {
+                self.pending.entry(*key).or_insert_with(|| Pending {
+                    holders: BTreeMap::new(),
+                    verified: BTreeSet::new(),
+                    majority_at: is_alone.then_some(now),
+                });
+            }
+        }
+    }
+
+    /// Returns the requests that are due to seeds that are not known to hold a committed key.
+    pub fn spread(&mut self, now: Instant) -> Vec<(LinkAddress, Withdraw)> {
+        self.rounds
+            .retain(|round| now.saturating_duration_since(round.sent) < RETRY);
+        let mut requests = Vec::new();
+        for to in self.others.clone() {
+            for pass in [Pass::Gather, Pass::Verify] {
+                let keys = self.due(to, pass);
+                if !keys.is_empty() {
+                    requests.push(self.ask(now, to, pass, keys));
+                }
+            }
+        }
+        requests
+    }
+
+    /// The keys that a seed must be asked about in a pass and is not being asked about.
+    fn due(&self, seed: LinkAddress, pass: Pass) -> Vec<KeyHash> {
+        let asked = |key: &KeyHash| {
+            self.rounds
+                .iter()
+                .any(|round| round.to == seed && round.pass == pass && round.keys.contains(key))
+        };
+        self.pending
+            .iter()
+            .filter(|(_, pending)| pending.wants(seed, pass, self.needed_others()))
+            .map(|(key, _)| *key)
+            .filter(|key| !asked(key))
+            .take(KEYS_IN_REQUEST)
+            .collect()
+    }
+
+    fn ask(
+        &mut self,
+        now: Instant,
+        to: LinkAddress,
+        pass: Pass,
+        keys: Vec<KeyHash>,
+    ) -> (LinkAddress, Withdraw) {
+        let sequence = self.next_sequence;
+        self.next_sequence = sequence.wrapping_add(1);
+        let request = Withdraw {
+            sequence,
+            committed: true,
+            hashes: keys.clone(),
+        };
+        self.rounds.push(Round {
+            sequence,
+            to,
+            sent: now,
+            pass,
+            keys,
+        });
+        (to, request)
+    }
+
+    /// Counts another seed among the holders, by its answer to a request of this life.
+    pub fn held(&mut self, now: Instant, from: LinkAddress, answer: &Held) {
+        let round = self
+            .rounds
+            .iter()
+            .position(|round| round.sequence == answer.sequence && round.to == from);
+        let Some(place) = round else {
+            return;
+        };
+        let round = self.rounds.swap_remove(place);
+        let needed = self.needed_others();
+        for key in round.keys.iter().filter(|key| answer.held.contains(key)) {
+            let Some(pending) = self.pending.get_mut(key) else {
+                continue;
+            };
+            if pending.count(now, from, answer.log, round.pass, needed) == Count::StartedOver {
+                // Open answers belong to the count that was given up.
+                self.rounds.retain(|round| !round.keys.contains(key));
+            }
+        }
+    }
+
+    /// Moves the withdrawals on which no older lease can be left to those in force.
+    pub fn run_out(&mut self, now: Instant) {
+        let is_over = |pending: &Pending| {
+            pending
+                .majority_at
+                .is_some_and(|at| now.saturating_duration_since(at) >= LEASE_RUN_OUT)
+        };
+        let over: Vec<KeyHash> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| is_over(pending))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in over {
+            self.pending.remove(&key);
+            self.in_force.insert(key);
+        }
+    }
+}
+
+/// Access.
+impl SeedDuty {
+    /// Says whether the seed's word counts.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.settled
+    }
+
+    /// Says whether no request with the key can start in the data centre any more.
+    #[must_use]
+    pub fn is_in_force(&self, key: &KeyHash) -> bool {
+        self.in_force.contains(key)
+    }
+
+    /// The number of other seeds that make a majority together with this one.
+    fn needed_others(&self) -> usize {
+        majority(self.others.len() + 1) - 1
+    }
+}
+
+impl Pending {
+    fn wants(&self, seed: LinkAddress, pass: Pass, needed: usize) -> bool {
+        if self.majority_at.is_some() {
+            return false;
+        }
+        let is_gathered = self.holders.len() >= needed;
+        match pass {
+            Pass::Gather => !is_gathered && !self.holders.contains_key(&seed),
+            Pass::Verify => {
+                is_gathered && self.holders.contains_key(&seed) && !self.verified.contains(&seed)
+            }
+        }
+    }
+
+    fn count(
+        &mut self,
+        now: Instant,
+        from: LinkAddress,
+        log: LogId,
+        pass: Pass,
+        needed: usize,
+    ) -> Count {
+        match pass {
+            // A holder that came late would not have been a holder when the majority was gathered.
+            Pass::Gather if self.holders.len() < needed => {
+                self.holders.insert(from, log);
+            }
+            Pass::Gather => {}
+            Pass::Verify if self.holders.get(&from) == Some(&log) => {
+                self.verified.insert(from);
+            }
+            Pass::Verify => {
+                self.holders.clear();
+                self.verified.clear();
+                return Count::StartedOver;
+            }
+        }
+        if self.majority_at.is_none() && self.verified.len() >= needed {
+            self.majority_at = Some(now);
+        }
+        Count::GoesOn
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-membership/src/freshness/lease.rs
@@ -0,0 +1,311 @@
+use std::time::{Duration, Instant};
+
+use nutmegwheel_types::{ConfigVersion, plain, plain_copy};
+
+use super::{LEASE, majority};
+use crate::{Confirmation, LinkAddress, Pull, Renew, WithdrawnPart, WithdrawnSet};
+
+plain! {
+    /// How a lease is kept.
+    #[derive(Hash)]
+    pub struct LeaseOptions {
+        /// The seeds of the data centre.
+        pub seeds: Vec<LinkAddress>,
+        /// The number of the first request, drawn at random so that no answer to an earlier life
+        /// of the process matches.
+        pub first_sequence: u64,
+        /// How often a seed that answers is asked.
+        pub interval: Duration,
+        /// How soon a seed that does not answer is asked again, and another one besides.
+        pub retry: Duration,
+    }
+
+    /// The lease of a process on the view that it holds, renewed by its data centre's seeds.
+    ///
+    /// A confirmation counts from the moment before its request was sent, and the lease is checked
+    /// at use, so that neither a late answer nor a frozen process stretches it.
+    #[derive(Hash)]
+    pub struct Lease {
+        options: LeaseOptions,
+        next_sequence: u64,
+        seeds: Vec<SeedView>,
+    }
+
+    #[derive(Hash)]
+    struct SeedView {
+        address: LinkAddress,
+        asked: Vec<Asked>,
+        last_asked: Option<Instant>,
+        is_unsettled: bool,
+        waiting: Option<Waiting>,
+        confirmed: Option<Instant>,
+        authority: bool,
+        merged: Option<Merged>,
+    }
+}
+
+plain_copy! {
+    /// What a confirmation led to.
+    pub enum Step {
+        /// It is an answer to no open request, or the seed's word does not count.
+        Ignored,
+        /// It renewed the lease.
+        Counted,
+        /// It will count once the process has caught up with the seed.
+        Behind {
+            /// What to ask the seed for.
+            pull: Option<Pull>,
+            /// Whether to fetch the configuration from it.
+            fetch: bool,
+        },
+    }
+
+    struct Asked {
+        sequence: u64,
+        sent: Instant,
+    }
+
+    struct Waiting {
+        sent: Instant,
+        confirmation: Confirmation,
+    }
+
+    struct Merged {
+        log: u64,
+        count: u64,
+    }
+}
+
+/// The number of requests to a seed that may be open at a time; the oldest is given up.
+const OPEN_REQUESTS: usize = 4;
+
+impl LeaseOptions {
+    /// The options for these seeds with the usual times.
+    #[must_use]
+    pub fn usual(seeds: Vec<LinkAddress>, first_sequence: u64) -> Self {
+        Self {
+            seeds,
+            first_sequence,
+            interval: Duration::from_secs(1),
+            retry: Duration::from_millis(300),
+        }
+    }
+}
+
+/// Lifecycle.
+impl Lease {
+    /// Opens a lease that nobody has confirmed yet.
+    #[must_use]
+    pub fn open(options: LeaseOptions) -> Self {
+        let mut seeds: Vec<SeedView> = options.seeds.iter().copied().map(SeedView::open).collect();
+        if !seeds.is_empty() {
+            let turn = options.first_sequence % u64::try_from(seeds.len()).unwrap_or(1);
+            seeds.rotate_left(usize::try_from(turn).unwrap_or_default());
+        }
+        Self {
+            next_sequence: options.first_sequence,
+            options,
+            seeds,
+        }
+    }
+
+    /// Returns the requests that are due.
+    ///
+    /// Only a majority is asked as long as it answers, which halves the load on the seeds; `all`
+    /// asks every seed.
+    pub fn renew(&mut self, now: Instant, all: bool) -> Vec<(LinkAddress, Renew)> {
+        let mut wanted = if all {
+            self.seeds.len()
+        } else {
+            majority(self.seeds.len())
+        };
+        let mut requests = Vec::new();
+        for index in 0..self.seeds.len() {
+            if wanted == 0 {
+                break;
+            }
+            if self.seeds[index].is_due(now, &self.options) {
+                requests.push(self.ask(now, index));
+            }
+            if !self.seeds[index].is_silent(now, &self.options) {
+                wanted -= 1;
+            }
+        }
+        requests
+    }
+
+    fn ask(&mut self, now: Instant, index: usize) -> (LinkAddress, Renew) {
+        let sequence = self.next_sequence;
+        self.next_sequence = sequence.wrapping_add(1);
+        let seed = &mut self.seeds[index];
+        if seed.asked.len() == OPEN_REQUESTS {
+            seed.asked.remove(0);
+        }
+        let sent = now;
+        seed.asked.push(Asked { sequence, sent });
+        seed.last_asked = Some(sent);
+        (seed.address, Renew { sequence })
+    }
+
+    /// Takes a confirmation in.
+    pub fn confirm(
+        &mut self,
+        from: LinkAddress,
+        confirmation: &Confirmation,
+        version: ConfigVersion,
+        withdrawn: &WithdrawnSet,
+    ) -> Step {
+        let Some(seed) = self.seed_mut(from) else {
+            return Step::Ignored;
+        };
+        let Some(sent) = seed.answered(confirmation.sequence) else {
+            return Step::Ignored;
+        };
+        seed.is_unsettled = !confirmation.settled;
+        if seed.is_unsettled {
+            return Step::Ignored;
+        }
+        let confirmation = *confirmation;
+        seed.waiting = Some(Waiting { sent, confirmation });
+        seed.count(version, withdrawn)
+    }
+
+    /// Takes note of keys that were read from a seed's list and added to `withdrawn`.
+    pub fn read(&mut self, from: LinkAddress, part: &WithdrawnPart) {
+        let Some(seed) = self.seed_mut(from) else {
+            return;
+        };
+        let read = seed.read_up_to(part.log);
+        let length = u64::try_from(part.hashes.len()).unwrap_or_default();
+        let end = part.from.saturating_add(length);
+        if part.from <= read && end > read {
+            let (log, count) = (part.log, end);
+            seed.merged = Some(Merged { log, count });
+        }
+    }
+
+    /// Counts the confirmations that waited for what the process holds by now.
+    pub fn caught_up(&mut self, version: ConfigVersion, withdrawn: &WithdrawnSet) {
+        for seed in &mut self.seeds {
+            seed.count(version, withdrawn);
+        }
+    }
+
+    fn seed_mut(&mut self, address: LinkAddress) -> Option<&mut SeedView> {
+        self.seeds.iter_mut().find(|seed| seed.address == address)
+    }
+}
+
+/// Access.
+impl Lease {
+    /// Says whether a majority confirmed the view within the last [`LEASE`].
+    #[must_use]
+    pub fn is_valid(&self, now: Instant) -> bool {
+        let confirmed = self.seeds.iter().filter(|seed| seed.is_fresh(now)).count();
+        confirmed >= majority(self.seeds.len())
+    }
+
+    /// The seeds, but for `own`, with which the process has caught up since it opened the lease.
+    #[must_use]
+    pub fn caught_up_with(&self, own: LinkAddress) -> usize {
+        self.seeds
+            .iter()
+            .filter(|seed| seed.address != own && seed.confirmed.is_some())
+            .count()
+    }
+
+    /// Says when the open request with this sequence was sent to a seed.
+    #[must_use]
+    pub fn sent(&self, to: LinkAddress, sequence: u64) -> Option<Instant> {
+        let seed = self.seeds.iter().find(|seed| seed.address == to)?;
+        let asked = seed.asked.iter().find(|a| a.sequence == sequence)?;
+        Some(asked.sent)
+    }
+
+    /// Says whether the process has caught up with a control VM that held all that was committed.
+    #[must_use]
+    pub fn has_authority(&self) -> bool {
+        self.seeds.iter().any(|seed| seed.authority)
+    }
+
+    /// The time since the oldest confirmation that the lease rests on was asked for.
+    #[must_use]
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let mut times: Vec<Instant> = self.seeds.iter().filter_map(|s| s.confirmed).collect();
+        times.sort_unstable_by(|a, b| b.cmp(a));
+        let oldest = times.get(majority(self.seeds.len()) - 1)?;
+        Some(now.saturating_duration_since(*oldest))
+    }
+}
+
+impl SeedView {
+    fn open(address: LinkAddress) -> Self {
+        Self {
+            address,
+            asked: Vec::new(),
+            last_asked: None,
+            is_unsettled: false,
+            waiting: None,
+            confirmed: None,
+            authority: false,
+            merged: None,
+        }
+    }
+
+    fn is_due(&self, now: Instant, options: &LeaseOptions) -> bool {
+        let pause = if self.asked.is_empty() {
+            options.interval
+        } else {
+            options.retry
+        };
+        self.last_asked
+            .is_none_or(|sent| now.saturating_duration_since(sent) >= pause)
+    }
+
+    fn is_silent(&self, now: Instant, options: &LeaseOptions) -> bool {
+        let first = self.asked.first();
+        self.is_unsettled
+            || first.is_some_and(|asked| now.saturating_duration_since(asked.sent) >= options.retry)
+    }
+
+    /// Closes the request and all older ones, and returns when it was sent.
+    fn answered(&mut self, sequence: u64) -> Option<Instant> {
+        let place = self.asked.iter().position(|a| a.sequence == sequence)?;
+        let sent = self.asked[place].sent;
+        self.asked.drain(..=place);
+        Some(sent)
+    }
+
+    fn read_up_to(&self, log: u64) -> u64 {
+        match self.merged {
+            Some(merged) if merged.log == log => merged.count,
+            _ => 0,
+        }
+    }
+
+    /// Counts the waiting confirmation if the process holds all that it names.
+    fn count(&mut self, version: ConfigVersion, withdrawn: &WithdrawnSet) -> Step {
+        let Some(Waiting { sent, confirmation }) = self.waiting else {
+            return Step::Ignored;
+        };
+        let (log, count) = (confirmation.log, confirmation.count);
+        if withdrawn.count() == count && withdrawn.digest() == confirmation.digest {
+            self.merged = Some(Merged { log, count });
+        }
+        let from = self.read_up_to(log);
+        let pull = (from < count).then_some(Pull { log, from });
+        let fetch = version < confirmation.version;
+        if pull.is_some() || fetch {
+            return Step::Behind { pull, fetch };
+        }
+        self.waiting = None;
+        self.authority |= confirmation.authority;
+        self.confirmed = self.confirmed.max(Some(sent));
+        Step::Counted
+    }
+
+    fn is_fresh(&self, now: Instant) -> bool {
+        self.confirmed
+            .is_some_and(|sent| now.saturating_duration_since(sent) < LEASE)
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-membership/src/gossip.rs
@@ -0,0 +1,181 @@
+//! One process's part in the gossip: the state, and the calls that drive it.
+
+mod budget;
+mod control;
+mod dissemination;
+mod membership;
+mod options;
+mod receive;
+mod spread;
+mod tick;
+mod views;
+
+pub use options::{Event, Options, Outgoing};
+pub use views::{BackendServer, Freshness};
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use nutmegwheel_types::{Incarnation, plain};
+
+use crate::configuration::Store;
+use crate::freshness::{Lease, LeaseOptions, SeedDuty};
+use crate::probe::Prober;
+use crate::random::Random;
+use crate::record::Record;
+use crate::rumours::Rumours;
+use crate::stamp::StampView;
+use crate::table::Table;
+use crate::withdrawal::Followed;
+use crate::{Body, Health, LinkAddress, Message, Standing, WithdrawnSet};
+
+use budget::Budget;
+use control::ControlWatch;
+
+/// How often [`Gossip::tick`] wants to be called.
+pub const TICK: Duration = Duration::from_millis(100);
+
+plain! {
+    /// One process's part in the gossip; see docs/spec/SPREAD.md.
+    pub struct Gossip {
+        options: Options,
+        table: Table,
+        rumours: Rumours,
+        prober: Prober,
+        withdrawn: WithdrawnSet,
+        read_lists: BTreeMap<LinkAddress, ReadList>,
+        lease: Lease,
+        duty: Option<SeedDuty>,
+        control: ControlWatch,
+        store: Store,
+        stamp: StampView,
+        followed: Followed,
+        authority_until: Option<Instant>,
+        budget: Budget,
+        random: Random,
+        next_sequence: u64,
+        timers: Timers,
+        is_stopped: bool,
+        outbox: Vec<Outgoing>,
+        inbox: VecDeque<Message>,
+        events: Vec<Event>,
+    }
+
+    /// How far the list of withdrawn keys of a peer was read.
+    struct ReadList {
+        log: u64,
+        count: u64,
+    }
+
+    /// When what happens at intervals happened last.
+    struct Timers {
+        ticked: Option<Instant>,
+        pushed: Option<Instant>,
+        compared: Option<Instant>,
+        joined_at: Option<Instant>,
+        contacted: Option<Instant>,
+        is_joined: bool,
+    }
+}
+
+/// Lifecycle.
+impl Gossip {
+    /// Opens the process's part; nothing is sent before the first tick.
+    #[must_use]
+    pub fn open(options: Options) -> Self {
+        let mut random = Random::open(options.nonce);
+        let seeds: Vec<LinkAddress> = options.seeds.iter().map(|seed| seed.link).collect();
+        let is_seed = seeds.contains(&options.link);
+        let own = own_record(&options, is_seed);
+        let duty = is_seed.then(|| SeedDuty::open(options.link, &seeds, random.next()));
+        Self {
+            table: Table::open(own),
+            rumours: Rumours::open(),
+            prober: Prober::open(random.next()),
+            withdrawn: WithdrawnSet::open(random.next()),
+            read_lists: BTreeMap::new(),
+            lease: Lease::open(LeaseOptions::usual(seeds, random.next())),
+            duty,
+            control: ControlWatch::open(random.next()),
+            store: Store::open(),
+            stamp: StampView::open(),
+            followed: Followed::open(),
+            authority_until: None,
+            budget: Budget::open(),
+            next_sequence: random.next(),
+            random,
+            timers: Timers::open(),
+            is_stopped: false,
+            outbox: Vec::new(),
+            inbox: VecDeque::new(),
+            events: Vec::new(),
+            options,
+        }
+    }
+
+    /// Sends a message; one to this process itself is received before the call returns.
+    fn send(&mut self, to: LinkAddress, body: Body) {
+        let version = self.store.version();
+        let message = Message { version, body };
+        if to == self.options.link {
+            self.inbox.push_back(message);
+        } else {
+            self.outbox.push(Outgoing { to, message });
+        }
+    }
+
+    /// Receives what the process sent to itself, and returns what it sent to others.
+    fn flush(&mut self, now: Instant) -> Vec<Outgoing> {
+        let own = self.options.link;
+        while let Some(message) = self.inbox.pop_front() {
+            self.handle(now, own, message);
+        }
+        std::mem::take(&mut self.outbox)
+    }
+
+    fn sequence(&mut self) -> u64 {
+        self.next_sequence = self.next_sequence.wrapping_add(1);
+        self.next_sequence
+    }
+}
+
+impl Timers {
+    fn open() -> Self {
+        Self {
+            ticked: None,
+            pushed: None,
+            compared: None,
+            joined_at: None,
+            contacted: None,
+            is_joined: false,
+        }
+    }
+}
+
+/// Says whether `interval` has passed since `last`, and notes the time if so.
+fn is_due(last: &mut Option<Instant>, now: Instant, interval: Duration) -> bool {
+    let due = last.is_none_or(|at| now.saturating_duration_since(at) >= interval);
+    if due {
+        *last = Some(now);
+    }
+    due
+}
+
+fn own_record(options: &Options, seed: bool) -> Record {
+    /// A life must not start at 0, the incarnation of nobody.
+    const FIRST: Incarnation = 1;
+    Record {
+        name: options.name.clone(),
+        data_centre: options.data_centre.clone(),
+        role: options.role,
+        seed,
+        link: options.link,
+        callers: options.callers,
+        platform: options.platform,
+        incarnation: options.incarnation.max(FIRST),
+        counter: 0,
+        standing: Standing::Active,
+        announcement: None,
+        health: Health::Alive,
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-membership/src/gossip/control.rs
@@ -0,0 +1,192 @@
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use nutmegwheel_types::{ConfigVersion, plain};
+
+use super::Gossip;
+use crate::freshness::{Lease, LeaseOptions, Settling, Step};
+use crate::random::Random;
+use crate::{
+    Body, Confirmation, LinkAddress, Renew, Role, Stamp, StampAge, WithdrawnPart, WithdrawnSet,
+};
+
+/// How often a watched control VM is asked.
+const ASK: Duration = Duration::from_millis(500);
+/// How soon one that does not answer is asked again.
+const RETRY: Duration = Duration::from_millis(300);
+/// How long the stamp of a control VM may stand still before a seed leaves it.
+const STANDS_STILL: Duration = Duration::from_millis(1500);
+
+plain! {
+    /// The control VMs that this process asks for stamps: a seed hangs on one, a control VM asks
+    /// all the others.
+    pub(super) struct ControlWatch {
+        watched: BTreeMap<LinkAddress, Watched>,
+        attached: Option<LinkAddress>,
+        first_sequence: u64,
+    }
+
+    struct Watched {
+        lease: Lease,
+        newest: Option<Stamp>,
+        progressed: Instant,
+    }
+}
+
+/// Lifecycle.
+impl ControlWatch {
+    pub(super) fn open(first_sequence: u64) -> Self {
+        Self {
+            watched: BTreeMap::new(),
+            attached: None,
+            first_sequence,
+        }
+    }
+
+    /// Leaves a control VM that is gone or whose stamp stands still for another one.
+    pub(super) fn attach(&mut self, now: Instant, known: &[LinkAddress], random: &mut Random) {
+        let current = self.attached.filter(|address| known.contains(address));
+        let is_good = current
+            .and_then(|address| self.watched.get(&address))
+            .is_some_and(|w| now.saturating_duration_since(w.progressed) < STANDS_STILL);
+        if is_good {
+            return;
+        }
+        let mut others: Vec<LinkAddress> = known.to_vec();
+        others.retain(|address| Some(*address) != current);
+        self.attached = random.draw(&mut others, 1).first().copied().or(current);
+        if let Some(address) = self.attached {
+            self.watch(now, address).progressed = now;
+        }
+    }
+
+    fn watch(&mut self, now: Instant, address: LinkAddress) -> &mut Watched {
+        let options = LeaseOptions {
+            seeds: vec![address],
+            first_sequence: self.first_sequence,
+            interval: ASK,
+            retry: RETRY,
+        };
+        self.watched.entry(address).or_insert_with(|| Watched {
+            lease: Lease::open(options),
+            newest: None,
+            progressed: now,
+        })
+    }
+
+    /// Returns the requests that are due.
+    pub(super) fn renew(
+        &mut self,
+        now: Instant,
+        known: &[LinkAddress],
+        all: bool,
+    ) -> Vec<(LinkAddress, Renew)> {
+        let asked = if all { known } else { self.attached.as_slice() };
+        let asked = asked.to_vec();
+        let mut requests = Vec::new();
+        for address in asked {
+            requests.extend(self.watch(now, address).lease.renew(now, true));
+        }
+        requests
+    }
+
+    /// Takes a confirmation of a control VM in.
+    pub(super) fn confirm(
+        &mut self,
+        now: Instant,
+        from: LinkAddress,
+        confirmation: &Confirmation,
+        version: ConfigVersion,
+        withdrawn: &WithdrawnSet,
+    ) -> Step {
+        let Some(watched) = self.watched.get_mut(&from) else {
+            return Step::Ignored;
+        };
+        let stamp = confirmation.stamp.map(|aged| aged.stamp);
+        if stamp > watched.newest {
+            watched.newest = stamp;
+            watched.progressed = now;
+        }
+        watched
+            .lease
+            .confirm(from, confirmation, version, withdrawn)
+    }
+
+    pub(super) fn read(&mut self, from: LinkAddress, part: &WithdrawnPart) {
+        if let Some(watched) = self.watched.get_mut(&from) {
+            watched.lease.read(from, part);
+        }
+    }
+
+    pub(super) fn caught_up(&mut self, version: ConfigVersion, withdrawn: &WithdrawnSet) {
+        for watched in self.watched.values_mut() {
+            watched.lease.caught_up(version, withdrawn);
+        }
+    }
+}
+
+/// Access.
+impl ControlWatch {
+    /// Says when the open request with this sequence was sent.
+    pub(super) fn sent(&self, from: LinkAddress, sequence: u64) -> Option<Instant> {
+        self.watched.get(&from)?.lease.sent(from, sequence)
+    }
+
+    pub(super) fn attached(&self) -> Option<LinkAddress> {
+        self.attached
+    }
+
+    pub(super) fn has_authority(&self) -> bool {
+        self.watched.values().any(|w| w.lease.has_authority())
+    }
+}
+
+/// The stamps and the word of control VMs.
+impl Gossip {
+    /// Issues a stamp; for the leader of the control VMs, about every 500 ms.
+    pub fn issue_stamp(&mut self, now: Instant, stamp: Stamp) {
+        self.stamp.learn(now, StampAge { stamp, age_ms: 0 });
+    }
+
+    /// Vouches that this control VM holds all withdrawals and the configuration that were committed
+    /// before `now`, until `until`; for control VMs that confirmed their read index.
+    ///
+    /// What was committed must have been handed to [`Gossip::load_withdrawn`] and
+    /// [`Gossip::hold`] before.
+    pub fn authorise(&mut self, until: Instant) {
+        self.authority_until = self.authority_until.max(Some(until));
+        self.settle_with(true);
+    }
+
+    pub(super) fn is_authority(&self, now: Instant) -> bool {
+        self.authority_until.is_some_and(|until| now < until)
+    }
+
+    pub(super) fn watch_control(&mut self, now: Instant) {
+        let is_control = self.options.role == Role::Control;
+        if !is_control && self.duty.is_none() {
+            return;
+        }
+        let known = self.table.control();
+        if !is_control {
+            self.control.attach(now, &known, &mut self.random);
+        }
+        for (to, renew) in self.control.renew(now, &known, is_control) {
+            self.send(to, Body::Renew(renew));
+        }
+    }
+
+    /// Lets the own word as a seed count once the process has caught up.
+    pub(super) fn settle(&mut self) {
+        self.settle_with(self.control.has_authority());
+    }
+
+    fn settle_with(&mut self, authority: bool) {
+        let own = self.options.link;
+        let seeds = self.lease.caught_up_with(own);
+        if let Some(duty) = &mut self.duty {
+            let authority = authority || self.lease.has_authority();
+            duty.settle(Settling { seeds, authority });
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-membership/src/gossip/receive.rs
@@ -0,0 +1,76 @@
+use std::time::Instant;
+
+use super::{Gossip, Outgoing};
+use crate::probe::Answer;
+use crate::{Body, LinkAddress, Message};
+
+/// What happens when a message comes.
+impl Gossip {
+    /// Takes a message of a peer in and returns the messages to send.
+    ///
+    /// `from` is the address on which the peer takes links, as the handshake of the link gave it.
+    pub fn receive(&mut self, now: Instant, from: LinkAddress, message: Message) -> Vec<Outgoing> {
+        if self.is_stopped {
+            return Vec::new();
+        }
+        self.budget.fill(now);
+        self.handle(now, from, message);
+        self.flush(now)
+    }
+
+    pub(super) fn handle(&mut self, now: Instant, from: LinkAddress, message: Message) {
+        self.hear_version(now, from, message.version);
+        match message.body {
+            Body::Ping { sequence, records } => {
+                self.learn(now, from, &records);
+                let records = self.piggyback();
+                self.send(from, Body::Ack { sequence, records });
+            }
+            Body::Ack { sequence, records } => {
+                self.learn(now, from, &records);
+                self.receive_ack(sequence);
+            }
+            Body::ProbeRequest { sequence, target } => {
+                let answer = Answer { to: from, sequence };
+                let sequence = self.prober.relay(now, answer);
+                let records = Vec::new();
+                self.send(target, Body::Ping { sequence, records });
+            }
+            Body::Rumours { records, withdrawn } => {
+                self.timers.is_joined |= records.iter().any(|r| r.link == from);
+                self.learn(now, from, &records);
+                self.add_withdrawn(&withdrawn, Some(from));
+            }
+            Body::Join(record) => self.receive_join(now, from, &record),
+            Body::Digest(digest) => self.receive_digest(from, &digest),
+            Body::Sync { buckets, records } => self.receive_sync(now, from, &buckets, &records),
+            body => self.handle_views(now, from, body),
+        }
+    }
+
+    /// The messages about configuration, withdrawn keys and leases.
+    fn handle_views(&mut self, now: Instant, from: LinkAddress, body: Body) {
+        match body {
+            Body::Renew(renew) => self.answer_renew(now, from, renew),
+            Body::Confirmation(confirmation) => self.receive_confirmation(now, from, &confirmation),
+            Body::Pull(pull) => self.answer_pull(from, pull),
+            Body::Withdrawn(part) => self.receive_withdrawn(from, &part),
+            Body::Withdraw(asked) => self.receive_withdraw(now, from, &asked),
+            Body::Held(answer) => self.receive_held(now, from, &answer),
+            Body::Fetch {
+                from_version,
+                offset,
+            } => self.answer_fetch(from, from_version, offset),
+            Body::Configuration(part) => self.receive_part(now, from, &part),
+            _ => {}
+        }
+    }
+
+    fn receive_ack(&mut self, sequence: u64) {
+        if let Some(answer) = self.prober.answered(sequence) {
+            let sequence = answer.sequence;
+            let records = Vec::new();
+            self.send(answer.to, Body::Ack { sequence, records });
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-membership/src/gossip/tick.rs
@@ -0,0 +1,106 @@
+use std::time::{Duration, Instant};
+
+use super::{Gossip, Outgoing, is_due};
+use crate::Body;
+use crate::freshness::SeedDuty;
+use crate::probe::Step;
+
+/// A pause between ticks after which the process takes itself, not its peers, for the silent one.
+const STOOD_STILL: Duration = Duration::from_millis(700);
+/// The peers that probe a silent member on behalf of another.
+const HELPERS: usize = 3;
+
+/// What happens on a timer.
+impl Gossip {
+    /// Does what is due at `now` and returns the messages to send.
+    ///
+    /// It wants to be called every [`super::TICK`]; later calls delay what is due and break nothing.
+    pub fn tick(&mut self, now: Instant) -> Vec<Outgoing> {
+        if self.is_stopped {
+            return Vec::new();
+        }
+        self.budget.fill(now);
+        self.notice_pause(now);
+        self.join(now);
+        self.probe(now);
+        self.expire(now);
+        self.renew(now);
+        self.watch_control(now);
+        self.settle();
+        self.confirm_withdrawals(now);
+        self.fetch(now);
+        self.push_rumours(now);
+        self.compare(now);
+        self.flush(now)
+    }
+
+    fn notice_pause(&mut self, now: Instant) {
+        let last = self.timers.ticked.replace(now);
+        if last.is_some_and(|at| now.saturating_duration_since(at) > STOOD_STILL) {
+            self.prober.forget();
+            self.table.restart_suspicions(now);
+        }
+    }
+
+    fn probe(&mut self, now: Instant) {
+        let mut steps = self.prober.advance(now);
+        if self.prober.is_due(now) {
+            let members = self.table.local();
+            steps.extend(self.prober.start(now, &members, &mut self.random));
+        }
+        for step in steps {
+            self.take_probe_step(now, step);
+        }
+    }
+
+    fn take_probe_step(&mut self, now: Instant, step: Step) {
+        match step {
+            Step::Ping { sequence, target } => {
+                let records = self.piggyback();
+                self.send(target, Body::Ping { sequence, records });
+            }
+            Step::Indirect { sequence, target } => {
+                let mut others = self.table.local();
+                others.retain(|address| *address != target);
+                for helper in self.random.draw(&mut others, HELPERS) {
+                    self.send(helper, Body::ProbeRequest { sequence, target });
+                }
+            }
+            Step::Suspect(target) => self.suspect(now, target),
+        }
+    }
+
+    fn renew(&mut self, now: Instant) {
+        let is_settled = self.duty.as_ref().is_none_or(SeedDuty::is_settled);
+        for (to, renew) in self.lease.renew(now, !is_settled) {
+            self.send(to, Body::Renew(renew));
+        }
+    }
+
+    fn confirm_withdrawals(&mut self, now: Instant) {
+        if let Some(duty) = &mut self.duty {
+            duty.run_out(now);
+            for (to, request) in duty.spread(now) {
+                self.send(to, Body::Withdraw(request));
+            }
+        }
+        self.ask_data_centres(now);
+    }
+
+    fn join(&mut self, now: Instant) {
+        const AGAIN: Duration = Duration::from_secs(1);
+        const AT_ONCE: usize = 2;
+        if self.timers.is_joined || !is_due(&mut self.timers.joined_at, now, AGAIN) {
+            return;
+        }
+        let own = self.options.link;
+        let mut contacts: Vec<_> = self.options.seeds.iter().map(|seed| seed.link).collect();
+        contacts.extend(&self.options.contacts);
+        contacts.retain(|address| *address != own);
+        contacts.sort_unstable();
+        contacts.dedup();
+        for to in self.random.draw(&mut contacts, AT_ONCE) {
+            self.send(to, Body::Join(self.table.own().clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-membership/src/gossip/views.rs
@@ -0,0 +1,148 @@
+use std::time::{Duration, Instant};
+
+use nutmegwheel_types::{ConfigVersion, DataCentreId, KeyHash, ProcessName, plain};
+
+use super::{Event, Gossip};
+use crate::freshness::{Decision, SeedDuty};
+use crate::{
+    AnnouncementState, Health, LinkAddress, Record, Stamp, Standing, WithdrawalState, WithdrawnSet,
+};
+
+plain! {
+    /// A backend server as the doors see it.
+    pub struct BackendServer {
+        /// The node beside it.
+        pub process: ProcessName,
+        /// Its data centre.
+        pub data_centre: DataCentreId,
+        /// The address on which its node takes links.
+        pub link: LinkAddress,
+        /// The ceiling of requests at a time.
+        pub slots: u16,
+        /// Whether it may get requests.
+        pub state: AnnouncementState,
+        /// Whether its node is suspected to be dead.
+        pub is_suspect: bool,
+    }
+
+    /// How new the view of a process is.
+    pub struct Freshness {
+        /// The newest configuration that it holds.
+        pub version: ConfigVersion,
+        /// The newest stamp that it knows of.
+        pub stamp: Option<Stamp>,
+        /// The time since that stamp was issued, an upper bound.
+        pub stamp_age: Option<Duration>,
+        /// The time since the confirmations of its lease were asked for.
+        pub lease_age: Option<Duration>,
+        /// The control VM that it asks, if it is a seed.
+        pub attached: Option<LinkAddress>,
+        /// Whether it may start keyed work.
+        pub decision: Decision,
+    }
+}
+
+/// Access.
+impl Gossip {
+    /// Takes what was learnt since the last call.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// All records, the own one and those of the dead included.
+    pub fn members(&self) -> impl Iterator<Item = &Record> {
+        self.table.all()
+    }
+
+    /// The record of a process.
+    #[must_use]
+    pub fn member(&self, name: &str) -> Option<&Record> {
+        self.table.get(name)
+    }
+
+    /// The own record.
+    #[must_use]
+    pub fn own(&self) -> &Record {
+        self.table.own()
+    }
+
+    /// The backend servers of a service whose nodes are not dead.
+    pub fn backend_servers(&self, service: &str) -> impl Iterator<Item = BackendServer> {
+        self.table.live().filter_map(move |record| {
+            let announcement = record.announcement.as_ref()?;
+            if &*announcement.service != service {
+                return None;
+            }
+            let state = match record.standing {
+                Standing::Active => announcement.state,
+                Standing::Leaving => AnnouncementState::Leaving,
+            };
+            Some(BackendServer {
+                process: record.name.clone(),
+                data_centre: record.data_centre.clone(),
+                link: record.link,
+                slots: announcement.slots,
+                state,
+                is_suspect: record.health == Health::Suspect,
+            })
+        })
+    }
+
+    /// Whether the process may start keyed work; `now` must be read right before the use.
+    #[must_use]
+    pub fn decide(&self, now: Instant) -> Decision {
+        Decision::at(
+            now,
+            self.store.version(),
+            &self.lease,
+            self.stamp.age(now),
+            self.options.cut_off,
+        )
+    }
+
+    /// Whether a key is withdrawn, as far as this process knows.
+    #[must_use]
+    pub fn is_withdrawn(&self, key: &KeyHash) -> bool {
+        self.withdrawn.contains(key)
+    }
+
+    /// The withdrawn keys.
+    #[must_use]
+    pub fn withdrawn(&self) -> &WithdrawnSet {
+        &self.withdrawn
+    }
+
+    /// How far a withdrawal that was given to [`Gossip::withdraw`] here has come.
+    #[must_use]
+    pub fn withdrawal(&self, key: &KeyHash) -> WithdrawalState {
+        self.followed.state(key, &self.needed_data_centres())
+    }
+
+    /// How new the view of the process is.
+    #[must_use]
+    pub fn freshness(&self, now: Instant) -> Freshness {
+        Freshness {
+            version: self.store.version(),
+            stamp: self.stamp.stamp(),
+            stamp_age: self.stamp.age(now),
+            lease_age: self.lease.age(now),
+            attached: self.control.attached(),
+            decision: self.decide(now),
+        }
+    }
+
+    /// Says whether the process is a seed whose word counts.
+    #[must_use]
+    pub fn is_settled_seed(&self) -> bool {
+        self.duty.as_ref().is_some_and(SeedDuty::is_settled)
+    }
+
+    /// The data centres whose word a withdrawal needs.
+    pub(super) fn needed_data_centres(&self) -> Vec<DataCentreId> {
+        let mut names = self.options.data_centres.clone();
+        names.extend(self.table.data_centres());
+        names.sort();
+        names.dedup();
+        names
+    }
+}
--- a/crates/nutmegwheel-membership/src/lib.rs
+++ b/crates/nutmegwheel-membership/src/lib.rs
@@ -1,3 +1,35 @@
 //! Gossip of members, announcements, versions and withdrawn keys, without I/O.
+//!
+//! A process opens one [`Gossip`], calls [`Gossip::tick`] on a timer and [`Gossip::receive`] for
+//! every message of a peer, and sends what both return. The protocol and its bounds are written in
+//! docs/spec/SPREAD.md.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
+
+mod configuration;
+mod gossip;
+mod message;
+mod probe;
+mod random;
+mod record;
+mod rumours;
+mod stamp;
+mod table;
+mod types;
+mod withdrawal;
+mod withdrawn;
+
+pub mod freshness;
+pub mod wire;
+
+pub use configuration::{Change, Configuration};
+pub use gossip::{BackendServer, Event, Freshness, Gossip, Options, Outgoing, TICK};
+pub use message::{
+    Body, ConfigurationPart, Confirmation, Digest, Held, Message, Pull, Renew, Withdraw,
+    WithdrawnPart,
+};
+pub use record::{Health, Merge, Record, Standing};
+pub use stamp::{CutOff, Stamp, StampAge};
+pub use types::{Announcement, AnnouncementState, LinkAddress, Role, Seed};
+pub use withdrawal::WithdrawalState;
+pub use withdrawn::WithdrawnSet;
--- /dev/null
+++ b/crates/nutmegwheel-membership/src/table.rs
@@ -0,0 +1,320 @@
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use nutmegwheel_types::{DataCentreId, ProcessName, plain, plain_copy};
+
+use crate::record::hash;
+use crate::{Health, LinkAddress, Merge, Record, Role, Standing};
+
+plain! {
+    /// The records of all processes, with what is derived from them.
+    pub(crate) struct Table {
+        own: Record,
+        records: BTreeMap<ProcessName, Record>,
+        by_address: BTreeMap<LinkAddress, ProcessName>,
+        suspects: BTreeMap<ProcessName, Instant>,
+        dead: BTreeMap<ProcessName, Instant>,
+        buckets: Vec<u32>,
+        routes: Option<Routes>,
+    }
+
+    /// Whom this process talks to, recomputed when members come and go.
+    struct Routes {
+        local: Vec<LinkAddress>,
+        remote: Vec<Remote>,
+    }
+
+    /// The way to another data centre.
+    pub(crate) struct Remote {
+        /// The elected gateways there.
+        pub(crate) partners: Vec<LinkAddress>,
+        /// Every member there.
+        pub(crate) all: Vec<LinkAddress>,
+    }
+
+    /// What a record from a peer changed.
+    pub(crate) struct Learnt {
+        pub(crate) merge: Merge,
+        pub(crate) before: Option<Before>,
+    }
+}
+
+plain_copy! {
+    /// The parts of an older record that events depend on.
+    pub(crate) struct Before {
+        pub(crate) health: Health,
+        pub(crate) standing: Standing,
+        pub(crate) incarnation: u64,
+    }
+}
+
+/// The buckets of names that digests compare.
+pub(crate) const BUCKETS: u32 = 64;
+/// The members of a data centre that talk to one other data centre.
+const GATEWAYS: usize = 2;
+/// How long a suspect has to refute.
+const SUSPECT_FOR: Duration = Duration::from_secs(2);
+/// How long the record of a dead process is kept, so that late rumours do not bring it back.
+const KEEP_DEAD: Duration = Duration::from_mins(5);
+
+/// Lifecycle.
+impl Table {
+    pub(crate) fn open(own: Record) -> Self {
+        let mut table = Self {
+            own: own.clone(),
+            records: BTreeMap::new(),
+            by_address: BTreeMap::new(),
+            suspects: BTreeMap::new(),
+            dead: BTreeMap::new(),
+            buckets: vec![0; BUCKETS as usize],
+            routes: None,
+        };
+        table.put(own);
+        table
+    }
+
+    /// Replaces the own record.
+    pub(crate) fn set_own(&mut self, own: Record) {
+        self.own = own.clone();
+        self.put(own);
+    }
+
+    /// Merges a record of another process.
+    pub(crate) fn learn(&mut self, now: Instant, record: &Record) -> Option<Learnt> {
+        let Some(old) = self.records.get(&record.name) else {
+            return self.learn_new(now, record);
+        };
+        let mut merged = old.clone();
+        let merge = merged.merge(record);
+        if !merge.any() {
+            return None;
+        }
+        let before = Some(Before {
+            health: old.health,
+            standing: old.standing,
+            incarnation: old.incarnation,
+        });
+        self.date(now, &merged);
+        self.put(merged);
+        Some(Learnt { merge, before })
+    }
+
+    fn learn_new(&mut self, now: Instant, record: &Record) -> Option<Learnt> {
+        if record.health == Health::Dead {
+            return None;
+        }
+        self.date(now, record);
+        self.put(record.clone());
+        let merge = Merge {
+            owner: true,
+            health: true,
+        };
+        Some(Learnt {
+            merge,
+            before: None,
+        })
+    }
+
+    /// Keeps the times from which suspicion and the keeping of the dead run.
+    fn date(&mut self, now: Instant, record: &Record) {
+        let name = &record.name;
+        if record.health != Health::Suspect {
+            self.suspects.remove(name);
+        } else if record.data_centre == self.own.data_centre {
+            self.suspects.entry(name.clone()).or_insert(now);
+        }
+        if record.health == Health::Dead {
+            self.dead.entry(name.clone()).or_insert(now);
+        } else {
+            self.dead.remove(name);
+        }
+    }
+
+    fn put(&mut self, record: Record) {
+        let bucket = bucket(&record);
+        let mut is_same_route = false;
+        if let Some(old) = self.records.get(&record.name) {
+            self.buckets[bucket] ^= old.state_hash();
+            is_same_route = old.link == record.link
+                && old.standing == record.standing
+                && (old.health == Health::Dead) == (record.health == Health::Dead);
+            if old.link != record.link {
+                self.by_address.remove(&old.link);
+            }
+        }
+        if !is_same_route {
+            self.routes = None;
+        }
+        self.buckets[bucket] ^= record.state_hash();
+        self.by_address.insert(record.link, record.name.clone());
+        self.records.insert(record.name.clone(), record);
+    }
+
+    /// Forgets processes that have been dead for long, and returns the suspects whose time is up.
+    pub(crate) fn expire(&mut self, now: Instant) -> Vec<Record> {
+        let is_over = |at: &Instant, keep| now.saturating_duration_since(*at) >= keep;
+        let forgotten: Vec<ProcessName> = self
+            .dead
+            .iter()
+            .filter(|(_, at)| is_over(at, KEEP_DEAD))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in forgotten {
+            self.forget(&name);
+        }
+        self.suspects
+            .iter()
+            .filter(|(_, at)| is_over(at, SUSPECT_FOR))
+            .filter_map(|(name, _)| self.records.get(name).cloned())
+            .collect()
+    }
+
+    fn forget(&mut self, name: &ProcessName) {
+        self.dead.remove(name);
+        if let Some(record) = self.records.remove(name)
+            && self.by_address.get(&record.link) == Some(name)
+        {
+            self.by_address.remove(&record.link);
+        }
+    }
+
+    /// Gives every suspect its whole time again, after this process itself stood still.
+    pub(crate) fn restart_suspicions(&mut self, now: Instant) {
+        for at in self.suspects.values_mut() {
+            *at = now;
+        }
+    }
+
+    fn routes(&mut self) -> &Routes {
+        if self.routes.is_none() {
+            self.routes = Some(self.compute_routes());
+        }
+        self.routes.as_ref().expect("they were computed just now")
+    }
+
+    /// The other members of the own data centre.
+    pub(crate) fn local(&mut self) -> Vec<LinkAddress> {
+        self.routes().local.clone()
+    }
+
+    /// The number of other members of the own data centre.
+    pub(crate) fn local_count(&mut self) -> usize {
+        self.routes().local.len()
+    }
+
+    /// The ways to those data centres for which this process is a gateway.
+    pub(crate) fn remote(&mut self) -> Vec<Remote> {
+        self.routes().remote.clone()
+    }
+}
+
+/// Access.
+impl Table {
+    pub(crate) fn own(&self) -> &Record {
+        &self.own
+    }
+
+    pub(crate) fn get(&self, name: &str) -> Option<&Record> {
+        self.records.get(name)
+    }
+
+    pub(crate) fn at(&self, address: LinkAddress) -> Option<&Record> {
+        let name = self.by_address.get(&address)?;
+        self.records.get(name)
+    }
+
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+
+    pub(crate) fn live(&self) -> impl Iterator<Item = &Record> {
+        self.all().filter(|record| record.health != Health::Dead)
+    }
+
+    /// The other control VMs that are not dead.
+    pub(crate) fn control(&self) -> Vec<LinkAddress> {
+        self.live()
+            .filter(|record| record.role == Role::Control && record.name != self.own.name)
+            .map(|record| record.link)
+            .collect()
+    }
+
+    pub(crate) fn seeds_of(&self, data_centre: &str) -> Vec<LinkAddress> {
+        self.live()
+            .filter(|record| record.seed && &*record.data_centre == data_centre)
+            .map(|record| record.link)
+            .collect()
+    }
+
+    pub(crate) fn data_centres(&self) -> Vec<DataCentreId> {
+        let mut names: Vec<DataCentreId> = self
+            .live()
+            .map(|record| record.data_centre.clone())
+            .collect();
+        names.sort();
+        names.dedup();
+        names
+    }
+
+    pub(crate) fn buckets(&self) -> &[u32] {
+        &self.buckets
+    }
+
+    /// The records in some buckets.
+    pub(crate) fn in_buckets(&self, buckets: &[u32]) -> Vec<&Record> {
+        self.all()
+            .filter(|record| {
+                let bucket = u32::try_from(bucket(record)).unwrap_or(u32::MAX);
+                buckets.contains(&bucket)
+            })
+            .collect()
+    }
+
+    fn compute_routes(&self) -> Routes {
+        let mut by_data_centre: BTreeMap<&DataCentreId, Vec<&Record>> = BTreeMap::new();
+        for record in self.live() {
+            let members = by_data_centre.entry(&record.data_centre).or_default();
+            members.push(record);
+        }
+        let mine = by_data_centre
+            .remove(&self.own.data_centre)
+            .unwrap_or_default();
+        let local = mine
+            .iter()
+            .filter(|record| record.name != self.own.name)
+            .map(|record| record.link)
+            .collect();
+        let remote = by_data_centre
+            .iter()
+            .filter(|(name, _)| elected(&mine, name).contains(&self.own.link))
+            .map(|(_, members)| Remote {
+                partners: elected(members, &self.own.data_centre),
+                all: members.iter().map(|record| record.link).collect(),
+            })
+            .collect();
+        Routes { local, remote }
+    }
+}
+
+/// The members of one data centre that talk to another: those with the greatest hashes, so that
+/// every process elects the same ones and the loss of one moves no other.
+fn elected(members: &[&Record], other: &str) -> Vec<LinkAddress> {
+    let mut staying: Vec<&&Record> = members
+        .iter()
+        .filter(|record| record.standing == Standing::Active)
+        .collect();
+    staying.sort_by_cached_key(|record| {
+        let rank = hash(other.as_bytes(), record.name_hash());
+        std::cmp::Reverse(rank)
+    });
+    staying
+        .iter()
+        .take(GATEWAYS)
+        .map(|record| record.link)
+        .collect()
+}
+
+fn bucket(record: &Record) -> usize {
+    let bucket = record.name_hash() % u64::from(BUCKETS);
+    usize::try_from(bucket).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/nutmegwheel-membership/src/wire.rs
@@ -0,0 +1,44 @@
+//! A compact encoding of [`Message`], for callers that have no wire types of their own.
+//!
+//! The numbers of the fields are written in docs/spec/SPREAD.md, "Messages".
+
+mod decode;
+mod encode;
+mod error;
+mod shapes;
+
+pub use error::Error;
+
+use prost::Message as _;
+
+use crate::{LinkAddress, Message};
+
+/// The longest encoded message that is taken in, in bytes.
+pub const MESSAGE_BYTES: usize = 64 * 1024;
+
+/// Encodes a message.
+#[must_use]
+pub fn encode(message: &Message) -> Vec<u8> {
+    encode::message(message).encode_to_vec()
+}
+
+/// Returns the length of the encoded message in bytes.
+#[must_use]
+pub fn encoded_len(message: &Message) -> usize {
+    encode::message(message).encoded_len()
+}
+
+/// Decodes a message that came from the peer at `from`.
+///
+/// # Errors
+///
+/// Refuses what is too long, is not an encoded message, lacks a part or has one out of range.
+pub fn decode(from: LinkAddress, bytes: &[u8]) -> Result<Message, Error> {
+    if bytes.len() > MESSAGE_BYTES {
+        let length = bytes.len();
+        return Err(Error::TooLong { from, length });
+    }
+    let shape =
+        shapes::Message::decode(bytes).map_err(|source| Error::Malformed { from, source })?;
+    decode::message(shape).map_err(|field| Error::Field { from, field })
+}
--- /dev/null
+++ b/crates/nutmegwheel-membership/src/wire/encode.rs
@@ -0,0 +1,170 @@
+use std::net::IpAddr;
+
+use nutmegwheel_types::KeyHash;
+
+use super::shapes;
+use crate::{
+    Announcement, AnnouncementState, Body, Confirmation, Health, LinkAddress, Message, Record,
+    Role, StampAge, Standing,
+};
+
+pub(super) fn message(message: &Message) -> shapes::Message {
+    shapes::Message {
+        version: message.version,
+        body: Some(body(&message.body)),
+    }
+}
+
+fn body(body: &Body) -> shapes::Body {
+    match body {
+        Body::Ping { sequence, records } => shapes::Body::Ping(probe(*sequence, records)),
+        Body::Ack { sequence, records } => shapes::Body::Ack(probe(*sequence, records)),
+        Body::ProbeRequest { sequence, target } => {
+            shapes::Body::ProbeRequest(shapes::ProbeRequest {
+                sequence: *sequence,
+                target: address(*target),
+            })
+        }
+        Body::Rumours { records, withdrawn } => shapes::Body::Rumours(shapes::Rumours {
+            records: self::records(records),
+            withdrawn: keys(withdrawn),
+        }),
+        Body::Join(joining) => shapes::Body::Join(record(joining)),
+        Body::Digest(digest) => shapes::Body::Digest(shapes::Digest {
+            buckets: digest.buckets.clone(),
+            log: digest.log,
+            count: digest.count,
+            keys: digest.digest,
+        }),
+        Body::Sync { buckets, records } => shapes::Body::Sync(shapes::Sync {
+            buckets: buckets.clone(),
+            records: self::records(records),
+        }),
+        body => views(body),
+    }
+}
+
+/// The messages about configuration, withdrawn keys and leases.
+fn views(body: &Body) -> shapes::Body {
+    match body {
+        Body::Confirmation(confirmed) => shapes::Body::Confirmation(confirmation(confirmed)),
+        Body::Pull(pull) => shapes::Body::Pull(shapes::Pull {
+            log: pull.log,
+            from: pull.from,
+        }),
+        Body::Withdrawn(part) => shapes::Body::Withdrawn(shapes::WithdrawnPart {
+            log: part.log,
+            from: part.from,
+            count: part.count,
+            hashes: keys(&part.hashes),
+        }),
+        Body::Withdraw(asked) => shapes::Body::Withdraw(shapes::Withdraw {
+            sequence: asked.sequence,
+            committed: asked.committed,
+            hashes: keys(&asked.hashes),
+        }),
+        Body::Held(answer) => shapes::Body::Held(shapes::Held {
+            sequence: answer.sequence,
+            log: answer.log,
+            keys: keys(&answer.held),
+            in_force: keys(&answer.in_force),
+        }),
+        Body::Fetch {
+            from_version,
+            offset,
+        } => shapes::Body::Fetch(shapes::Fetch {
+            from_version: *from_version,
+            offset: *offset,
+        }),
+        Body::Configuration(part) => shapes::Body::Configuration(shapes::ConfigurationPart {
+            version: part.version,
+            base: part.base,
+            offset: part.offset,
+            length: part.length,
+            bytes: part.bytes.clone(),
+        }),
+        Body::Renew(renew) => shapes::Body::Renew(renew.sequence),
+        _ => unreachable!("the caller encoded the other bodies"),
+    }
+}
+
+fn probe(sequence: u64, records: &[Record]) -> shapes::Probe {
+    shapes::Probe {
+        sequence,
+        records: self::records(records),
+    }
+}
+
+fn records(records: &[Record]) -> Vec<shapes::Record> {
+    records.iter().map(record).collect()
+}
+
+fn record(record: &Record) -> shapes::Record {
+    let control = u32::from(record.role == Role::Control);
+    let seed = u32::from(record.seed) << 1;
+    let leaving = u32::from(record.standing == Standing::Leaving) << 2;
+    let health = match record.health {
+        Health::Alive => 0,
+        Health::Suspect => 1 << 3,
+        Health::Dead => 2 << 3,
+    };
+    shapes::Record {
+        name: record.name.to_string(),
+        data_centre: record.data_centre.to_string(),
+        link: address(record.link),
+        callers: record.callers.map(address).unwrap_or_default(),
+        platform: record.platform.map(address).unwrap_or_default(),
+        incarnation: record.incarnation,
+        counter: record.counter,
+        flags: control | seed | leaving | health,
+        announcement: record.announcement.as_ref().map(announcement),
+    }
+}
+
+fn announcement(announcement: &Announcement) -> shapes::Announcement {
+    shapes::Announcement {
+        service: announcement.service.to_string(),
+        slots: u32::from(announcement.slots),
+        state: match announcement.state {
+            AnnouncementState::Starting => 0,
+            AnnouncementState::Ready => 1,
+            AnnouncementState::Leaving => 2,
+        },
+    }
+}
+
+fn confirmation(confirmation: &Confirmation) -> shapes::Confirmation {
+    let settled = u32::from(confirmation.settled);
+    let authority = u32::from(confirmation.authority) << 1;
+    shapes::Confirmation {
+        sequence: confirmation.sequence,
+        flags: settled | authority,
+        log: confirmation.log,
+        count: confirmation.count,
+        digest: confirmation.digest,
+        stamp: confirmation.stamp.map(stamp),
+        version: confirmation.version,
+    }
+}
+
+fn stamp(aged: StampAge) -> shapes::Stamp {
+    shapes::Stamp {
+        term: aged.stamp.term,
+        sequence: aged.stamp.sequence,
+        age_ms: aged.age_ms,
+    }
+}
+
+fn keys(keys: &[KeyHash]) -> Vec<Vec<u8>> {
+    keys.iter().map(|key| key.to_vec()).collect()
+}
+
+/// The octets of the IP number, then the port, most significant octet first.
+fn address(address: LinkAddress) -> Vec<u8> {
+    let mut bytes = match address.ip() {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    };
+    bytes.extend(address.port().to_be_bytes());
+    bytes
+}
--- /dev/null
+++ b/crates/nutmegwheel-membership/src/withdrawal.rs
@@ -0,0 +1,107 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use nutmegwheel_types::{DataCentreId, KeyHash, plain};
+
+plain! {
+    /// How far a withdrawal has come, as operators are told; see docs/INTERFACES.md.
+    pub enum WithdrawalState {
+        /// Nobody withdrew this key here.
+        Unknown,
+        /// Requests with the key may still start somewhere.
+        Pending {
+            /// Whether it is committed in the control log.
+            committed: bool,
+            /// The data centres that have not confirmed.
+            waiting_for: Vec<DataCentreId>,
+        },
+        /// No request with the key starts anywhere.
+        InForce,
+    }
+
+    /// The withdrawals that this process follows for an operator.
+    pub(crate) struct Followed {
+        keys: BTreeMap<KeyHash, Progress>,
+        asked: BTreeMap<DataCentreId, Instant>,
+    }
+
+    struct Progress {
+        committed: bool,
+        confirmed: BTreeSet<DataCentreId>,
+    }
+}
+
+/// How often a data centre is asked for its word.
+const ASK: Duration = Duration::from_millis(500);
+/// The number of keys in one request.
+const KEYS_IN_REQUEST: usize = 64;
+
+/// Lifecycle.
+impl Followed {
+    pub(crate) fn open() -> Self {
+        Self {
+            keys: BTreeMap::new(),
+            asked: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn follow(&mut self, key: KeyHash, committed: bool) {
+        let progress = self.keys.entry(key).or_insert_with(|| Progress {
+            committed: false,
+            confirmed: BTreeSet::new(),
+        });
+        if committed && !progress.committed {
+            progress.committed = true;
+            self.asked.clear();
+        }
+    }
+
+    /// Returns the keys to ask a data centre about, if a request to it is due.
+    pub(crate) fn due(&mut self, now: Instant, data_centre: &DataCentreId) -> Vec<KeyHash> {
+        let asked = self.asked.get(data_centre);
+        if asked.is_some_and(|at| now.saturating_duration_since(*at) < ASK) {
+            return Vec::new();
+        }
+        let keys: Vec<KeyHash> = self
+            .keys
+            .iter()
+            .filter(|(_, progress)| progress.committed)
+            .filter(|(_, progress)| !progress.confirmed.contains(data_centre))
+            .map(|(key, _)| *key)
+            .take(KEYS_IN_REQUEST)
+            .collect();
+        if !keys.is_empty() {
+            self.asked.insert(data_centre.clone(), now);
+        }
+        keys
+    }
+
+    pub(crate) fn confirm(&mut self, data_centre: &DataCentreId, keys: &[KeyHash]) {
+        for key in keys {
+            if let Some(progress) = self.keys.get_mut(key) {
+                progress.confirmed.insert(data_centre.clone());
+            }
+        }
+    }
+}
+
+/// Access.
+impl Followed {
+    pub(crate) fn state(&self, key: &KeyHash, all: &[DataCentreId]) -> WithdrawalState {
+        let Some(progress) = self.keys.get(key) else {
+            return WithdrawalState::Unknown;
+        };
+        let waiting_for: Vec<DataCentreId> = all
+            .iter()
+            .filter(|name| !progress.confirmed.contains(*name))
+            .cloned()
+            .collect();
+        if progress.committed && waiting_for.is_empty() {
+            return WithdrawalState::InForce;
+        }
+        WithdrawalState::Pending {
+            committed: progress.committed,
+            waiting_for,
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-membership/src/withdrawn.rs
@@ -0,0 +1,74 @@
+use std::collections::BTreeSet;
+
+use nutmegwheel_types::{KeyHash, plain};
+
+use crate::record::hash;
+
+plain! {
+    /// The grow-only set of withdrawn keys, in the order in which this process learnt them.
+    ///
+    /// The order makes catching up exact: who has read the first `count` entries of a list holds
+    /// all that its owner held when it said `count`.
+    #[derive(Hash)]
+    pub struct WithdrawnSet {
+        log: u64,
+        order: Vec<KeyHash>,
+        members: BTreeSet<KeyHash>,
+        digest: u64,
+    }
+}
+
+impl WithdrawnSet {
+    /// Opens an empty set; `log` must differ from that of every earlier life of the process.
+    #[must_use]
+    pub fn open(log: u64) -> Self {
+        Self {
+            log,
+            order: Vec::new(),
+            members: BTreeSet::new(),
+            digest: 0,
+        }
+    }
+
+    /// Adds a key and says whether it is new.
+    pub fn add(&mut self, key: KeyHash) -> bool {
+        let is_new = self.members.insert(key);
+        if is_new {
+            self.order.push(key);
+            self.digest ^= hash(&key, 1);
+        }
+        is_new
+    }
+
+    /// Says whether a key is withdrawn.
+    #[must_use]
+    pub fn contains(&self, key: &KeyHash) -> bool {
+        self.members.contains(key)
+    }
+
+    /// The id of the list.
+    #[must_use]
+    pub fn log(&self) -> u64 {
+        self.log
+    }
+
+    /// The number of keys.
+    #[must_use]
+    pub fn count(&self) -> u64 {
+        u64::try_from(self.order.len()).unwrap_or(u64::MAX)
+    }
+
+    /// The exclusive or of the keys' hashes, equal for equal sets.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// At most `limit` keys from a place of the list on.
+    #[must_use]
+    pub fn since(&self, from: u64, limit: usize) -> &[KeyHash] {
+        let from = usize::try_from(from).unwrap_or(usize::MAX);
+        let rest = self.order.get(from..).unwrap_or_default();
+        &rest[..rest.len().min(limit)]
+    }
+}
