--- /dev/null
+++ b/crates/nutmegwheel-agreement/src/raft/leader.rs
@@ -0,0 +1,169 @@
+//! What only a leader keeps: the progress of each member and what waits for a commit.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use nutmegwheel_types::plain;
+
+use super::{Core, Notice, RefusalReason, Refused, Role};
+use crate::{
+    storage::Write,
+    types::{Command, Entry, LogIndex, Payload, Position, ProposalId, ReadId, ReplicaId, Round},
+};
+
+plain! {
+    /// What only a leader keeps.
+    #[derive(Hash)]
+    pub(crate) struct Leader {
+        /// The entry that the leader's term began with; nothing is known committed before it is.
+        pub(super) first: LogIndex,
+        pub(super) round: Round,
+        pub(super) confirmed: Round,
+        pub(super) progress: BTreeMap<ReplicaId, Progress>,
+        pub(super) proposals: BTreeMap<LogIndex, ProposalId>,
+        pub(super) reads: VecDeque<WaitingRead>,
+        pub(super) joiners: BTreeSet<ReplicaId>,
+    }
+
+    /// How far one member has come, as the leader knows it.
+    #[derive(Hash)]
+    pub(super) struct Progress {
+        /// The index up to which the member's synced log equals the leader's.
+        pub(super) matched: LogIndex,
+        /// The next entry to send.
+        pub(super) next: LogIndex,
+        /// The newest round that the member has answered.
+        pub(super) round: Round,
+        pub(super) flow: Flow,
+    }
+
+    /// How entries are sent to one member.
+    #[derive(Hash)]
+    pub(super) enum Flow {
+        /// One message at a time, until the member's log is found.
+        Probe { waiting: bool },
+        /// Without waiting, up to the limit; holds the last index of each message on its way.
+        Pipeline { inflight: VecDeque<LogIndex> },
+        /// The snapshot, one piece at a time.
+        Snapshot { index: LogIndex, offset: u64 },
+    }
+
+    /// A read that waits for a quorum to confirm the leader.
+    #[derive(Hash)]
+    pub(super) struct WaitingRead {
+        pub(super) id: ReadId,
+        pub(super) index: LogIndex,
+        pub(super) round: Round,
+    }
+}
+
+impl Progress {
+    pub(super) fn new(next: LogIndex) -> Self {
+        Self {
+            matched: 0,
+            next,
+            round: 0,
+            flow: Flow::Probe { waiting: false },
+        }
+    }
+}
+
+impl Core {
+    pub(super) fn lead(&mut self) {
+        let first = self.last().index + 1;
+        self.role = Role::Leader(Leader {
+            first,
+            round: 0,
+            confirmed: 0,
+            progress: BTreeMap::new(),
+            proposals: BTreeMap::new(),
+            reads: VecDeque::new(),
+            joiners: BTreeSet::new(),
+        });
+        self.track_members();
+        self.effects.notices.push(Notice::Leading(self.hard.term));
+        self.append_own(Payload::Noop);
+        self.begin_round();
+    }
+
+    /// Tells the application that its proposals and reads were not settled here.
+    pub(super) fn abandon(&mut self, old: Leader) {
+        self.effects.unsettled.extend(old.proposals.into_values());
+        let reason = RefusalReason::NotLeader(None);
+        for read in old.reads {
+            self.refuse_read(read.id, reason.clone());
+        }
+        self.note_step_down();
+    }
+
+    pub(super) fn on_propose(&mut self, id: ProposalId, command: Command) {
+        if let Err(reason) = self.check_proposal(&command) {
+            let refused = Refused::Proposal { id, reason };
+            self.effects.refused.push(refused);
+            return;
+        }
+        let index = self.last().index + 1;
+        if let Role::Leader(leader) = &mut self.role {
+            leader.proposals.insert(index, id);
+        }
+        self.append_own(Payload::Command(command));
+        self.send_to_all(false);
+    }
+
+    fn check_proposal(&self, command: &Command) -> Result<(), RefusalReason> {
+        let limits = &self.setup.limits;
+        let Role::Leader(leader) = &self.role else {
+            return Err(self.not_leader());
+        };
+        if command.len() > limits.max_command_bytes {
+            return Err(RefusalReason::TooLarge(limits.max_command_bytes));
+        }
+        let full = leader.proposals.len() >= limits.max_uncommitted;
+        if full || self.log.bytes() >= limits.max_log_bytes {
+            return Err(RefusalReason::Overloaded);
+        }
+        Ok(())
+    }
+
+    pub(super) fn not_leader(&self) -> RefusalReason {
+        RefusalReason::NotLeader(self.leader().cloned())
+    }
+
+    /// Appends an entry of this leader's term; its own copy counts because it is synced before any
+    /// effect is acted upon.
+    pub(super) fn append_own(&mut self, payload: Payload) {
+        let position = Position {
+            term: self.hard.term,
+            index: self.last().index + 1,
+        };
+        let entry = Entry { position, payload };
+        self.append_entries(vec![entry]);
+        self.track_members();
+        self.advance_commit();
+    }
+
+    pub(super) fn append_entries(&mut self, entries: Vec<Entry>) {
+        self.log.append(&entries);
+        self.effects.writes.push(Write::Append(entries));
+        let before = self.membership_index;
+        self.load_membership();
+        if self.membership_index != before {
+            let notice = Notice::MembershipChanged(self.membership.clone());
+            self.effects.notices.push(notice);
+        }
+    }
+
+    /// Begins to follow the progress of new members and forgets those that are gone.
+    fn track_members(&mut self) {
+        let next = self.last().index + 1;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let membership = &self.membership;
+        let own = &self.setup.id;
+        leader.progress.retain(|id, _| membership.contains(id));
+        for id in membership.members().filter(|id| *id != own) {
+            let new = || Progress::new(next);
+            leader.progress.entry(id.clone()).or_insert_with(new);
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-agreement/src/raft/mod.rs
@@ -0,0 +1,364 @@
+//! The decisions of one replica, for a runtime that brings its own timers and storage: events in, effects out, without time, randomness or I/O.
+//!
+//! All state can be cloned, compared and hashed, so that a model check drives this very code. The
+//! caller syncs [`Effects::writes`] before it sends any of [`Effects::messages`]; see
+//! docs/spec/AGREEMENT.md.
+
+mod effects;
+mod election;
+mod event;
+mod founding;
+mod leader;
+mod membership;
+mod reads;
+mod replication;
+mod snapshot;
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use nutmegwheel_types::{Incarnation, plain};
+
+pub use self::{
+    effects::{Committed, Effects, Notice, RefusalReason, Refused},
+    event::{Change, Event, Limits, Setup},
+};
+use self::{leader::Leader, snapshot::Incoming};
+use crate::{
+    log::Log,
+    message::{Body, Message},
+    storage::{Stored, Write},
+    types::{
+        ClusterId, HardState, LogIndex, Membership, Payload, Position, ReplicaId, ReplicaName,
+        Snapshot, Term,
+    },
+};
+
+plain! {
+    /// What a replica does in its term.
+    #[derive(Hash)]
+    pub(crate) enum Role {
+        /// It follows, knowing the leader of its term or not.
+        Follower { leader: Option<ReplicaId> },
+        /// It asks whether an election would succeed, without taking part in a new term.
+        PreCandidate { granted: Vec<ReplicaId> },
+        /// It asks for votes.
+        Candidate { granted: Vec<ReplicaId> },
+        /// It leads.
+        Leader(Leader),
+    }
+
+    /// The names of the roles, for status and events.
+    #[derive(Copy, Hash)]
+    pub enum RoleName {
+        /// It belongs to no membership that it knows of.
+        Outsider,
+        /// It is sent the log and does not vote.
+        Learner,
+        /// It follows a leader or waits for one.
+        Follower,
+        /// It asks whether an election would succeed.
+        PreCandidate,
+        /// It asks for votes.
+        Candidate,
+        /// It leads.
+        Leader,
+    }
+
+    /// The decisions of one replica.
+    #[derive(Hash)]
+    pub struct Core {
+        setup: Setup,
+        hard: HardState,
+        hard_changed: bool,
+        log: Log,
+        snapshot: Option<Arc<Snapshot>>,
+        snapshot_wanted: bool,
+        commit: LogIndex,
+        membership: Membership,
+        membership_index: LogIndex,
+        role: Role,
+        fresh_peers: BTreeMap<ReplicaName, Incarnation>,
+        incoming: Option<Incoming>,
+        effects: Effects,
+    }
+}
+
+/// Access.
+impl Core {
+    /// Returns the replica's name and incarnation.
+    #[must_use]
+    pub fn id(&self) -> &ReplicaId {
+        &self.setup.id
+    }
+
+    /// Returns the newest term seen.
+    #[must_use]
+    pub fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    /// Returns the founding that the replica belongs to.
+    #[must_use]
+    pub fn cluster(&self) -> Option<ClusterId> {
+        self.hard.cluster
+    }
+
+    /// Returns the index up to which the log is known to be committed.
+    #[must_use]
+    pub fn commit_index(&self) -> LogIndex {
+        self.commit
+    }
+
+    /// Returns the entries after the last snapshot.
+    #[must_use]
+    pub fn log(&self) -> &Log {
+        &self.log
+    }
+
+    /// Returns the newest snapshot.
+    #[must_use]
+    pub fn snapshot(&self) -> Option<&Arc<Snapshot>> {
+        self.snapshot.as_ref()
+    }
+
+    /// Returns the newest membership in the log, committed or not.
+    #[must_use]
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Returns whether this replica leads its term.
+    #[must_use]
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// Returns the leader of the current term, if known.
+    #[must_use]
+    pub fn leader(&self) -> Option<&ReplicaId> {
+        match &self.role {
+            Role::Follower { leader } => leader.as_ref(),
+            Role::Leader(_) => Some(self.id()),
+            Role::PreCandidate { .. } | Role::Candidate { .. } => None,
+        }
+    }
+
+    /// Returns the name of the role that the replica has now.
+    #[must_use]
+    pub fn role(&self) -> RoleName {
+        match &self.role {
+            Role::Leader(_) => RoleName::Leader,
+            Role::PreCandidate { .. } => RoleName::PreCandidate,
+            Role::Candidate { .. } => RoleName::Candidate,
+            Role::Follower { .. } if self.is_voter() => RoleName::Follower,
+            Role::Follower { .. } if self.membership.contains(self.id()) => RoleName::Learner,
+            Role::Follower { .. } => RoleName::Outsider,
+        }
+    }
+
+    fn is_voter(&self) -> bool {
+        self.membership.voters.contains(self.id())
+    }
+}
+
+/// Lifecycle.
+impl Core {
+    /// Returns a replica as its store remembers it, following nobody.
+    #[must_use]
+    pub fn open(setup: Setup, stored: Stored) -> Self {
+        let base = stored.log.base().index;
+        let mut core = Self {
+            setup,
+            hard: stored.hard,
+            hard_changed: false,
+            log: stored.log,
+            snapshot: stored.snapshot,
+            snapshot_wanted: false,
+            commit: base,
+            membership: Membership::default(),
+            membership_index: 0,
+            role: Role::Follower { leader: None },
+            fresh_peers: BTreeMap::new(),
+            incoming: None,
+            effects: Effects::default(),
+        };
+        core.load_membership();
+        core
+    }
+
+    /// Takes one event and returns what follows from it.
+    pub fn step(&mut self, event: Event) -> Effects {
+        match event {
+            Event::ElectionTimeout => self.on_election_timeout(),
+            Event::Campaign => self.campaign(),
+            Event::Heartbeat => self.on_heartbeat(),
+            Event::QuorumLost => self.on_quorum_lost(),
+            Event::Propose { id, command } => self.on_propose(id, command),
+            Event::Read { id } => self.on_read(id),
+            Event::Change(change) => self.on_change(&change),
+            Event::Snapshot { index, data } => self.on_snapshot(index, data),
+            Event::Message {
+                message,
+                leader_alive,
+            } => self.on_message(message, leader_alive),
+        }
+        self.advance_membership();
+        self.want_snapshot();
+        self.take_effects()
+    }
+
+    fn take_effects(&mut self) -> Effects {
+        if std::mem::take(&mut self.hard_changed) {
+            let hard = Write::HardState(self.hard.clone());
+            self.effects.writes.insert(0, hard);
+        }
+        std::mem::take(&mut self.effects)
+    }
+}
+
+/// Messages.
+impl Core {
+    fn on_message(&mut self, message: Message, leader_alive: bool) {
+        if !self.is_addressee(&message) {
+            return;
+        }
+        if self.on_founding_message(&message) {
+            return;
+        }
+        if !self.is_of_same_founding(&message) || self.is_disruptive(&message, leader_alive) {
+            return;
+        }
+        self.adopt_cluster(&message);
+        self.catch_up_term(&message);
+        if message.term < self.hard.term {
+            self.answer_stale(&message);
+            return;
+        }
+        self.dispatch(message);
+    }
+
+    fn dispatch(&mut self, message: Message) {
+        let Message {
+            from, term, body, ..
+        } = message;
+        match body {
+            Body::PreVote { last } => self.on_pre_vote(&from, term, last),
+            Body::PreVoteReply { granted } => self.on_pre_vote_reply(from, term, granted),
+            Body::Vote { last } => self.on_vote(&from, last),
+            Body::VoteReply { granted } => self.on_vote_reply(from, granted),
+            Body::AppendReply { round, result } => self.on_append_reply(&from, round, &result),
+            Body::InstallReply {
+                round,
+                index,
+                received,
+            } => self.on_install_reply(&from, round, index, received),
+            body @ Body::Append { .. } => self.on_append(&from, body),
+            body @ Body::Install { .. } => self.on_install(&from, body),
+            Body::Join { .. } | Body::Fresh { .. } => {}
+        }
+    }
+
+    fn is_addressee(&self, message: &Message) -> bool {
+        let id = self.id();
+        let incarnation_fits = message.to_incarnation.is_none_or(|i| i == id.incarnation);
+        message.to == id.name && incarnation_fits && message.from != *id
+    }
+
+    fn is_of_same_founding(&self, message: &Message) -> bool {
+        message.cluster.is_some() && self.hard.cluster.is_none_or(|c| Some(c) == message.cluster)
+    }
+
+    /// A request for votes while a leader is alive would break its lease and disturb its followers.
+    fn is_disruptive(&self, message: &Message, leader_alive: bool) -> bool {
+        let asks_for_vote = matches!(message.body, Body::Vote { .. } | Body::PreVote { .. });
+        asks_for_vote && (leader_alive || self.is_leader())
+    }
+
+    /// A fresh replica belongs to the founding that first addresses it by its incarnation.
+    fn adopt_cluster(&mut self, message: &Message) {
+        if self.hard.cluster.is_none() {
+            self.hard.cluster = message.cluster;
+            self.hard_changed = true;
+        }
+    }
+
+    fn catch_up_term(&mut self, message: &Message) {
+        let speculative = match message.body {
+            Body::PreVote { .. } => true,
+            Body::PreVoteReply { granted } => granted,
+            _ => false,
+        };
+        if message.term > self.hard.term && !speculative {
+            self.follow(message.term, None);
+        }
+    }
+
+    /// A sender behind in terms learns the newer one, so that a deposed leader steps down.
+    fn answer_stale(&mut self, message: &Message) {
+        let body = match &message.body {
+            Body::PreVote { .. } => Body::PreVoteReply { granted: false },
+            Body::Append { prev, round, .. } => Body::AppendReply {
+                round: *round,
+                result: crate::message::AppendResult::Rejected {
+                    prev: prev.index,
+                    hint: self.commit,
+                },
+            },
+            _ => return,
+        };
+        self.send(&message.from, body);
+    }
+
+    fn send(&mut self, to: &ReplicaId, body: Body) {
+        self.send_in_term(to, self.hard.term, body);
+    }
+
+    fn send_in_term(&mut self, to: &ReplicaId, term: Term, body: Body) {
+        let message = Message {
+            cluster: self.hard.cluster,
+            from: self.id().clone(),
+            to: to.name.clone(),
+            to_incarnation: Some(to.incarnation),
+            term,
+            body,
+        };
+        self.effects.messages.push(message);
+    }
+}
+
+/// Terms.
+impl Core {
+    /// Becomes a follower in `term`; the vote is forgotten only when the term is new.
+    fn follow(&mut self, term: Term, leader: Option<ReplicaId>) {
+        if term > self.hard.term {
+            self.hard.term = term;
+            self.hard.vote = None;
+            self.hard_changed = true;
+        }
+        let old = std::mem::replace(&mut self.role, Role::Follower { leader });
+        if let Role::Leader(old) = old {
+            self.abandon(old);
+        }
+    }
+
+    fn load_membership(&mut self) {
+        let entry = self.log.membership_entry(LogIndex::MAX);
+        let (index, membership) = match entry.map(|e| (e.position.index, &e.payload)) {
+            Some((index, Payload::Membership(m))) => (index, m.clone()),
+            _ => self.snapshot_membership(),
+        };
+        self.membership_index = index;
+        self.membership = membership;
+    }
+
+    fn snapshot_membership(&self) -> (LogIndex, Membership) {
+        match &self.snapshot {
+            Some(s) => (s.position.index, s.membership.clone()),
+            None => (0, Membership::default()),
+        }
+    }
+
+    fn last(&self) -> Position {
+        self.log.last()
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-agreement/src/raft/reads.rs
@@ -0,0 +1,76 @@
+//! Linearizable reads: a read is answered as of an index that was committed when it came, once a
+//! quorum has confirmed that no later leader can have existed at that time.
+
+use super::{Core, RefusalReason, Refused, Role, leader::WaitingRead};
+use crate::types::{LogIndex, ReadId};
+
+impl Core {
+    /// Returns the index that a read may use at once while the caller knows the lease to hold, or
+    /// `None` when this replica does not lead or its term has committed nothing yet.
+    #[must_use]
+    pub fn lease_read_index(&self) -> Option<LogIndex> {
+        match &self.role {
+            Role::Leader(leader) if self.commit >= leader.first => Some(self.commit),
+            _ => None,
+        }
+    }
+
+    pub(super) fn on_read(&mut self, id: ReadId) {
+        let limit = self.setup.limits.max_uncommitted;
+        let reason = match &self.role {
+            Role::Leader(leader) if leader.reads.len() < limit => None,
+            Role::Leader(_) => Some(RefusalReason::Overloaded),
+            _ => Some(self.not_leader()),
+        };
+        match reason {
+            Some(reason) => self.refuse_read(id, reason),
+            None => self.queue_read(id),
+        }
+    }
+
+    fn queue_read(&mut self, id: ReadId) {
+        let commit = self.commit;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        leader.reads.push_back(WaitingRead {
+            id,
+            index: commit.max(leader.first),
+            round: leader.round + 1,
+        });
+        self.begin_round();
+    }
+
+    /// Notes the newest round that a quorum has answered and answers the reads that waited for it.
+    pub(super) fn confirm_rounds(&mut self) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let of = |id: &_| leader.progress.get(id).map_or(0, |p| p.round);
+        let round = self.quorum_value(leader.round, of);
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if round > leader.confirmed {
+            leader.confirmed = round;
+            self.effects.round_confirmed = Some(round);
+        }
+        self.resume_reads();
+    }
+
+    pub(super) fn resume_reads(&mut self) {
+        let commit = self.commit;
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let ready = |r: &WaitingRead| r.round <= leader.confirmed && r.index <= commit;
+        while leader.reads.front().is_some_and(ready) {
+            let read = leader.reads.pop_front();
+            self.effects.reads.extend(read.map(|r| (r.id, r.index)));
+        }
+    }
+
+    pub(super) fn refuse_read(&mut self, id: ReadId, reason: RefusalReason) {
+        self.effects.refused.push(Refused::Read { id, reason });
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-agreement/src/raft/replication.rs
@@ -0,0 +1,289 @@
+//! Entries from the leader to its followers, and what is committed by them.
+
+use super::{
+    Committed, Core, Role,
+    leader::{Flow, Progress},
+};
+use crate::{
+    message::{AppendResult, Body},
+    types::{Entry, LogIndex, Payload, Position, ReplicaId, Round},
+};
+
+/// The leader's side.
+impl Core {
+    pub(super) fn on_heartbeat(&mut self) {
+        if self.is_leader() {
+            self.begin_round();
+        }
+    }
+
+    /// Sends a heartbeat to every member; a quorum of answers confirms the leader as of now.
+    pub(super) fn begin_round(&mut self) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        leader.round += 1;
+        self.effects.round_begun = Some(leader.round);
+        self.send_to_all(true);
+        self.confirm_rounds();
+    }
+
+    pub(super) fn send_to_all(&mut self, heartbeat: bool) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let members: Vec<_> = leader.progress.keys().cloned().collect();
+        for member in &members {
+            self.send_entries(member, heartbeat);
+        }
+    }
+
+    /// Sends what the member's flow allows; a heartbeat sends at least one message.
+    pub(super) fn send_entries(&mut self, to: &ReplicaId, heartbeat: bool) {
+        let mut heartbeat = heartbeat;
+        while let Some(body) = self.next_append(to, heartbeat) {
+            heartbeat = false;
+            self.send(to, body);
+        }
+    }
+
+    fn next_append(&mut self, to: &ReplicaId, heartbeat: bool) -> Option<Body> {
+        let limits = self.setup.limits;
+        let commit = self.commit;
+        let Role::Leader(leader) = &mut self.role else {
+            return None;
+        };
+        let round = leader.round;
+        let progress = leader.progress.get_mut(to)?;
+        if let Flow::Snapshot { .. } = progress.flow {
+            return heartbeat.then(|| self.snapshot_piece(to)).flatten();
+        }
+        let Some(prev_term) = self.log.term_at(progress.next - 1) else {
+            return self.start_snapshot(to);
+        };
+        let prev = Position {
+            term: prev_term,
+            index: progress.next - 1,
+        };
+        let entries = progress.take_batch(&self.log, &limits, heartbeat);
+        if entries.is_empty() && !heartbeat {
+            return None;
+        }
+        Some(Body::Append {
+            prev,
+            entries,
+            commit,
+            round,
+        })
+    }
+
+    pub(super) fn on_append_reply(
+        &mut self,
+        from: &ReplicaId,
+        round: Round,
+        result: &AppendResult,
+    ) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = leader.progress.get_mut(from) else {
+            return;
+        };
+        progress.round = progress.round.max(round);
+        match *result {
+            AppendResult::Matched(index) => progress.on_matched(index),
+            AppendResult::Rejected { prev, hint } => progress.on_rejected(prev, hint),
+        }
+        self.advance_commit();
+        self.confirm_rounds();
+        self.send_entries(from, false);
+    }
+
+    /// Commits what a quorum of voters holds, if it is of this term; earlier terms come with it.
+    pub(super) fn advance_commit(&mut self) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let own = self.last().index;
+        let index = self.quorum_value(own, |id| leader.progress.get(id).map_or(0, |p| p.matched));
+        if index > self.commit && self.log.term_at(index) == Some(self.hard.term) {
+            self.commit_to(index);
+            self.resume_reads();
+        }
+    }
+
+    /// Returns the largest value that a majority of the voters has reached.
+    pub(super) fn quorum_value(&self, own: u64, of: impl Fn(&ReplicaId) -> u64) -> u64 {
+        let voters = &self.membership.voters;
+        let value = |id| if id == self.id() { own } else { of(id) };
+        let mut values: Vec<u64> = voters.iter().map(value).collect();
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        let at = self.membership.quorum() - 1;
+        values.get(at).copied().unwrap_or(0)
+    }
+}
+
+impl Progress {
+    fn take_batch(
+        &mut self,
+        log: &crate::log::Log,
+        limits: &super::Limits,
+        heartbeat: bool,
+    ) -> Vec<Entry> {
+        let open = match &self.flow {
+            Flow::Probe { waiting } => !waiting || heartbeat,
+            Flow::Pipeline { inflight } => inflight.len() < limits.max_inflight,
+            Flow::Snapshot { .. } => false,
+        };
+        if !open {
+            return Vec::new();
+        }
+        let entries = log.batch(self.next, limits.max_batch_bytes);
+        let Some(last) = entries.last().map(|e| e.position.index) else {
+            return entries;
+        };
+        match &mut self.flow {
+            Flow::Probe { waiting } => *waiting = true,
+            Flow::Pipeline { inflight } => {
+                inflight.push_back(last);
+                self.next = last + 1;
+            }
+            Flow::Snapshot { .. } => {}
+        }
+        entries
+    }
+
+    fn on_matched(&mut self, index: LogIndex) {
+        self.matched = self.matched.max(index);
+        self.next = self.next.max(self.matched + 1);
+        match &mut self.flow {
+            Flow::Probe { .. } => {
+                self.next = self.matched + 1;
+                self.flow = Flow::Pipeline {
+                    inflight: std::collections::VecDeque::new(),
+                };
+            }
+            Flow::Pipeline { inflight } => inflight.retain(|last| *last > index),
+            Flow::Snapshot { index: sent, .. } if self.matched >= *sent => {
+                self.flow = Flow::Probe { waiting: false };
+            }
+            Flow::Snapshot { .. } => {}
+        }
+    }
+
+    /// Goes back to where the member's log may fit; late answers to earlier messages are ignored.
+    fn on_rejected(&mut self, prev: LogIndex, hint: LogIndex) {
+        let outdated = match &self.flow {
+            Flow::Probe { .. } => prev != self.next - 1,
+            Flow::Pipeline { .. } => prev <= self.matched,
+            Flow::Snapshot { .. } => true,
+        };
+        if outdated {
+            return;
+        }
+        self.next = hint.min(prev.saturating_sub(1)).max(self.matched) + 1;
+        self.flow = Flow::Probe { waiting: false };
+    }
+}
+
+/// The follower's side.
+impl Core {
+    pub(super) fn on_append(&mut self, from: &ReplicaId, body: Body) {
+        let Body::Append {
+            prev,
+            entries,
+            commit,
+            round,
+        } = body
+        else {
+            return;
+        };
+        if !self.hear_leader(from) {
+            return;
+        }
+        let result = self.accept_entries(prev, entries, commit);
+        self.send(from, Body::AppendReply { round, result });
+    }
+
+    /// Follows the leader of the current term; returns false for a leader that can't be one.
+    pub(super) fn hear_leader(&mut self, from: &ReplicaId) -> bool {
+        if self.is_leader() {
+            return false;
+        }
+        self.follow(self.hard.term, Some(from.clone()));
+        self.effects.heard_leader = true;
+        true
+    }
+
+    fn accept_entries(
+        &mut self,
+        prev: Position,
+        entries: Vec<Entry>,
+        commit: LogIndex,
+    ) -> AppendResult {
+        let reached = prev.index + entries.len() as u64;
+        if reached <= self.commit {
+            return AppendResult::Matched(self.commit);
+        }
+        if prev.index >= self.commit && !self.log.holds(prev) {
+            return AppendResult::Rejected {
+                prev: prev.index,
+                hint: self.fitting_index(prev),
+            };
+        }
+        let new = self.new_entries(entries);
+        if !new.is_empty() {
+            self.append_entries(new);
+        }
+        self.commit_to(commit.min(reached));
+        AppendResult::Matched(reached)
+    }
+
+    /// Leaves out the entries that the log holds already, so that a late message cuts nothing off.
+    fn new_entries(&self, entries: Vec<Entry>) -> Vec<Entry> {
+        let held = |e: &Entry| e.position.index <= self.commit || self.log.holds(e.position);
+        entries.into_iter().skip_while(held).collect()
+    }
+
+    /// Returns where the leader should look next: before the term that differs, if one does.
+    fn fitting_index(&self, prev: Position) -> LogIndex {
+        let Some(term) = self.log.term_at(prev.index) else {
+            return self.last().index.max(self.commit);
+        };
+        let mut index = prev.index;
+        while index > self.commit && self.log.term_at(index) == Some(term) {
+            index -= 1;
+        }
+        index
+    }
+
+    /// Hands out what is committed now; an index beyond the log waits for its entries.
+    pub(super) fn commit_to(&mut self, index: LogIndex) {
+        let index = index.min(self.last().index);
+        while self.commit < index {
+            self.commit += 1;
+            self.emit_committed(self.commit);
+        }
+    }
+
+    fn emit_committed(&mut self, index: LogIndex) {
+        let Some(entry) = self.log.get(index) else {
+            return;
+        };
+        let Payload::Command(command) = &entry.payload else {
+            return;
+        };
+        let command = command.clone();
+        let term = entry.position.term;
+        let proposal = match &mut self.role {
+            Role::Leader(leader) => leader.proposals.remove(&index),
+            _ => None,
+        };
+        self.effects.committed.push(Committed {
+            index,
+            term,
+            command,
+            proposal,
+        });
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-agreement/src/replica/timers.rs
@@ -0,0 +1,108 @@
+//! The timers of a replica, all on the caller's monotonic clock.
+
+use std::time::{Duration, Instant};
+
+use super::{Options, Random};
+
+pub(super) struct Timers {
+    heartbeat: Duration,
+    election_timeout: Duration,
+    storage_retry: Duration,
+    random: Random,
+    /// When a leader was last heard of. The start counts too, since what was promised to a leader
+    /// before it is not remembered.
+    leader_heard: Instant,
+    election_at: Instant,
+    heartbeat_at: Instant,
+    /// The beginning of the newest round that a quorum has answered.
+    quorum_heard: Instant,
+    retry_at: Option<Instant>,
+}
+
+/// Lifecycle.
+impl Timers {
+    pub(super) fn start(options: &Options, random: Random, now: Instant) -> Self {
+        let mut timers = Self {
+            heartbeat: options.heartbeat,
+            election_timeout: options.election_timeout,
+            storage_retry: options.storage_retry,
+            random,
+            leader_heard: now,
+            election_at: now,
+            heartbeat_at: now,
+            quorum_heard: now,
+            retry_at: None,
+        };
+        timers.restart_election(now);
+        timers
+    }
+
+    pub(super) fn heard_leader(&mut self, now: Instant) {
+        self.leader_heard = now;
+        self.restart_election(now);
+    }
+
+    /// Sets the election timer to between one and two timeouts, so that replicas seldom collide.
+    pub(super) fn restart_election(&mut self, now: Instant) {
+        let jitter = u32::try_from((self.random)() >> 32).unwrap_or(0);
+        let part = f64::from(jitter) / f64::from(u32::MAX);
+        self.election_at = now + self.election_timeout + self.election_timeout.mul_f64(part);
+    }
+
+    pub(super) fn round_begun(&mut self, now: Instant, first: bool) {
+        self.heartbeat_at = now + self.heartbeat;
+        if first {
+            self.quorum_heard = now;
+        }
+    }
+
+    pub(super) fn quorum_heard(&mut self, begun: Instant) {
+        self.quorum_heard = self.quorum_heard.max(begun);
+    }
+
+    pub(super) fn retry_later(&mut self, now: Instant) {
+        self.retry_at = Some(now + self.storage_retry);
+    }
+
+    /// Forgets that a write must be tried again; returns whether one had to be.
+    pub(super) fn clear_retry(&mut self) -> bool {
+        self.retry_at.take().is_some()
+    }
+}
+
+/// Access.
+impl Timers {
+    pub(super) fn next(&self, leads: bool) -> Instant {
+        if let Some(at) = self.retry_at {
+            return at;
+        }
+        if leads {
+            return self.heartbeat_at.min(self.quorum_deadline());
+        }
+        self.election_at
+    }
+
+    pub(super) fn is_leader_alive(&self, now: Instant) -> bool {
+        now < self.leader_heard + self.election_timeout
+    }
+
+    pub(super) fn is_election_due(&self, now: Instant) -> bool {
+        now >= self.election_at
+    }
+
+    pub(super) fn is_heartbeat_due(&self, now: Instant) -> bool {
+        now >= self.heartbeat_at
+    }
+
+    pub(super) fn is_quorum_lost(&self, now: Instant) -> bool {
+        now >= self.quorum_deadline()
+    }
+
+    pub(super) fn is_retry_due(&self, now: Instant) -> bool {
+        self.retry_at.is_some_and(|at| now >= at)
+    }
+
+    fn quorum_deadline(&self) -> Instant {
+        self.quorum_heard + self.election_timeout * 2
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-agreement/src/storage/file.rs
@@ -0,0 +1,350 @@
+//! A store in the files of one data folder.
+//!
+//! One log file is live: its first record repeats all that came before it, and later records are one
+//! synced write each. A new log file takes over, by a rename, after every snapshot and after every
+//! failed write, so that nothing is ever appended behind a record of which it is not known whether
+//! it reached the disk. See docs/spec/AGREEMENT.md, "Files".
+
+use std::{
+    fs::{self, File, OpenOptions, TryLockError},
+    io::{self, Write as _},
+    path::{Path, PathBuf},
+    sync::Arc,
+};
+
+use super::{
+    Fault, FaultHook, Storage, StorageError, StorageStep as Step, Stored, Write,
+    fault::disk_full,
+    frame,
+    record::{is_own, log_number, log_path, new_path, snapshot_path},
+};
+use crate::{
+    types::{ReplicaId, Snapshot},
+    wire,
+};
+
+const LOCK_NAME: &str = "lock";
+
+type Result<T> = std::result::Result<T, StorageError>;
+
+/// A store in the files of one data folder, which it keeps locked.
+pub struct FileStore {
+    folder: PathBuf,
+    _lock: File,
+    live: Option<Live>,
+    hook: FaultHook,
+}
+
+/// The live log file and what it holds.
+struct Live {
+    number: u64,
+    file: File,
+    /// The number of the next frame.
+    next_frame: u64,
+    /// Whether a failed write left it unknown what the file ends with.
+    uncertain: bool,
+    stored: Stored,
+}
+
+/// Lifecycle.
+impl FileStore {
+    /// Opens the store of a data folder, which is created if it is missing.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the folder is in use by another process, can't be read, or holds a record that is
+    /// damaged otherwise than by a write that a crash cut off.
+    pub fn open(folder: impl Into<PathBuf>) -> std::result::Result<Self, StorageError> {
+        Self::open_with(folder, Box::new(|_| None))
+    }
+
+    /// Opens the store with a hook that makes steps fail, for tests.
+    ///
+    /// # Errors
+    ///
+    /// As [`FileStore::open`], and as the hook says.
+    pub fn open_with(
+        folder: impl Into<PathBuf>,
+        hook: FaultHook,
+    ) -> std::result::Result<Self, StorageError> {
+        let folder = folder.into();
+        fs::create_dir_all(&folder).map_err(io_error(Step::ReadFolder, &folder))?;
+        let mut store = Self {
+            _lock: lock(&folder)?,
+            live: None,
+            folder,
+            hook,
+        };
+        store.live = store.recover()?;
+        Ok(store)
+    }
+}
+
+impl Storage for FileStore {
+    fn load(&mut self) -> Result<Option<Stored>> {
+        Ok(self.live.as_ref().map(|live| live.stored.clone()))
+    }
+
+    fn create(&mut self, id: &ReplicaId) -> Result<()> {
+        let number = self.live.as_ref().map_or(1, |live| live.number + 1);
+        self.start_log(number, Stored::new(id.clone()))
+    }
+
+    fn write(&mut self, writes: &[Write]) -> Result<()> {
+        let live = self.live.as_ref().ok_or(StorageError::NotCreated)?;
+        let rewrite = live.uncertain || writes.iter().any(|w| matches!(w, Write::Snapshot(_)));
+        if rewrite {
+            self.rewrite(writes)
+        } else {
+            self.append(writes)
+        }
+    }
+}
+
+/// Writing.
+impl FileStore {
+    fn append(&mut self, writes: &[Write]) -> Result<()> {
+        let live = self.live.as_mut().ok_or(StorageError::NotCreated)?;
+        let path = log_path(&self.folder, live.number);
+        let bytes = frame::encode(live.next_frame, &wire::encode_batch(writes));
+        live.uncertain = true;
+        let hook = &mut self.hook;
+        step(hook, Step::WriteLog, &path, &bytes, |b| {
+            live.file.write_all(b)
+        })?;
+        step(hook, Step::SyncLog, &path, &[], |_| live.file.sync_data())?;
+        live.uncertain = false;
+        live.next_frame += 1;
+        live.stored.apply_all(writes);
+        Ok(())
+    }
+
+    /// Starts a new log file that holds the outcome of `writes`, after the snapshot among them.
+    fn rewrite(&mut self, writes: &[Write]) -> Result<()> {
+        let live = self.live.as_mut().ok_or(StorageError::NotCreated)?;
+        // The new file may take its name before a later step fails.
+        live.uncertain = true;
+        let number = live.number + 1;
+        let mut stored = live.stored.clone();
+        stored.apply_all(writes);
+        if stored.snapshot != live.stored.snapshot
+            && let Some(snapshot) = &stored.snapshot
+        {
+            let path = snapshot_path(&self.folder, snapshot.position);
+            let bytes = frame::encode(0, &wire::encode_snapshot(snapshot));
+            self.write_new(&path, &bytes)?;
+        }
+        self.start_log(number, stored)
+    }
+
+    fn start_log(&mut self, number: u64, stored: Stored) -> Result<()> {
+        let path = log_path(&self.folder, number);
+        let bytes = frame::encode(0, &wire::encode_base(&stored));
+        let file = self.write_new(&path, &bytes)?;
+        self.live = Some(Live {
+            number,
+            file,
+            next_frame: 1,
+            uncertain: false,
+            stored,
+        });
+        // Left-over files cost space only, and the next start removes them too.
+        let _ = self.remove_old();
+        Ok(())
+    }
+
+    /// Writes a file that is there either whole and synced under its name, or not at all.
+    fn write_new(&mut self, path: &Path, bytes: &[u8]) -> Result<File> {
+        let temporary = new_path(path);
+        let mut file = File::create(&temporary).map_err(io_error(Step::WriteNew, path))?;
+        let hook = &mut self.hook;
+        step(hook, Step::WriteNew, path, bytes, |b| file.write_all(b))?;
+        step(hook, Step::SyncNew, path, &[], |_| file.sync_all())?;
+        step(hook, Step::Rename, path, &[], |_| {
+            fs::rename(&temporary, path)
+        })?;
+        let folder = &self.folder;
+        step(hook, Step::SyncFolder, folder, &[], |_| sync_folder(folder))?;
+        Ok(file)
+    }
+
+    fn remove_old(&mut self) -> Result<()> {
+        for name in own_files(&self.folder)? {
+            let path = self.folder.join(&name);
+            if !self.is_needed(&path) {
+                step(&mut self.hook, Step::Remove, &path, &[], |_| {
+                    fs::remove_file(&path)
+                })?;
+            }
+        }
+        Ok(())
+    }
+
+    fn is_needed(&self, path: &Path) -> bool {
+        let Some(live) = &self.live else {
+            return false;
+        };
+        let snapshot = live.stored.snapshot.as_ref();
+        let snapshot = snapshot.map(|s| snapshot_path(&self.folder, s.position));
+        path == log_path(&self.folder, live.number) || Some(path) == snapshot.as_deref()
+    }
+}
+
+/// Reading.
+impl FileStore {
+    /// Reads the newest log file; older ones were replaced by it and are removed.
+    fn recover(&mut self) -> Result<Option<Live>> {
+        let numbers = own_files(&self.folder)?;
+        let Some(number) = numbers.iter().filter_map(|n| log_number(n)).max() else {
+            return Ok(None);
+        };
+        let live = self.read_log(number)?;
+        self.live = Some(live);
+        // As above: what is left over costs space only.
+        let _ = self.remove_old();
+        Ok(self.live.take())
+    }
+
+    fn read_log(&mut self, number: u64) -> Result<Live> {
+        let path = log_path(&self.folder, number);
+        let bytes = fs::read(&path).map_err(io_error(Step::ReadLog, &path))?;
+        let (mut stored, mut end) = read_base(&path, &bytes)?;
+        stored.snapshot = self.read_snapshot(&stored)?;
+        let mut next_frame = 1;
+        loop {
+            match frame::read(&bytes, end, next_frame) {
+                frame::Read::Frame { payload, end: next } => {
+                    let writes = wire::decode_batch(payload);
+                    let writes = writes.map_err(|_| corrupt(&path, end, "unreadable record"))?;
+                    apply_checked(&mut stored, &writes)
+                        .ok_or_else(|| corrupt(&path, end, "gap in the log"))?;
+                    end = next;
+                    next_frame += 1;
+                }
+                frame::Read::End | frame::Read::Torn => break,
+                frame::Read::Damaged(detail) => return Err(corrupt(&path, end, detail)),
+            }
+        }
+        let file = self.open_log(&path, end, bytes.len())?;
+        Ok(Live {
+            number,
+            file,
+            next_frame,
+            uncertain: false,
+            stored,
+        })
+    }
+
+    /// Opens a log for appending and cuts off what a crash left behind its last whole record.
+    fn open_log(&mut self, path: &Path, end: usize, len: usize) -> Result<File> {
+        let file = OpenOptions::new().append(true).open(path);
+        let file = file.map_err(io_error(Step::ReadLog, path))?;
+        if end < len {
+            let hook = &mut self.hook;
+            step(hook, Step::CutTail, path, &[], |_| file.set_len(end as u64))?;
+            step(hook, Step::SyncLog, path, &[], |_| file.sync_all())?;
+        }
+        Ok(file)
+    }
+
+    fn read_snapshot(&self, stored: &Stored) -> Result<Option<Arc<Snapshot>>> {
+        let position = stored.log.base();
+        if position.index == 0 {
+            return Ok(None);
+        }
+        let path = snapshot_path(&self.folder, position);
+        let bytes = fs::read(&path).map_err(io_error(Step::ReadSnapshot, &path))?;
+        let frame::Read::Frame { payload, .. } = frame::read(&bytes, 0, 0) else {
+            return Err(corrupt(&path, 0, "bad checksum"));
+        };
+        let snapshot = wire::decode_snapshot(payload);
+        let snapshot = snapshot.map_err(|_| corrupt(&path, 0, "unreadable record"))?;
+        if snapshot.position != position {
+            return Err(corrupt(&path, 0, "another snapshot"));
+        }
+        Ok(Some(Arc::new(snapshot)))
+    }
+}
+
+fn read_base(path: &Path, bytes: &[u8]) -> Result<(Stored, usize)> {
+    let frame::Read::Frame { payload, end } = frame::read(bytes, 0, 0) else {
+        return Err(corrupt(path, 0, "bad first record"));
+    };
+    let stored = wire::decode_base(payload);
+    let stored = stored.map_err(|_| corrupt(path, 0, "unreadable record"))?;
+    Ok((stored, end))
+}
+
+/// Applies writes that fit the log, or returns `None` when an entry is out of place.
+fn apply_checked(stored: &mut Stored, writes: &[Write]) -> Option<()> {
+    for write in writes {
+        if let Write::Append(entries) = write {
+            let first = entries.first()?.position.index;
+            let fits = first > stored.log.base().index && first <= stored.log.last().index + 1;
+            fits.then_some(())?;
+        }
+        stored.apply(write);
+    }
+    Some(())
+}
+
+fn own_files(folder: &Path) -> Result<Vec<String>> {
+    let entries = fs::read_dir(folder).map_err(io_error(Step::ReadFolder, folder))?;
+    let mut names = Vec::new();
+    for entry in entries {
+        let entry = entry.map_err(io_error(Step::ReadFolder, folder))?;
+        let name = entry.file_name().to_string_lossy().into_owned();
+        if is_own(&name) {
+            names.push(name);
+        }
+    }
+    Ok(names)
+}
+
+fn lock(folder: &Path) -> Result<File> {
+    let path = folder.join(LOCK_NAME);
+    let file = File::create(&path).map_err(io_error(Step::Lock, &path))?;
+    match file.try_lock() {
+        Ok(()) => Ok(file),
+        Err(TryLockError::WouldBlock) => Err(StorageError::InUse {
+            path: folder.to_owned(),
+        }),
+        Err(TryLockError::Error(e)) => Err(io_error(Step::Lock, &path)(e)),
+    }
+}
+
+fn sync_folder(folder: &Path) -> io::Result<()> {
+    File::open(folder)?.sync_all()
+}
+
+/// Takes one step, or fails as the hook says.
+fn step(
+    hook: &mut FaultHook,
+    step: Step,
+    path: &Path,
+    bytes: &[u8],
+    action: impl FnOnce(&[u8]) -> io::Result<()>,
+) -> Result<()> {
+    let result = match hook(step) {
+        None => action(bytes),
+        Some(Fault::Refused) => Err(disk_full()),
+        Some(Fault::Torn(len)) => {
+            action(&bytes[..len.min(bytes.len())]).and_then(|()| Err(disk_full()))
+        }
+        Some(Fault::Unacknowledged) => action(bytes).and_then(|()| Err(disk_full())),
+    };
+    result.map_err(io_error(step, path))
+}
+
+fn io_error(step: Step, path: &Path) -> impl FnOnce(io::Error) -> StorageError {
+    let path = path.to_owned();
+    move |source| StorageError::Io { step, path, source }
+}
+
+fn corrupt(path: &Path, offset: usize, detail: &'static str) -> StorageError {
+    StorageError::Corrupt {
+        path: path.to_owned(),
+        offset: offset as u64,
+        detail,
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-agreement/src/storage/record.rs
@@ -0,0 +1,35 @@
+//! The names of the files in a data folder.
+
+use std::path::{Path, PathBuf};
+
+use crate::types::Position;
+
+const LOG_PREFIX: &str = "log-";
+const SNAPSHOT_PREFIX: &str = "snapshot-";
+const NEW_SUFFIX: &str = ".new";
+
+pub(super) fn log_path(folder: &Path, number: u64) -> PathBuf {
+    folder.join(format!("{LOG_PREFIX}{number:020}"))
+}
+
+pub(super) fn snapshot_path(folder: &Path, position: Position) -> PathBuf {
+    let Position { term, index } = position;
+    folder.join(format!("{SNAPSHOT_PREFIX}{index:020}-{term:020}"))
+}
+
+/// Returns the temporary name under which a file is written before it is renamed.
+pub(super) fn new_path(path: &Path) -> PathBuf {
+    let mut name = path.as_os_str().to_owned();
+    name.push(NEW_SUFFIX);
+    name.into()
+}
+
+/// Returns the number of a log file, or `None` for another file.
+pub(super) fn log_number(name: &str) -> Option<u64> {
+    name.strip_prefix(LOG_PREFIX)?.parse().ok()
+}
+
+/// Returns whether the file is one that the store itself made.
+pub(super) fn is_own(name: &str) -> bool {
+    name.starts_with(LOG_PREFIX) || name.starts_with(SNAPSHOT_PREFIX)
+}
