--- a/crates/nutmegwheel-agreement/src/replica/mod.rs
+++ b/crates/nutmegwheel-agreement/src/replica/mod.rs
@@ -122,7 +122,7 @@
             commit: self.core.commit_index(),
             snapshot: self.core.log().base(),
             log_bytes: self.core.log().bytes(),
-            storage_failed: !self.unwritten.is_empty(),
+            storage_failed: self.is_failed(),
         }
     }
 
@@ -236,8 +236,9 @@
 
 /// Storage.
 impl Replica {
+    /// Returns whether the last write failed and has not yet succeeded since.
     fn is_failed(&self) -> bool {
-        !self.unwritten.is_empty()
+        self.timers.is_retrying()
     }
 
     /// Tries again what could not be written before.
--- a/crates/nutmegwheel-agreement/src/replica/timers.rs
+++ b/crates/nutmegwheel-agreement/src/replica/timers.rs
@@ -98,6 +98,10 @@
         now >= self.quorum_deadline()
     }
 
+    pub(super) fn is_retrying(&self) -> bool {
+        self.retry_at.is_some()
+    }
+
     pub(super) fn is_retry_due(&self, now: Instant) -> bool {
         self.retry_at.is_some_and(|at| now >= at)
     }
--- a/crates/nutmegwheel-agreement/tests/sim/mod.rs
+++ b/crates/nutmegwheel-agreement/tests/sim/mod.rs
@@ -13,61 +13,61 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 /// The step of the virtual clock.
-pub const TICK: Duration = Duration::from_millis(5);
+pub(crate) const TICK: Duration = Duration::from_millis(5);
 
 /// How unkind the network is.
 #[derive(Clone, Copy, Debug)]
-pub struct Network {
+pub(crate) struct Network {
     /// The messages lost, in percent.
-    pub drop_percent: u32,
+    pub(crate) drop_percent: u32,
     /// The messages that come twice, in percent.
-    pub double_percent: u32,
+    pub(crate) double_percent: u32,
     /// The longest delay in ticks; messages overtake each other within it.
-    pub max_delay: u32,
+    pub(crate) max_delay: u32,
 }
 
 /// A network that loses, doubles and reorders.
-pub const HARSH: Network = Network {
+pub(crate) const HARSH: Network = Network {
     drop_percent: 10,
     double_percent: 10,
     max_delay: 8,
 };
 
 /// A network that does none of it.
-pub const KIND: Network = Network {
+pub(crate) const KIND: Network = Network {
     drop_percent: 0,
     double_percent: 0,
     max_delay: 1,
 };
 
 /// One VM: its disk, its process when it runs, and the application's state.
-pub struct Vm {
-    pub disk: MemoryStore,
-    pub replica: Option<Replica>,
+pub(crate) struct Vm {
+    pub(crate) disk: MemoryStore,
+    pub(crate) replica: Option<Replica>,
     /// The rate of its clock against the virtual one.
-    pub clock_rate: f64,
+    pub(crate) clock_rate: f64,
     /// The commands applied, by index.
-    pub applied: BTreeMap<LogIndex, Vec<u8>>,
-    pub applied_to: LogIndex,
-    pub reads: BTreeMap<u64, LogIndex>,
-    pub refused: usize,
-    pub storage_failures: usize,
+    pub(crate) applied: BTreeMap<LogIndex, Vec<u8>>,
+    pub(crate) applied_to: LogIndex,
+    pub(crate) reads: BTreeMap<u64, LogIndex>,
+    pub(crate) refused: usize,
+    pub(crate) storage_failures: usize,
 }
 
 /// A cluster and what was accepted by it.
-pub struct Sim {
-    pub now: Duration,
-    pub rng: StdRng,
-    pub vms: BTreeMap<ReplicaName, Vm>,
-    pub network: Network,
-    pub cut: BTreeSet<ReplicaName>,
-    pub options: Options,
+pub(crate) struct Sim {
+    pub(crate) now: Duration,
+    pub(crate) rng: StdRng,
+    pub(crate) vms: BTreeMap<ReplicaName, Vm>,
+    pub(crate) network: Network,
+    pub(crate) cut: BTreeSet<ReplicaName>,
+    pub(crate) options: Options,
     /// Every command that any replica reported as committed.
-    pub committed: BTreeMap<LogIndex, Vec<u8>>,
+    pub(crate) committed: BTreeMap<LogIndex, Vec<u8>>,
     /// The one leader that each term may have.
-    pub leaders: BTreeMap<Term, ReplicaName>,
+    pub(crate) leaders: BTreeMap<Term, ReplicaName>,
     /// The highest index acknowledged to a proposer.
-    pub acknowledged: LogIndex,
+    pub(crate) acknowledged: LogIndex,
     in_flight: Vec<(Duration, Message)>,
     epoch: Instant,
     next_id: u64,
@@ -75,11 +75,11 @@
 
 /// Lifecycle.
 impl Sim {
-    pub fn start(seed: u64, names: &[&str], network: Network) -> Self {
+    pub(crate) fn start(seed: u64, names: &[&str], network: Network) -> Self {
         Self::start_with(seed, names, network, |_| {})
     }
 
-    pub fn start_with(
+    pub(crate) fn start_with(
         seed: u64,
         names: &[&str],
         network: Network,
@@ -87,8 +87,8 @@
     ) -> Self {
         let founding: Vec<ReplicaName> = names.iter().map(|n| (*n).into()).collect();
         let mut options = Options::new("");
-        options.founding = founding.clone();
-        options.peers = founding.clone();
+        options.founding.clone_from(&founding);
+        options.peers.clone_from(&founding);
         adjust(&mut options);
         let mut sim = Self {
             now: Duration::ZERO,
@@ -111,7 +111,7 @@
     }
 
     /// Adds a VM with an empty disk and starts it.
-    pub fn add(&mut self, name: &ReplicaName) {
+    pub(crate) fn add(&mut self, name: &ReplicaName) {
         let drift = f64::from(self.options.max_drift_percent) / 100.0;
         let vm = Vm {
             disk: MemoryStore::default(),
@@ -128,13 +128,16 @@
     }
 
     /// Kills the process and starts it on what its disk holds.
-    pub fn restart(&mut self, name: &ReplicaName) {
+    pub(crate) fn restart(&mut self, name: &ReplicaName) {
         self.stop(name);
         let now = self.clock(name);
         let seed = self.rng.random();
         let mut rng = StdRng::seed_from_u64(seed);
         let mut options = self.options.clone();
         options.name = name.clone();
+        if !options.founding.contains(name) {
+            options.founding.clear();
+        }
         let disk = Box::new(self.vms[name].disk.clone());
         let random = Box::new(move || rng.random());
         let (replica, outputs) = Replica::open(&options, disk, random, now).expect("opens");
@@ -142,14 +145,14 @@
         self.act(name, outputs);
     }
 
-    pub fn stop(&mut self, name: &ReplicaName) {
+    pub(crate) fn stop(&mut self, name: &ReplicaName) {
         let vm = self.vm(name);
         vm.replica = None;
         vm.applied.clear();
         vm.applied_to = 0;
     }
 
-    pub fn lose_disk(&mut self, name: &ReplicaName) {
+    pub(crate) fn lose_disk(&mut self, name: &ReplicaName) {
         self.stop(name);
         self.vm(name).disk.wipe();
     }
@@ -157,15 +160,15 @@
 
 /// Driving.
 impl Sim {
-    pub fn vm(&mut self, name: &ReplicaName) -> &mut Vm {
+    pub(crate) fn vm(&mut self, name: &ReplicaName) -> &mut Vm {
         self.vms.get_mut(name).expect("a known name")
     }
 
-    pub fn names(&self) -> Vec<ReplicaName> {
+    pub(crate) fn names(&self) -> Vec<ReplicaName> {
         self.vms.keys().cloned().collect()
     }
 
-    pub fn fail_writes(&mut self, name: &ReplicaName, faults: &[Fault]) {
+    pub(crate) fn fail_writes(&mut self, name: &ReplicaName, faults: &[Fault]) {
         self.vm(name).disk.fail_next(faults.iter().copied());
     }
 
@@ -174,7 +177,7 @@
         self.epoch + self.now.mul_f64(self.vms[name].clock_rate)
     }
 
-    pub fn step(&mut self, name: &ReplicaName, input: Input) {
+    pub(crate) fn step(&mut self, name: &ReplicaName, input: Input) {
         let now = self.clock(name);
         let Some(replica) = &mut self.vm(name).replica else {
             return;
@@ -184,7 +187,7 @@
     }
 
     /// Lets one step of the virtual clock pass.
-    pub fn tick(&mut self) {
+    pub(crate) fn tick(&mut self) {
         self.now += TICK;
         let now = self.now;
         let (due, later) = self.in_flight.drain(..).partition(|(at, _)| *at <= now);
@@ -202,7 +205,7 @@
         }
     }
 
-    pub fn run(&mut self, time: Duration) {
+    pub(crate) fn run(&mut self, time: Duration) {
         let end = self.now + time;
         while self.now < end {
             self.tick();
@@ -210,15 +213,15 @@
     }
 
     /// Runs until `done` holds, and fails the test when it does not within a minute.
-    pub fn run_until(&mut self, what: &str, done: impl Fn(&Self) -> bool) {
-        let end = self.now + Duration::from_secs(60);
+    pub(crate) fn run_until(&mut self, what: &str, done: impl Fn(&Self) -> bool) {
+        let end = self.now + Duration::from_mins(1);
         while !done(self) {
             assert!(self.now < end, "not reached in 60 s: {what}");
             self.tick();
         }
     }
 
-    pub fn propose(&mut self, name: &ReplicaName) -> Vec<u8> {
+    pub(crate) fn propose(&mut self, name: &ReplicaName) -> Vec<u8> {
         self.next_id += 1;
         let id = self.next_id;
         let command = id.to_le_bytes().to_vec();
@@ -231,7 +234,7 @@
     }
 
     /// Starts a read and returns its number and the index that its answer must include.
-    pub fn read(&mut self, name: &ReplicaName) -> (u64, LogIndex) {
+    pub(crate) fn read(&mut self, name: &ReplicaName) -> (u64, LogIndex) {
         self.next_id += 1;
         let id = self.next_id;
         let floor = self.acknowledged;
@@ -320,19 +323,19 @@
     }
 
     /// Checks that a replica has applied all that was ever committed.
-    pub fn assert_complete(&self, name: &ReplicaName) {
+    pub(crate) fn assert_complete(&self, name: &ReplicaName) {
         assert_eq!(self.vms[name].applied, self.committed, "state of {name}");
     }
 }
 
 /// Looking.
 impl Sim {
-    pub fn role(&self, name: &ReplicaName) -> Option<RoleName> {
+    pub(crate) fn role(&self, name: &ReplicaName) -> Option<RoleName> {
         self.vms[name].replica.as_ref().map(|r| r.status().role)
     }
 
     /// Returns the leader of the newest term, if there is one.
-    pub fn leader(&self) -> Option<ReplicaName> {
+    pub(crate) fn leader(&self) -> Option<ReplicaName> {
         let running = self
             .vms
             .iter()
@@ -343,7 +346,7 @@
     }
 
     /// Returns whether `name` leads and has committed all of its log, membership changes included.
-    pub fn is_settled(&self) -> bool {
+    pub(crate) fn is_settled(&self) -> bool {
         let Some(leader) = self.leader() else {
             return false;
         };
@@ -360,7 +363,7 @@
         replica.is_none_or(|r| r.status().id == *id)
     }
 
-    pub fn all_applied(&self) -> bool {
+    pub(crate) fn all_applied(&self) -> bool {
         let running = || self.vms.values().filter(|vm| vm.replica.is_some());
         self.is_settled() && running().all(|vm| vm.applied == self.committed)
     }
