--- /dev/null
+++ b/xtask/src/lib.rs
@@ -0,0 +1,67 @@
+//! Generates the committed wire types from proto/, so that the build needs no generator.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+use std::path::{Path, PathBuf};
+
+use anyhow::{Context, Result};
+
+/// A schema and the place of the code that is generated from it.
+struct Schema {
+    file: &'static str,
+    package: &'static str,
+    out_dir: &'static str,
+}
+
+/// Every schema of the project; a new one is added here.
+const SCHEMAS: [Schema; 1] = [Schema {
+    file: "link.proto",
+    package: "nutmegwheel.link",
+    out_dir: "crates/nutmegwheel-link/src/generated",
+}];
+
+/// A generated file.
+pub struct Generated {
+    /// Where it is committed, under the root of the repository.
+    pub path: PathBuf,
+    /// What it holds.
+    pub content: String,
+}
+
+/// The root of the repository that this tool was built from.
+#[must_use]
+pub fn repository_root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("..")
+}
+
+/// Generates the code of every schema under `root`/proto without writing it.
+///
+/// # Errors
+///
+/// A schema may be missing or wrong.
+pub fn generate(root: &Path) -> Result<Vec<Generated>> {
+    SCHEMAS
+        .iter()
+        .map(|schema| generate_one(root, schema).with_context(|| schema.file))
+        .collect()
+}
+
+fn generate_one(root: &Path, schema: &Schema) -> Result<Generated> {
+    let descriptors = protox::compile([schema.file], [root.join("proto")])?;
+    let mut cfg = prost_build::Config::new();
+    cfg.bytes(["."]);
+    let requests = descriptors
+        .file
+        .into_iter()
+        .map(|file| {
+            (
+                prost_build::Module::from_protobuf_package_name(file.package()),
+                file,
+            )
+        })
+        .collect();
+    let modules = cfg.generate(requests)?;
+    let content = modules.into_values().collect();
+    let path = Path::new(schema.out_dir).join(format!("{}.rs", schema.package));
+    Ok(Generated { path, content })
+}
--- /dev/null
+++ b/xtask/tests/generated.rs
@@ -0,0 +1,18 @@
+//! The committed wire types are those that the schemas give.
+
+use std::fs;
+
+#[test]
+fn committed_code_matches_the_schemas() {
+    let root = xtask::repository_root();
+    let all = xtask::generate(&root).unwrap();
+    assert!(!all.is_empty());
+    for generated in all {
+        let committed = fs::read_to_string(root.join(&generated.path)).unwrap_or_default();
+        assert!(
+            committed == generated.content,
+            "{} is stale: run `cargo run -p xtask`",
+            generated.path.display()
+        );
+    }
+}
