--- /dev/null
+++ b/crates/nutmegwheel-link/src/accept.rs
@@ -0,0 +1,83 @@
+//! Accepting links from other processes.
+
+use std::{io, sync::Arc, time::Duration};
+
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore},
+};
+
+use crate::{
+    Step,
+    connect::{self, ConnectError, Connected},
+    core::{Core, Counted},
+    link::{Driver, Link},
+    mux::Side,
+};
+
+/// The pause after a failed accept, such as when the process has no file descriptor left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts connections until the endpoint takes nothing new.
+pub(crate) async fn run(listener: TcpListener, core: Arc<Core>) {
+    tokio::select! {
+        () = accept_all(listener, &core) => {}
+        () = core.stop.cancelled() => {}
+        () = core.drain_accepted.cancelled() => {}
+    }
+}
+
+async fn accept_all(listener: TcpListener, core: &Arc<Core>) {
+    let half_open = Arc::new(Semaphore::new(core.limits.max_half_open));
+    loop {
+        let accepted = listener.accept().await;
+        // Without a permit the connection is dropped, so that strangers cannot pile them up.
+        match (accepted, half_open.clone().try_acquire_owned()) {
+            (Ok((stream, _)), Ok(permit)) => {
+                core.accepted.spawn(serve(stream, permit, core.clone()));
+            }
+            (Ok(_), Err(_)) => {}
+            (Err(e), _) => pause(&e).await,
+        }
+    }
+}
+
+async fn pause(error: &io::Error) {
+    log::warn!("accept a link: {error}");
+    tokio::time::sleep(ACCEPT_PAUSE).await;
+}
+
+async fn serve(stream: TcpStream, permit: OwnedSemaphorePermit, core: Arc<Core>) {
+    let shaken = {
+        let _half_open = Counted::new(&core.counts.half_open);
+        tokio::select! {
+            shaken = shake(stream, &core) => shaken,
+            () = core.stop.cancelled() => return,
+            () = core.drain_accepted.cancelled() => return,
+        }
+    };
+    drop(permit);
+    match shaken {
+        Ok(connected) => drive(connected, &core).await,
+        Err(e) => log::debug!("link refused: {}: {e}", e.step()),
+    }
+}
+
+async fn shake(stream: TcpStream, core: &Core) -> Result<Connected, ConnectError> {
+    let challenge = connect::challenge(stream, &core.credentials);
+    match tokio::time::timeout(core.limits.handshake_timeout, challenge).await {
+        Ok(done) => done,
+        Err(_) => Err(ConnectError::Timeout(Step::Handshake)),
+    }
+}
+
+async fn drive(connected: Connected, core: &Core) {
+    let _counted = Counted::new(&core.counts.accepted);
+    let link = Link::new(Side::Acceptor, connected.peer, &core.limits);
+    let service = core.service.clone();
+    let driver = Driver::new(link.clone(), connected.stream, connected.input, service);
+    let end = driver
+        .run(core.stop.clone(), core.drain_accepted.clone())
+        .await;
+    log::debug!("link from {} ended: {end}", link.peer().name);
+}
--- /dev/null
+++ b/crates/nutmegwheel-link/src/connect.rs
@@ -0,0 +1,144 @@
+//! Connections: sockets and the handshake over them.
+
+use std::{io, net::SocketAddr};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::{SinkExt, StreamExt};
+use thiserror::Error;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::{
+    Peer, Step,
+    handshake::{Acceptor, Dialler, HandshakeError, Identity, MAX_HANDSHAKE_MESSAGE},
+};
+
+/// The bytes that the kernel buffers for sending; more would hold up small messages behind them.
+const SEND_BUFFER: u32 = 256 * 1024;
+/// The connections that the kernel queues for acceptance.
+const BACKLOG: u32 = 1024;
+
+/// Why there is no link; nothing of any message was sent.
+#[derive(Debug, Error)]
+pub(crate) enum ConnectError {
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    #[error(transparent)]
+    Handshake(#[from] HandshakeError),
+    #[error("timeout")]
+    Timeout(Step),
+}
+
+impl ConnectError {
+    pub(crate) fn step(&self) -> Step {
+        match self {
+            Self::Io(_) => Step::Connect,
+            Self::Handshake(_) => Step::Handshake,
+            Self::Timeout(step) => *step,
+        }
+    }
+}
+
+/// A connection whose handshake is done.
+pub(crate) struct Connected {
+    pub(crate) stream: TcpStream,
+    pub(crate) peer: Peer,
+    /// What was read beyond the handshake.
+    pub(crate) input: BytesMut,
+}
+
+/// What a process proves in a handshake.
+pub(crate) struct Credentials {
+    pub(crate) identity: Identity,
+    pub(crate) secret: Vec<u8>,
+}
+
+pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = new_socket(address)?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+pub(crate) async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = new_socket(address)?.connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+fn new_socket(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.set_send_buffer_size(SEND_BUFFER)?;
+    Ok(socket)
+}
+
+/// The dialling side of the handshake.
+pub(crate) async fn prove(stream: TcpStream, me: &Credentials) -> Result<Connected, ConnectError> {
+    let mut framed = framed(stream);
+    let (dialler, hello) = Dialler::start(&me.identity, rand::random());
+    framed.send(hello).await?;
+    let challenge = receive(&mut framed).await?;
+    let (identity, proof) = dialler.prove(&me.secret, challenge)?;
+    framed.send(proof).await?;
+    receive(&mut framed).await?;
+    finish(framed, identity)
+}
+
+/// The accepting side of the handshake.
+pub(crate) async fn challenge(
+    stream: TcpStream,
+    me: &Credentials,
+) -> Result<Connected, ConnectError> {
+    stream.set_nodelay(true)?;
+    let mut framed = framed(stream);
+    let hello = receive(&mut framed).await?;
+    let (acceptor, challenge) =
+        Acceptor::challenge(&me.secret, &me.identity, rand::random(), &hello)?;
+    framed.send(challenge).await?;
+    let identity = acceptor.finish(receive(&mut framed).await?)?;
+    framed.send(Bytes::new()).await?;
+    finish(framed, identity)
+}
+
+type Handshaking = Framed<TcpStream, LengthDelimitedCodec>;
+
+fn framed(stream: TcpStream) -> Handshaking {
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_HANDSHAKE_MESSAGE)
+        .new_codec();
+    Framed::with_capacity(stream, codec, MAX_HANDSHAKE_MESSAGE)
+}
+
+async fn receive(framed: &mut Handshaking) -> Result<Bytes, ConnectError> {
+    match framed.next().await {
+        Some(message) => Ok(message?.freeze()),
+        None => Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
+    }
+}
+
+fn finish(framed: Handshaking, identity: Identity) -> Result<Connected, ConnectError> {
+    let parts = framed.into_parts();
+    let remote = parts.io.peer_addr()?;
+    Ok(Connected {
+        peer: peer(identity, remote),
+        stream: parts.io,
+        input: parts.read_buf,
+    })
+}
+
+/// A process that listens on every address of its VM is reached at the one it connected from.
+fn peer(identity: Identity, remote: SocketAddr) -> Peer {
+    let mut address = identity.address;
+    if address.ip().is_unspecified() {
+        address.set_ip(remote.ip());
+    }
+    Peer {
+        name: identity.name,
+        data_centre: identity.data_centre,
+        incarnation: identity.incarnation,
+        address,
+    }
+}
--- a/crates/nutmegwheel-link/src/endpoint.rs
+++ b/crates/nutmegwheel-link/src/endpoint.rs
@@ -1,17 +1,28 @@
-use std::{io, net::SocketAddr, sync::Arc, time::Instant};
-
-use bytes::{Buf, BufMut, Bytes, BytesMut};
-use futures_util::{SinkExt, StreamExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio_util::{
-    codec::{Framed, LengthDelimitedCodec},
-    sync::CancellationToken,
-    task::TaskTracker,
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError, atomic::Ordering},
+    time::Instant,
 };
 
-use crate::{BindError, CallError, Options, Peer, Reply, Request, Service, Step, Topic};
+use bytes::Bytes;
+use nutmegwheel_types::plain_copy;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{
+    BindError, CallError, Options, Reply, Request, Service, Step, Topic, accept,
+    connect::{self, Credentials},
+    core::{Core, Counts},
+    handshake::Identity,
+    link::{Ending, Link, OpenCall},
+    mux::{Failure, Rejection},
+    pool::{DialFailure, Pool},
+};
 
-type Conn = Framed<TcpStream, LengthDelimitedCodec>;
+/// The shortest fleet secret in bytes.
+const MIN_SECRET: usize = 16;
+/// The links on which a call is tried while it is proved that nothing of it was begun.
+const MAX_TRIES: usize = 3;
 
 /// A running handle: it accepts links from other processes and calls them.
 ///
@@ -21,17 +32,30 @@
     shared: Arc<Shared>,
 }
 
+plain_copy! {
+    /// What an endpoint holds at the moment.
+    pub struct Stats {
+        /// The links that this process dialled.
+        pub dialled_links: usize,
+        /// The links that other processes dialled.
+        pub accepted_links: usize,
+        /// The accepted connections whose handshake is not done.
+        pub half_open: usize,
+        /// The addresses that are kept in mind because they were called.
+        pub peers: usize,
+    }
+}
+
 struct Shared {
-    opts: Options,
+    core: Arc<Core>,
     address: SocketAddr,
-    tracker: TaskTracker,
-    closing: CancellationToken,
-    stop: CancellationToken,
+    pools: Mutex<HashMap<SocketAddr, Arc<Pool>>>,
+    calls: TaskTracker,
 }
 
 impl Drop for Shared {
     fn drop(&mut self) {
-        self.stop.cancel();
+        self.core.stop.cancel();
     }
 }
 
@@ -41,43 +65,49 @@
     ///
     /// # Errors
     ///
-    /// The address may be taken or not local.
+    /// The address may be taken or not local, or the fleet secret too short.
+    #[allow(clippy::unused_async)]
     pub async fn bind(opts: Options, service: Arc<dyn Service>) -> Result<Self, BindError> {
-        let listen = opts.listen;
+        if opts.fleet_secret.len() < MIN_SECRET {
+            return Err(BindError::WeakSecret {
+                length: opts.fleet_secret.len(),
+                least: MIN_SECRET,
+            });
+        }
         let failed = |source| BindError::Listen {
-            address: listen,
+            address: opts.listen,
             source,
         };
-        let listener = TcpListener::bind(listen).await.map_err(failed)?;
+        let listener = connect::listen(opts.listen).map_err(failed)?;
         let address = listener.local_addr().map_err(failed)?;
-        let shared = Arc::new(Shared {
-            opts,
-            address,
-            tracker: TaskTracker::new(),
-            closing: CancellationToken::new(),
-            stop: CancellationToken::new(),
-        });
-        let (tracker, closing, stop) = (
-            shared.tracker.clone(),
-            shared.closing.clone(),
-            shared.stop.clone(),
-        );
-        tokio::spawn(async move {
-            let accept = accept_loop(listener, service, tracker, stop.clone());
-            tokio::select! {
-                () = accept => {}
-                () = stop.cancelled() => {}
-                () = closing.cancelled() => {}
-            }
-        });
-        Ok(Self { shared })
+        let core = Arc::new(new_core(opts, address, service));
+        tokio::spawn(accept::run(listener, core.clone()));
+        Ok(Self {
+            shared: Arc::new(Shared {
+                core,
+                address,
+                pools: Mutex::default(),
+                calls: TaskTracker::new(),
+            }),
+        })
     }
 
-    /// Takes nothing new and waits until what is in flight has been answered.
+    /// Takes nothing new and waits for what is in flight, then closes every link.
+    ///
+    /// The peers are told first. Calls of this process go on until all requests of others have been
+    /// answered, since answering may need them; after that they fail with
+    /// [`CallError::ShutDown`]. There is no bound on the time, so the caller sets one.
     pub async fn shutdown(&self) {
-        self.shared.closing.cancel();
-        self.shared.tracker.close();
-        self.shared.tracker.wait().await;
+        let core = &self.shared.core;
+        core.drain_accepted.cancel();
+        wait(&core.accepted).await;
+        wait(&self.shared.calls).await;
+        core.drain_dialled.cancel();
+        let flushed = wait(&core.dialled);
+        // One-way messages that a peer does not take in time are given up.
+        let _ = tokio::time::timeout(core.limits.silence_timeout, flushed).await;
+        core.stop.cancel();
+        wait(&core.dialled).await;
     }
 }
 
@@ -89,173 +119,173 @@
         self.shared.address
     }
 
+    /// What the endpoint holds at the moment.
+    #[must_use]
+    pub fn stats(&self) -> Stats {
+        let counts = &self.shared.core.counts;
+        Stats {
+            dialled_links: counts.dialled.load(Ordering::Relaxed),
+            accepted_links: counts.accepted.load(Ordering::Relaxed),
+            half_open: counts.half_open.load(Ordering::Relaxed),
+            peers: self.shared.pools().len(),
+        }
+    }
+}
+
+/// Messages
+impl Endpoint {
     /// Sends a request and waits for its whole reply. Dropping the returned future cancels the
     /// call on the far side.
     ///
     /// # Errors
     ///
-    /// The error tells whether the far side may have begun the request.
+    /// [`CallError::proves_not_run`] tells whether the far side may have begun the request.
     pub async fn call(
         &self,
         to: SocketAddr,
         req: Request,
         deadline: Instant,
     ) -> Result<Reply, CallError> {
-        if self.shared.closing.is_cancelled() {
+        if self.shared.core.drain_dialled.is_cancelled() {
             return Err(CallError::ShutDown { peer: to });
         }
-        let Some(left) = deadline.checked_duration_since(Instant::now()) else {
-            return Err(expired(to, false));
-        };
-        let connected = tokio::time::timeout(left, self.connect(to)).await;
-        let mut conn = match connected {
-            Err(_) => return Err(expired(to, false)),
-            Ok(Err(e)) => {
-                return Err(CallError::NotSent {
-                    peer: to,
-                    step: Step::Connect,
-                    reason: e.to_string(),
-                });
+        let _in_flight = self.shared.calls.token();
+        let pool = self.shared.pool(to);
+        let mut tries = 0;
+        loop {
+            tries += 1;
+            let failed = match try_call(&pool, to, req.clone(), deadline).await {
+                Ok(reply) => return Ok(reply),
+                Err(failed) => failed,
+            };
+            let is_link_gone =
+                matches!(&failed, CallError::NotSent { step, .. } if step.is_on_link());
+            if !is_link_gone || tries == MAX_TRIES {
+                return Err(failed);
             }
-            Ok(Ok(conn)) => conn,
-        };
-        let left = deadline.saturating_duration_since(Instant::now());
-        match tokio::time::timeout(left, exchange(&mut conn, req)).await {
-            Err(_) => Err(expired(to, true)),
-            Ok(Ok(reply)) => Ok(reply),
-            Ok(Err(e)) => Err(CallError::Lost {
-                peer: to,
-                step: Step::Wait,
-                incarnation: 0,
-                reason: e.to_string(),
-            }),
         }
     }
 
-    /// Sends a one-way message, best effort: it may be dropped without a word.
+    /// Sends a one-way message, best effort: it may be dropped without a word, and messages may
+    /// overtake each other.
     pub fn send(&self, to: SocketAddr, topic: Topic, body: Bytes) {
-        let this = self.clone();
-        self.shared.tracker.spawn(async move {
-            if let Ok(mut conn) = this.connect(to).await {
-                let _ = conn.send(encode(1, topic, &Bytes::new(), &body)).await;
-            }
-        });
+        if !self.shared.core.drain_dialled.is_cancelled() {
+            self.shared.pool(to).notice(topic, body);
+        }
     }
+}
 
-    async fn connect(&self, to: SocketAddr) -> io::Result<Conn> {
-        let limit = self.shared.opts.limits.handshake_timeout;
-        let stream = tokio::time::timeout(limit, TcpStream::connect(to)).await??;
-        stream.set_nodelay(true)?;
-        let mut conn = framed(stream);
-        let opts = &self.shared.opts;
-        let hello = format!(
-            "{}\n{}\n{}\n{}",
-            opts.name, opts.data_centre, opts.incarnation, self.shared.address
-        );
-        conn.send(Bytes::from(hello)).await?;
-        Ok(conn)
+impl Shared {
+    fn pools(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Arc<Pool>>> {
+        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
     }
-}
 
-fn expired(peer: SocketAddr, sent: bool) -> CallError {
-    CallError::Expired {
-        peer,
-        sent,
-        incarnation: None,
+    fn pool(&self, to: SocketAddr) -> Arc<Pool> {
+        let mut pools = self.pools();
+        if let Some(pool) = pools.get(&to) {
+            return pool.clone();
+        }
+        pools.retain(|_, pool| !pool.is_stale());
+        let pool = Pool::new(to, self.core.clone());
+        pools.insert(to, pool.clone());
+        pool
     }
 }
 
-fn framed(stream: TcpStream) -> Conn {
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(8 << 20)
-        .new_codec();
-    Framed::new(stream, codec)
+fn new_core(opts: Options, address: SocketAddr, service: Arc<dyn Service>) -> Core {
+    let identity = Identity {
+        name: opts.name,
+        data_centre: opts.data_centre,
+        incarnation: opts.incarnation,
+        address,
+    };
+    Core {
+        credentials: Credentials {
+            identity,
+            secret: opts.fleet_secret,
+        },
+        limits: opts.limits,
+        service,
+        stop: CancellationToken::new(),
+        drain_accepted: CancellationToken::new(),
+        drain_dialled: CancellationToken::new(),
+        accepted: TaskTracker::new(),
+        dialled: TaskTracker::new(),
+        counts: Counts::default(),
+    }
 }
 
-fn encode(kind: u8, topic: Topic, head: &Bytes, body: &Bytes) -> Bytes {
-    let mut buf = BytesMut::with_capacity(7 + head.len() + body.len());
-    buf.put_u8(kind);
-    buf.put_u16(topic.0);
-    buf.put_u32(u32::try_from(head.len()).unwrap_or(u32::MAX));
-    buf.put_slice(head);
-    buf.put_slice(body);
-    buf.freeze()
+async fn wait(tasks: &TaskTracker) {
+    tasks.close();
+    tasks.wait().await;
 }
 
-fn decode(mut buf: Bytes) -> io::Result<(u8, Request)> {
-    let short = || io::Error::from(io::ErrorKind::InvalidData);
-    if buf.len() < 7 {
-        return Err(short());
-    }
-    let (kind, topic, head) = (buf.get_u8(), buf.get_u16(), buf.get_u32() as usize);
-    if buf.len() < head {
-        return Err(short());
+/// One try of a call, on one link.
+async fn try_call(
+    pool: &Arc<Pool>,
+    peer: SocketAddr,
+    req: Request,
+    deadline: Instant,
+) -> Result<Reply, CallError> {
+    let link = choose(pool, peer, deadline).await?;
+    let mut call = open(&link, peer, req)?;
+    match tokio::time::timeout_at(deadline.into(), call.wait()).await {
+        Ok(outcome) => outcome.map_err(|ending| ended(&link, peer, &ending)),
+        Err(_) => expire(&link, peer, call),
     }
-    let head = buf.split_to(head);
-    let topic = Topic(topic);
-    let body = buf;
-    Ok((kind, Request { topic, head, body }))
 }
 
-async fn next(conn: &mut Conn) -> io::Result<Bytes> {
-    match conn.next().await {
-        Some(frame) => frame.map(BytesMut::freeze),
-        None => Err(io::ErrorKind::UnexpectedEof.into()),
+async fn choose(
+    pool: &Arc<Pool>,
+    peer: SocketAddr,
+    deadline: Instant,
+) -> Result<Arc<Link>, CallError> {
+    match tokio::time::timeout_at(deadline.into(), pool.link()).await {
+        Ok(Ok(link)) => Ok(link),
+        Ok(Err(DialFailure { step, reason })) => Err(CallError::NotSent { peer, step, reason }),
+        Err(_) => Err(CallError::Expired {
+            peer,
+            sent: false,
+            incarnation: None,
+        }),
     }
 }
 
-async fn exchange(conn: &mut Conn, req: Request) -> io::Result<Reply> {
-    conn.send(encode(0, req.topic, &req.head, &req.body))
-        .await?;
-    let (_, Request { head, body, .. }) = decode(next(conn).await?)?;
-    Ok(Reply { head, body })
+fn open(link: &Arc<Link>, peer: SocketAddr, req: Request) -> Result<OpenCall, CallError> {
+    let not_sent = |step, reason: &str| CallError::NotSent {
+        peer,
+        step,
+        reason: reason.into(),
+    };
+    link.open(req).map_err(|rejection| match rejection {
+        Rejection::TooLarge => CallError::TooLarge { peer },
+        Rejection::Busy => not_sent(Step::Admit, "too much is open on the link"),
+        Rejection::Draining => not_sent(Step::Queue, "the link takes no more calls"),
+    })
 }
 
-async fn accept_loop(
-    listener: TcpListener,
-    service: Arc<dyn Service>,
-    tracker: TaskTracker,
-    stop: CancellationToken,
-) {
-    loop {
-        if let Ok((stream, _)) = listener.accept().await {
-            let serve = serve(stream, service.clone());
-            let stop = stop.clone();
-            tracker.spawn(async move {
-                tokio::select! {
-                    _ = serve => {}
-                    () = stop.cancelled() => {}
-                }
-            });
-        }
+fn ended(link: &Link, peer: SocketAddr, ending: &Ending) -> CallError {
+    let reason = ending.reason.to_string();
+    match ending.failure {
+        Failure::NotSent(step) => CallError::NotSent { peer, step, reason },
+        Failure::Refused(reason) => CallError::Refused { peer, reason },
+        Failure::Lost(step) => CallError::Lost {
+            peer,
+            step,
+            incarnation: link.peer().incarnation,
+            reason,
+        },
     }
 }
 
-async fn serve(stream: TcpStream, service: Arc<dyn Service>) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let mut conn = framed(stream);
-    let hello = next(&mut conn).await?;
-    let peer = parse_hello(&hello).ok_or(io::ErrorKind::InvalidData)?;
-    let (kind, req) = decode(next(&mut conn).await?)?;
-    if kind == 1 {
-        service.notice(peer, req.topic, req.body);
-        return Ok(());
+/// The deadline has passed; a reply that came at the same moment still counts.
+fn expire(link: &Link, peer: SocketAddr, call: OpenCall) -> Result<Reply, CallError> {
+    match call.cancel() {
+        Ok(sent) => Err(CallError::Expired {
+            peer,
+            sent,
+            incarnation: Some(link.peer().incarnation),
+        }),
+        Err(outcome) => outcome.map_err(|ending| ended(link, peer, &ending)),
     }
-    let topic = req.topic;
-    let reply = tokio::select! {
-        reply = service.serve(peer, req) => reply,
-        _ = conn.next() => return Ok(()),
-    };
-    conn.send(encode(2, topic, &reply.head, &reply.body)).await
-}
-
-fn parse_hello(hello: &[u8]) -> Option<Peer> {
-    let text = std::str::from_utf8(hello).ok()?;
-    let mut parts = text.split('\n');
-    Some(Peer {
-        name: parts.next()?.into(),
-        data_centre: parts.next()?.into(),
-        incarnation: parts.next()?.parse().ok()?,
-        address: parts.next()?.parse().ok()?,
-    })
 }
--- a/crates/nutmegwheel-link/src/error.rs
+++ b/crates/nutmegwheel-link/src/error.rs
@@ -10,7 +10,9 @@
         Connect,
         /// Proving the fleet secret to each other.
         Handshake,
-        /// Waiting for a place on a link or for its first frame to be written.
+        /// Taking a place among the open calls of a link.
+        Admit,
+        /// Waiting on a link for the first frame to be written.
         Queue,
         /// Sending the request.
         Send,
@@ -26,8 +28,18 @@
         GoingAway,
         /// It has as many requests open, or as many bytes of them, as it may hold.
         Busy,
-        /// The request did not arrive whole or was cancelled before that.
+        /// The request did not arrive whole.
         Incomplete,
+        /// The request is larger than it takes.
+        TooLarge,
+    }
+}
+
+impl Step {
+    /// Whether the step is one of a link that is lost or takes no more calls, so that another link
+    /// may do.
+    pub(crate) fn is_on_link(self) -> bool {
+        matches!(self, Self::Queue | Self::Send)
     }
 }
 
@@ -36,6 +48,7 @@
         f.write_str(match self {
             Self::Connect => "connect",
             Self::Handshake => "handshake",
+            Self::Admit => "admit",
             Self::Queue => "queue",
             Self::Send => "send",
             Self::Wait => "wait",
@@ -50,6 +63,7 @@
             Self::GoingAway => "it is going away",
             Self::Busy => "it is busy",
             Self::Incomplete => "the request did not arrive whole",
+            Self::TooLarge => "the request is too large",
         })
     }
 }
--- a/crates/nutmegwheel-link/src/lib.rs
+++ b/crates/nutmegwheel-link/src/lib.rs
@@ -6,12 +6,20 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod accept;
+mod connect;
+mod core;
 mod endpoint;
 mod error;
+pub mod handshake;
+mod link;
+pub mod mux;
 mod options;
+mod pool;
 mod service;
+pub mod wire;
 
-pub use endpoint::Endpoint;
+pub use endpoint::{Endpoint, Stats};
 pub use error::{BindError, CallError, Refusal, Step};
 pub use options::{Limits, Options};
 pub use service::{Peer, Reply, Request, ServeFuture, Service, Topic};
--- /dev/null
+++ b/crates/nutmegwheel-link/src/link/mod.rs
@@ -0,0 +1,206 @@
+//! One established link: the handle that callers share and the task that moves its bytes.
+
+mod driver;
+mod serve;
+
+use std::{
+    collections::HashMap,
+    fmt,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
+
+use bytes::Bytes;
+use slotmap::SecondaryMap;
+use tokio::{
+    sync::{Notify, oneshot},
+    task::AbortHandle,
+};
+
+pub(crate) use driver::{Driver, End};
+
+use crate::{
+    Limits, Peer, Reply, Request, Step, Topic,
+    mux::{CallKey, Event, Failure, Mux, Rejection, Side, StreamId},
+};
+
+/// How a call ended without a reply.
+#[derive(Clone, Debug)]
+pub(crate) struct Ending {
+    pub(crate) failure: Failure,
+    pub(crate) reason: Arc<str>,
+}
+
+impl Ending {
+    /// The driver answers every call before it ends, so this is the cautious word for the rest.
+    fn unknown() -> Self {
+        Self {
+            failure: Failure::Lost(Step::Wait),
+            reason: Arc::from("the link ended"),
+        }
+    }
+}
+
+type Outcome = Result<Reply, Ending>;
+
+/// A link with its far side; shared between its callers and its driver.
+pub(crate) struct Link {
+    peer: Peer,
+    state: Mutex<State>,
+    wake: Notify,
+}
+
+struct State {
+    mux: Mux,
+    waiters: SecondaryMap<CallKey, oneshot::Sender<Outcome>>,
+    running: HashMap<StreamId, AbortHandle>,
+    /// Why calls end now; set when the link is closed.
+    reason: Arc<str>,
+}
+
+/// A call that waits for its outcome and is cancelled when dropped before.
+pub(crate) struct OpenCall {
+    link: Arc<Link>,
+    key: CallKey,
+    outcome: oneshot::Receiver<Outcome>,
+}
+
+impl fmt::Debug for Link {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Link")
+            .field("peer", &self.peer)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Lifecycle
+impl Link {
+    pub(crate) fn new(side: Side, peer: Peer, limits: &Limits) -> Arc<Self> {
+        let state = State {
+            mux: Mux::new(side, limits, now()),
+            waiters: SecondaryMap::new(),
+            running: HashMap::new(),
+            reason: Arc::from("by the far side"),
+        };
+        Arc::new(Self {
+            peer,
+            state: Mutex::new(state),
+            wake: Notify::new(),
+        })
+    }
+
+    /// Takes no further requests or calls; those that were taken go on.
+    pub(crate) fn go_away(&self) {
+        self.state().mux.go_away();
+        self.wake.notify_one();
+    }
+}
+
+/// Access
+impl Link {
+    pub(crate) fn peer(&self) -> &Peer {
+        &self.peer
+    }
+
+    /// The number of open streams, or `None` if new calls should go elsewhere.
+    pub(crate) fn load(&self, now: Instant) -> Option<usize> {
+        let state = self.state();
+        let usable = !state.mux.is_draining() && !state.mux.is_suspect(now);
+        usable.then(|| state.mux.open_streams())
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Messages
+impl Link {
+    pub(crate) fn open(self: &Arc<Self>, req: Request) -> Result<OpenCall, Rejection> {
+        let (tx, outcome) = oneshot::channel();
+        let mut state = self.state();
+        let key = state.mux.open(req, now())?;
+        state.waiters.insert(key, tx);
+        drop(state);
+        self.wake.notify_one();
+        Ok(OpenCall {
+            link: self.clone(),
+            key,
+            outcome,
+        })
+    }
+
+    pub(crate) fn notice(&self, topic: Topic, body: Bytes) -> Result<(), Rejection> {
+        self.state().mux.notice(topic, body, now())?;
+        self.wake.notify_one();
+        Ok(())
+    }
+
+    fn cancel(&self, key: CallKey) -> Option<bool> {
+        let mut state = self.state();
+        state.waiters.remove(key);
+        let may_have_begun = state.mux.cancel(key);
+        drop(state);
+        if may_have_begun.is_some() {
+            self.wake.notify_one();
+        }
+        may_have_begun
+    }
+}
+
+impl OpenCall {
+    pub(crate) async fn wait(&mut self) -> Outcome {
+        match (&mut self.outcome).await {
+            Ok(outcome) => outcome,
+            Err(_) => Err(Ending::unknown()),
+        }
+    }
+
+    /// Ends the call; tells whether the far side may have begun it, or the outcome if it came in
+    /// the meantime.
+    pub(crate) fn cancel(mut self) -> Result<bool, Outcome> {
+        match self.link.cancel(self.key) {
+            Some(may_have_begun) => Ok(may_have_begun),
+            None => Err(self
+                .outcome
+                .try_recv()
+                .unwrap_or_else(|_| Err(Ending::unknown()))),
+        }
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.link.cancel(self.key);
+    }
+}
+
+impl State {
+    /// Hands the outcomes of calls to their waiters and returns what else happened.
+    fn settle(&mut self) -> Vec<Event> {
+        let mut others = Vec::new();
+        while let Some(event) = self.mux.next_event() {
+            match event {
+                Event::Replied { call, reply } => self.finish(call, Ok(reply)),
+                Event::Failed { call, failure } => {
+                    let reason = self.reason.clone();
+                    self.finish(call, Err(Ending { failure, reason }));
+                }
+                other => others.push(other),
+            }
+        }
+        others
+    }
+
+    fn finish(&mut self, call: CallKey, outcome: Outcome) {
+        if let Some(tx) = self.waiters.remove(call) {
+            // The caller may just have left, and then nobody wants the outcome.
+            let _ = tx.send(outcome);
+        }
+    }
+}
+
+/// The time by the clock of the runtime, which tests may pause.
+pub(crate) fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
--- /dev/null
+++ b/crates/nutmegwheel-link/src/mux/calls.rs
@@ -0,0 +1,382 @@
+use std::collections::{HashMap, VecDeque};
+
+use slotmap::SlotMap;
+
+use super::{
+    CallKey, Event, Failure, Rejection, StreamId, Violation,
+    control::Control,
+    inbound::{Inbound, Progress},
+    outbound::Outbound,
+};
+use crate::{
+    Limits, Refusal, Reply, Request, Step,
+    wire::{Data, RefuseReason, Start},
+};
+
+/// The calls that this side of a link has made.
+#[derive(Debug)]
+pub(crate) struct Calls {
+    limits: Limits,
+    table: SlotMap<CallKey, Call>,
+    by_id: HashMap<StreamId, CallKey>,
+    /// Calls whose first frame has not been sent, in the order in which they came.
+    fresh: VecDeque<CallKey>,
+    /// Calls that have begun and may send more.
+    ready: VecDeque<CallKey>,
+    /// Whether the next frame belongs to a call that has begun.
+    ready_turn: bool,
+    last_id: StreamId,
+    unstarted: usize,
+    going_away: bool,
+    /// Bytes of requests that are still to be sent.
+    queued: usize,
+    /// Bytes of replies that were permitted and have not become whole.
+    granted: usize,
+    /// Calls whose replies wait for permission to be sent.
+    ungranted: VecDeque<CallKey>,
+}
+
+#[derive(Debug)]
+struct Call {
+    id: Option<StreamId>,
+    one_way: bool,
+    outbound: Outbound,
+    /// The position on the wire behind the last byte of the request.
+    whole_at: Option<u64>,
+    inbound: Option<Inbound>,
+    granted: usize,
+    beyond_window: usize,
+}
+
+/// Access
+impl Calls {
+    pub(crate) fn new(limits: &Limits) -> Self {
+        Self {
+            limits: limits.clone(),
+            table: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            fresh: VecDeque::new(),
+            ready: VecDeque::new(),
+            ready_turn: false,
+            last_id: 0,
+            unstarted: 0,
+            going_away: false,
+            queued: 0,
+            granted: 0,
+            ungranted: VecDeque::new(),
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.table.len()
+    }
+
+    /// Whether no further call is taken, because the far side goes away or the ids are used up.
+    pub(crate) fn is_draining(&self) -> bool {
+        let taken = self.last_id as usize + self.unstarted;
+        self.going_away || taken >= self.limits.max_stream_id as usize
+    }
+}
+
+/// Sending
+impl Calls {
+    pub(crate) fn open(&mut self, req: Request, one_way: bool) -> Result<CallKey, Rejection> {
+        let size = req.head.len() + req.body.len();
+        if req.head.len() > self.limits.max_head || req.body.len() > self.limits.max_body {
+            return Err(Rejection::TooLarge);
+        }
+        if self.is_draining() {
+            return Err(Rejection::Draining);
+        }
+        let full = self.table.len() >= self.limits.max_streams;
+        if full || self.queued + size > self.limits.max_buffered {
+            return Err(Rejection::Busy);
+        }
+        let key = self.table.insert(Call {
+            id: None,
+            one_way,
+            outbound: Outbound::new(req.topic.0, one_way, req.head, req.body),
+            whole_at: None,
+            inbound: None,
+            granted: 0,
+            beyond_window: 0,
+        });
+        self.queued += size;
+        self.unstarted += 1;
+        self.fresh.push_back(key);
+        Ok(key)
+    }
+
+    /// Ends a call; tells whether the far side may begin it, or `None` if it had ended before.
+    pub(crate) fn cancel(&mut self, key: CallKey, control: &mut Control) -> Option<bool> {
+        let call = self.remove(key)?;
+        if let Some(id) = call.id {
+            control.cancel(id);
+        }
+        self.grant(control);
+        Some(call.outbound.is_ended())
+    }
+
+    /// Takes the next piece of a request; calls that have not begun only take part when `begin`.
+    pub(crate) fn next(&mut self, begin: bool) -> Option<(CallKey, Data)> {
+        self.ready_turn = !self.ready_turn;
+        if self.ready_turn {
+            self.next_ready().or_else(|| self.next_fresh(begin))
+        } else {
+            self.next_fresh(begin).or_else(|| self.next_ready())
+        }
+    }
+
+    fn next_ready(&mut self) -> Option<(CallKey, Data)> {
+        while let Some(key) = self.ready.pop_front() {
+            let id = self.table.get(key).and_then(|call| call.id);
+            if let Some(id) = id {
+                return self.take_piece(key, id);
+            }
+        }
+        None
+    }
+
+    fn next_fresh(&mut self, begin: bool) -> Option<(CallKey, Data)> {
+        while begin && let Some(key) = self.fresh.pop_front() {
+            if self.table.contains_key(key) {
+                let id = self.assign_id(key);
+                return self.take_piece(key, id);
+            }
+        }
+        None
+    }
+
+    /// Ids follow the order of the first frames, so that the far side can tell old from new.
+    fn assign_id(&mut self, key: CallKey) -> StreamId {
+        self.last_id += 1;
+        self.unstarted -= 1;
+        self.by_id.insert(self.last_id, key);
+        self.table[key].id = Some(self.last_id);
+        self.last_id
+    }
+
+    fn take_piece(&mut self, key: CallKey, id: StreamId) -> Option<(CallKey, Data)> {
+        let call = self.table.get_mut(key)?;
+        let data = call.outbound.next(id);
+        self.queued -= data.head.len() + data.body.len();
+        if call.outbound.is_ready() {
+            self.ready.push_back(key);
+        }
+        Some((key, data))
+    }
+
+    /// Notes where on the wire the piece taken last ends.
+    pub(crate) fn encoded(&mut self, key: CallKey, position: u64) {
+        let Some(call) = self.table.get_mut(key) else {
+            return;
+        };
+        if !call.outbound.is_ended() {
+            return;
+        }
+        call.whole_at = Some(position);
+        if call.one_way {
+            self.remove(key);
+        }
+    }
+
+    pub(crate) fn credit(&mut self, id: StreamId, bytes: usize) -> Result<(), Violation> {
+        let Some(key) = self.find(id)? else {
+            return Ok(());
+        };
+        if self.table[key].outbound.credit(bytes) {
+            self.ready.push_back(key);
+        }
+        Ok(())
+    }
+}
+
+/// Lifecycle
+impl Calls {
+    /// Takes no further calls; those that are open go on.
+    pub(crate) fn retire(&mut self) {
+        self.going_away = true;
+    }
+}
+
+/// Receiving
+impl Calls {
+    pub(crate) fn reply(
+        &mut self,
+        data: &Data,
+        control: &mut Control,
+        events: &mut VecDeque<Event>,
+    ) -> Result<(), Violation> {
+        let Some(call) = self.find(data.stream)? else {
+            return Ok(());
+        };
+        if !self.table[call].outbound.is_ended() {
+            return Err(Violation::EarlyReply(data.stream));
+        }
+        if let Some(start) = &data.start
+            && !self.begin_reply(call, start)
+        {
+            self.fail(call, Failure::Lost(Step::Receive), events);
+            control.cancel(data.stream);
+            return Ok(());
+        }
+        self.push_reply(call, data, control, events)?;
+        self.grant(control);
+        Ok(())
+    }
+
+    fn begin_reply(&mut self, key: CallKey, start: &Start) -> bool {
+        let call = &mut self.table[key];
+        let fits = start.head_length as usize <= self.limits.max_head
+            && start.body_length as usize <= self.limits.max_body;
+        if !fits || call.inbound.is_some() {
+            return false;
+        }
+        call.inbound = Some(Inbound::begin(start));
+        call.beyond_window = Inbound::beyond_window(start);
+        if call.beyond_window > 0 {
+            self.ungranted.push_back(key);
+        }
+        true
+    }
+
+    fn push_reply(
+        &mut self,
+        call: CallKey,
+        data: &Data,
+        control: &mut Control,
+        events: &mut VecDeque<Event>,
+    ) -> Result<(), Violation> {
+        let progress = match &mut self.table[call].inbound {
+            Some(inbound) => inbound.push(data),
+            None => Progress::Damaged,
+        };
+        match progress {
+            Progress::Partial => {}
+            Progress::Whole(head, body) => {
+                self.remove(call);
+                let reply = Reply { head, body };
+                events.push_back(Event::Replied { call, reply });
+            }
+            Progress::Damaged => {
+                self.fail(call, Failure::Lost(Step::Receive), events);
+                control.cancel(data.stream);
+            }
+            Progress::Overrun => return Err(Violation::Overrun(data.stream)),
+        }
+        Ok(())
+    }
+
+    pub(crate) fn refuse(
+        &mut self,
+        id: StreamId,
+        reason: RefuseReason,
+        events: &mut VecDeque<Event>,
+    ) -> Result<(), Violation> {
+        if let Some(key) = self.find(id)? {
+            let failure = match reason {
+                RefuseReason::Failed => Failure::Lost(Step::Wait),
+                RefuseReason::Busy => Failure::Refused(Refusal::Busy),
+                RefuseReason::Incomplete => Failure::Refused(Refusal::Incomplete),
+                RefuseReason::TooLarge => Failure::Refused(Refusal::TooLarge),
+            };
+            self.fail(key, failure, events);
+        }
+        Ok(())
+    }
+
+    /// The far side begins nothing above `last`, so everything above it is over.
+    pub(crate) fn go_away(&mut self, last: StreamId, events: &mut VecDeque<Event>) {
+        self.going_away = true;
+        let above = |call: &Call| call.id.is_none_or(|id| id > last);
+        let over: Vec<_> = self.matching(above);
+        for key in over {
+            self.fail(key, Failure::Refused(Refusal::GoingAway), events);
+        }
+    }
+
+    /// Ends every call, given how many bytes were handed to the socket.
+    pub(crate) fn close(&mut self, written: u64, events: &mut VecDeque<Event>) {
+        self.going_away = true;
+        for key in self.matching(|_| true) {
+            let failure = self.table[key].failure_at_close(written);
+            self.fail(key, failure, events);
+        }
+    }
+
+    fn matching(&self, which: impl Fn(&Call) -> bool) -> Vec<CallKey> {
+        let found = self.table.iter().filter(|(_, call)| which(call));
+        found.map(|(key, _)| key).collect()
+    }
+
+    fn fail(&mut self, call: CallKey, failure: Failure, events: &mut VecDeque<Event>) {
+        let Some(removed) = self.remove(call) else {
+            return;
+        };
+        if !removed.one_way {
+            events.push_back(Event::Failed { call, failure });
+        }
+    }
+
+    /// Permits replies to be sent as far as the bound on buffered bytes allows, oldest first.
+    fn grant(&mut self, control: &mut Control) {
+        while let Some(&key) = self.ungranted.front() {
+            let Some(call) = self.table.get_mut(key) else {
+                self.ungranted.pop_front();
+                continue;
+            };
+            let fits = self.granted + call.beyond_window <= self.limits.max_buffered;
+            if !fits && self.granted > 0 {
+                return;
+            }
+            self.ungranted.pop_front();
+            let (Some(id), Some(inbound)) = (call.id, &mut call.inbound) else {
+                continue;
+            };
+            inbound.grant(call.beyond_window);
+            call.granted = call.beyond_window;
+            self.granted += call.granted;
+            control.credit(id, call.granted);
+        }
+    }
+
+    /// Finds a call; one that has ended is `None`, since late frames for it are no fault.
+    fn find(&self, id: StreamId) -> Result<Option<CallKey>, Violation> {
+        if id == 0 || id > self.last_id {
+            return Err(Violation::UnknownStream(id));
+        }
+        Ok(self.by_id.get(&id).copied())
+    }
+
+    fn remove(&mut self, key: CallKey) -> Option<Call> {
+        let call = self.table.remove(key)?;
+        self.queued -= call.outbound.remaining();
+        self.granted -= call.granted;
+        match call.id {
+            Some(id) => {
+                self.by_id.remove(&id);
+            }
+            None => self.unstarted -= 1,
+        }
+        Some(call)
+    }
+}
+
+impl Call {
+    fn failure_at_close(&self, written: u64) -> Failure {
+        match self.whole_at {
+            Some(position) if position <= written => Failure::Lost(self.waiting_step()),
+            Some(_) => Failure::NotSent(Step::Send),
+            None if self.id.is_some() => Failure::NotSent(Step::Send),
+            None => Failure::NotSent(Step::Queue),
+        }
+    }
+
+    fn waiting_step(&self) -> Step {
+        if self.inbound.is_some() {
+            Step::Receive
+        } else {
+            Step::Wait
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-link/src/mux/inbound.rs
@@ -0,0 +1,110 @@
+use bytes::{Bytes, BytesMut};
+
+use crate::wire::{Data, Start};
+
+/// The bytes of a message that may be sent before the receiver permits more.
+pub(crate) const INITIAL_WINDOW: usize = 32 * 1024;
+
+/// A message that is being received.
+#[derive(Debug)]
+pub(crate) struct Inbound {
+    head: Part,
+    body: Part,
+    credit: usize,
+    checksum: u32,
+}
+
+/// What one more piece made of a message.
+#[derive(Debug)]
+pub(crate) enum Progress {
+    /// More pieces are due.
+    Partial,
+    /// The message is whole: its length and checksum are right.
+    Whole(Bytes, Bytes),
+    /// The message cannot become whole any more.
+    Damaged,
+    /// The sender took more than its credit.
+    Overrun,
+}
+
+/// The head or the body, growing to its announced length.
+#[derive(Debug)]
+struct Part {
+    buf: BytesMut,
+    length: usize,
+}
+
+impl Part {
+    fn new(length: usize) -> Self {
+        let buf = BytesMut::with_capacity(length.min(INITIAL_WINDOW));
+        Self { buf, length }
+    }
+
+    fn missing(&self) -> usize {
+        self.length - self.buf.len()
+    }
+
+    fn push(&mut self, piece: &[u8]) -> bool {
+        let fits = piece.len() <= self.missing();
+        if fits {
+            self.buf.extend_from_slice(piece);
+        }
+        fits
+    }
+}
+
+impl Inbound {
+    pub(crate) fn begin(start: &Start) -> Self {
+        Self {
+            head: Part::new(start.head_length as usize),
+            body: Part::new(start.body_length as usize),
+            credit: INITIAL_WINDOW,
+            checksum: 0,
+        }
+    }
+
+    /// The bytes that are still to be permitted when the message begins.
+    pub(crate) fn beyond_window(start: &Start) -> usize {
+        length(start).saturating_sub(INITIAL_WINDOW)
+    }
+
+    /// Makes room for bytes that the sender is permitted to send from now on.
+    pub(crate) fn grant(&mut self, bytes: usize) {
+        self.credit += bytes;
+        self.head.buf.reserve(self.head.missing());
+        self.body.buf.reserve(self.body.missing());
+    }
+
+    pub(crate) fn push(&mut self, data: &Data) -> Progress {
+        let Some(credit) = self.credit.checked_sub(data.head.len() + data.body.len()) else {
+            return Progress::Overrun;
+        };
+        self.credit = credit;
+        self.checksum = crc32c::crc32c_append(self.checksum, &data.head);
+        self.checksum = crc32c::crc32c_append(self.checksum, &data.body);
+        let in_order = data.body.is_empty() || self.head.missing() == data.head.len();
+        if !in_order || !self.head.push(&data.head) || !self.body.push(&data.body) {
+            return Progress::Damaged;
+        }
+        match &data.end {
+            None => Progress::Partial,
+            Some(end) if self.is_whole(end.checksum) => self.take(),
+            Some(_) => Progress::Damaged,
+        }
+    }
+
+    fn is_whole(&self, checksum: u32) -> bool {
+        self.head.missing() == 0 && self.body.missing() == 0 && self.checksum == checksum
+    }
+
+    fn take(&mut self) -> Progress {
+        let head = std::mem::take(&mut self.head.buf).freeze();
+        let body = std::mem::take(&mut self.body.buf).freeze();
+        Progress::Whole(head, body)
+    }
+}
+
+/// The length of a whole message in bytes.
+pub(crate) fn length(start: &Start) -> usize {
+    start.head_length as usize + start.body_length as usize
+}
--- /dev/null
+++ b/crates/nutmegwheel-link/src/mux/outbound.rs
@@ -0,0 +1,87 @@
+use bytes::Bytes;
+
+use super::{StreamId, inbound::INITIAL_WINDOW};
+use crate::wire::{Data, End, MAX_PIECE, Start};
+
+/// A message that is being sent.
+#[derive(Debug)]
+pub(crate) struct Outbound {
+    start: Option<Start>,
+    head: Bytes,
+    body: Bytes,
+    credit: usize,
+    checksum: u32,
+    ended: bool,
+}
+
+impl Outbound {
+    pub(crate) fn new(topic: u16, one_way: bool, head: Bytes, body: Bytes) -> Self {
+        let start = Start {
+            topic: u32::from(topic),
+            head_length: wire_length(&head),
+            body_length: wire_length(&body),
+            one_way,
+        };
+        Self {
+            start: Some(start),
+            head,
+            body,
+            credit: INITIAL_WINDOW,
+            checksum: 0,
+            ended: false,
+        }
+    }
+
+    /// The bytes that are still to be sent.
+    pub(crate) fn remaining(&self) -> usize {
+        self.head.len() + self.body.len()
+    }
+
+    /// Whether the last piece has been taken.
+    pub(crate) fn is_ended(&self) -> bool {
+        self.ended
+    }
+
+    /// Whether there is a piece that may be sent now.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.ended && (self.start.is_some() || self.credit > 0)
+    }
+
+    /// Permits further bytes; tells whether the message became ready by it.
+    pub(crate) fn credit(&mut self, bytes: usize) -> bool {
+        let was_ready = self.is_ready();
+        self.credit = self.credit.saturating_add(bytes);
+        !was_ready && self.is_ready()
+    }
+
+    /// Takes the next piece.
+    pub(crate) fn next(&mut self, stream: StreamId) -> Data {
+        let mut room = self.credit.min(MAX_PIECE);
+        let head = take(&mut self.head, &mut room);
+        let body = take(&mut self.body, &mut room);
+        self.credit -= head.len() + body.len();
+        self.checksum = crc32c::crc32c_append(self.checksum, &head);
+        self.checksum = crc32c::crc32c_append(self.checksum, &body);
+        self.ended = self.remaining() == 0;
+        Data {
+            stream,
+            start: self.start.take(),
+            head,
+            body,
+            end: self.ended.then_some(End {
+                checksum: self.checksum,
+            }),
+        }
+    }
+}
+
+fn take(from: &mut Bytes, room: &mut usize) -> Bytes {
+    let piece = from.split_to(from.len().min(*room));
+    *room -= piece.len();
+    piece
+}
+
+/// The limits on messages are far below the range of the field.
+fn wire_length(part: &Bytes) -> u32 {
+    u32::try_from(part.len()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/nutmegwheel-link/src/mux/serves.rs
@@ -0,0 +1,261 @@
+use std::collections::{HashMap, VecDeque};
+
+use bytes::Bytes;
+
+use super::{
+    Event, StreamId, Violation,
+    control::Control,
+    inbound::{Inbound, Progress, length},
+    outbound::Outbound,
+};
+use crate::{
+    Limits, Reply, Request, Topic,
+    wire::{Data, RefuseReason, Start},
+};
+
+/// The requests of the far side that this side of a link has taken.
+#[derive(Debug)]
+pub(crate) struct Serves {
+    limits: Limits,
+    table: HashMap<StreamId, Serve>,
+    /// Streams whose replies may be sent on.
+    ready: VecDeque<StreamId>,
+    last_seen: StreamId,
+    /// The last stream that is still taken once this side goes away.
+    last_taken: Option<StreamId>,
+    /// Bytes of requests from their first frame to the end of their stream.
+    held: usize,
+    /// Bytes of replies that are still to be sent.
+    queued: usize,
+}
+
+#[derive(Debug)]
+struct Serve {
+    topic: Topic,
+    one_way: bool,
+    size: usize,
+    state: State,
+}
+
+#[derive(Debug)]
+enum State {
+    Receiving(Inbound),
+    Running,
+    Replying(Outbound),
+}
+
+/// Access
+impl Serves {
+    pub(crate) fn new(limits: &Limits) -> Self {
+        Self {
+            limits: limits.clone(),
+            table: HashMap::new(),
+            ready: VecDeque::new(),
+            last_seen: 0,
+            last_taken: None,
+            held: 0,
+            queued: 0,
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.table.len()
+    }
+
+    pub(crate) fn is_going_away(&self) -> bool {
+        self.last_taken.is_some()
+    }
+}
+
+/// Receiving
+impl Serves {
+    pub(crate) fn request(
+        &mut self,
+        data: &Data,
+        control: &mut Control,
+        events: &mut VecDeque<Event>,
+    ) -> Result<(), Violation> {
+        if let Some(start) = &data.start {
+            self.begin(data.stream, start, control)?;
+        } else if data.stream > self.last_seen {
+            return Err(Violation::UnknownStream(data.stream));
+        }
+        let Some(serve) = self.table.get_mut(&data.stream) else {
+            return Ok(());
+        };
+        let State::Receiving(inbound) = &mut serve.state else {
+            return Err(Violation::Overrun(data.stream));
+        };
+        match inbound.push(data) {
+            Progress::Partial => {}
+            Progress::Whole(head, body) => self.whole(data.stream, head, body, events),
+            Progress::Damaged => self.refuse(data.stream, RefuseReason::Incomplete, control),
+            Progress::Overrun => return Err(Violation::Overrun(data.stream)),
+        }
+        Ok(())
+    }
+
+    fn begin(
+        &mut self,
+        stream: StreamId,
+        start: &Start,
+        control: &mut Control,
+    ) -> Result<(), Violation> {
+        if stream <= self.last_seen {
+            return Err(Violation::ReusedStream(stream));
+        }
+        self.last_seen = stream;
+        if self.last_taken.is_some() {
+            return Ok(());
+        }
+        if let Some(reason) = self.obstacle(start) {
+            control.refuse(stream, reason);
+            return Ok(());
+        }
+        let mut inbound = Inbound::begin(start);
+        let beyond = Inbound::beyond_window(start);
+        if beyond > 0 {
+            inbound.grant(beyond);
+            control.credit(stream, beyond);
+        }
+        let size = length(start);
+        self.held += size;
+        let serve = Serve {
+            topic: Topic(u16::try_from(start.topic).unwrap_or(u16::MAX)),
+            one_way: start.one_way,
+            size,
+            state: State::Receiving(inbound),
+        };
+        self.table.insert(stream, serve);
+        Ok(())
+    }
+
+    fn obstacle(&self, start: &Start) -> Option<RefuseReason> {
+        let too_large = start.head_length as usize > self.limits.max_head
+            || start.body_length as usize > self.limits.max_body
+            || start.topic > u32::from(u16::MAX);
+        if too_large {
+            return Some(RefuseReason::TooLarge);
+        }
+        let busy = self.table.len() >= self.limits.max_streams
+            || self.held + length(start) > self.limits.max_buffered
+            || self.queued > self.limits.max_buffered / 2;
+        busy.then_some(RefuseReason::Busy)
+    }
+
+    fn whole(&mut self, stream: StreamId, head: Bytes, body: Bytes, events: &mut VecDeque<Event>) {
+        let Some(serve) = self.table.get_mut(&stream) else {
+            return;
+        };
+        let topic = serve.topic;
+        if serve.one_way {
+            self.remove(stream);
+            events.push_back(Event::Noticed { topic, body });
+            return;
+        }
+        serve.state = State::Running;
+        let req = Request { topic, head, body };
+        events.push_back(Event::Requested { stream, req });
+    }
+
+    pub(crate) fn cancel(
+        &mut self,
+        stream: StreamId,
+        events: &mut VecDeque<Event>,
+    ) -> Result<(), Violation> {
+        if stream == 0 || stream > self.last_seen {
+            return Err(Violation::UnknownStream(stream));
+        }
+        if let Some(serve) = self.remove(stream)
+            && matches!(serve.state, State::Running)
+        {
+            events.push_back(Event::Cancelled { stream });
+        }
+        Ok(())
+    }
+
+    pub(crate) fn credit(&mut self, stream: StreamId, bytes: usize) -> Result<(), Violation> {
+        if stream == 0 || stream > self.last_seen {
+            return Err(Violation::UnknownStream(stream));
+        }
+        if let Some(serve) = self.table.get_mut(&stream)
+            && let State::Replying(outbound) = &mut serve.state
+            && outbound.credit(bytes)
+        {
+            self.ready.push_back(stream);
+        }
+        Ok(())
+    }
+}
+
+/// Sending
+impl Serves {
+    /// Queues the reply to a request; one that is no longer wanted is dropped.
+    pub(crate) fn answer(&mut self, stream: StreamId, reply: Reply, control: &mut Control) {
+        let size = reply.head.len() + reply.body.len();
+        let too_large =
+            reply.head.len() > self.limits.max_head || reply.body.len() > self.limits.max_body;
+        if too_large || self.queued + size > self.limits.max_buffered {
+            self.refuse(stream, RefuseReason::Failed, control);
+            return;
+        }
+        let Some(serve) = self.table.get_mut(&stream) else {
+            return;
+        };
+        if !matches!(serve.state, State::Running) {
+            return;
+        }
+        serve.state = State::Replying(Outbound::new(0, false, reply.head, reply.body));
+        self.queued += size;
+        self.ready.push_back(stream);
+    }
+
+    /// Ends a stream without a reply.
+    pub(crate) fn refuse(&mut self, stream: StreamId, reason: RefuseReason, control: &mut Control) {
+        if let Some(serve) = self.remove(stream)
+            && !serve.one_way
+        {
+            control.refuse(stream, reason);
+        }
+    }
+
+    pub(crate) fn next(&mut self) -> Option<Data> {
+        while let Some(stream) = self.ready.pop_front() {
+            if let Some(data) = self.take_piece(stream) {
+                return Some(data);
+            }
+        }
+        None
+    }
+
+    fn take_piece(&mut self, stream: StreamId) -> Option<Data> {
+        let State::Replying(outbound) = &mut self.table.get_mut(&stream)?.state else {
+            return None;
+        };
+        let data = outbound.next(stream);
+        self.queued -= data.head.len() + data.body.len();
+        if outbound.is_ready() {
+            self.ready.push_back(stream);
+        } else if outbound.is_ended() {
+            self.remove(stream);
+        }
+        Some(data)
+    }
+
+    /// Takes no further streams and tells the far side the last one that was taken.
+    pub(crate) fn go_away(&mut self, control: &mut Control) {
+        if self.last_taken.is_none() {
+            self.last_taken = Some(self.last_seen);
+            control.go_away(self.last_seen);
+        }
+    }
+
+    fn remove(&mut self, stream: StreamId) -> Option<Serve> {
+        let serve = self.table.remove(&stream)?;
+        self.held -= serve.size;
+        if let State::Replying(outbound) = &serve.state {
+            self.queued -= outbound.remaining();
+        }
+        Some(serve)
+    }
+}
--- a/crates/nutmegwheel-link/src/options.rs
+++ b/crates/nutmegwheel-link/src/options.rs
@@ -44,6 +44,8 @@
         pub max_body: usize,
         /// The number of calls that may be open at a time in each direction.
         pub max_streams: usize,
+        /// The highest id of a stream, after which a link is replaced; ids are never used again.
+        pub max_stream_id: u32,
         /// The number of bytes of unfinished messages that are held at a time in each direction.
         pub max_buffered: usize,
         /// The number of accepted connections, over the whole endpoint, whose handshake is not done.
@@ -71,7 +73,8 @@
             links_per_peer: 2,
             max_head: 64 * 1024,
             max_body: 4 * 1024 * 1024 + 64 * 1024,
-            max_streams: 8192,
+            max_streams: 4096,
+            max_stream_id: 1 << 31,
             max_buffered: 32 * 1024 * 1024,
             max_half_open: 256,
             handshake_timeout: Duration::from_secs(1),
