--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,18 +1,15 @@
-//! Generates the committed wire types from proto/.
+//! Writes the generated wire types into the repository.
 
-use std::path::Path;
+use std::fs;
 
-/// The definitions and the folder into which the code of each goes.
-const GENERATED: [(&str, &str); 1] = [("fleet.proto", "crates/nutmegwheel-wire/src/generated")];
+use anyhow::{Context, Result};
 
-fn main() -> anyhow::Result<()> {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
-    for (proto, folder) in GENERATED {
-        let descriptors = protox::compile([proto], [root.join("proto")])?;
-        prost_build::Config::new()
-            .bytes(["."])
-            .out_dir(root.join(folder))
-            .compile_fds(descriptors)?;
+fn main() -> Result<()> {
+    let root = xtask::repository_root();
+    for generated in xtask::generate(&root)? {
+        let path = root.join(&generated.path);
+        fs::write(&path, generated.content).with_context(|| path.display().to_string())?;
+        println!("wrote {}", generated.path.display());
     }
     Ok(())
 }
