--- a/crates/nutmegwheel-node/src/backend.rs
+++ b/crates/nutmegwheel-node/src/backend.rs
@@ -61,6 +61,12 @@
         self.lock().replace(announcement)
     }
 
+    /// Forgets the announcement of a backend server that was found dead, and returns it.
+    pub(crate) fn bury(&self, address: SocketAddr) -> Option<Announcement> {
+        self.lock()
+            .take_if(|announced| announced.address == address)
+    }
+
     /// Forgets an announcement that was not renewed in time, and returns it.
     pub(crate) fn lapse(&self, now: Instant) -> Option<Announcement> {
         self.lock().take_if(|announced| announced.until <= now)
--- a/crates/nutmegwheel-node/src/call.rs
+++ b/crates/nutmegwheel-node/src/call.rs
@@ -1,4 +1,4 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Method, StatusCode};
@@ -32,10 +32,10 @@
 }
 
 impl Call {
-    /// The head of the call's message to a node in one of its lives.
-    pub(crate) fn to_wire(&self, now: Instant, target_incarnation: u64) -> wire::CallHead {
+    /// The head of the call's message to a node in one of its lives, which gets so much time.
+    pub(crate) fn to_wire(&self, time: Duration, target_incarnation: u64) -> wire::CallHead {
         let mut context = self.context.clone();
-        context.remaining = self.deadline.saturating_duration_since(now);
+        context.remaining = time;
         wire::CallHead {
             stamp: None,
             context: Some(wire::context_to_wire(&context, self.key.as_ref())),
--- a/crates/nutmegwheel-node/src/directory.rs
+++ b/crates/nutmegwheel-node/src/directory.rs
@@ -41,6 +41,8 @@
         pub(crate) service: ServiceId,
         pub(crate) slots: u16,
         pub(crate) state: BackendState,
+        /// The number of the backend server's life, greater after every restart of it.
+        pub(crate) life: Incarnation,
     }
 }
 
@@ -51,8 +53,8 @@
 }
 
 impl Directory {
-    /// Takes in what a message tells of a member, the newest word winning.
-    pub(crate) fn learn(&self, member: Member, now: Instant) {
+    /// Takes in what a message tells of a member, the newest word winning, and whether it was new.
+    pub(crate) fn learn(&self, member: Member, now: Instant) -> bool {
         let mut members = self.lock();
         let newer = members.get(&member.name).is_none_or(|(known, _)| {
             (known.incarnation, known.beat) < (member.incarnation, member.beat)
@@ -60,6 +62,7 @@
         if newer {
             members.insert(member.name.clone(), (member, now));
         }
+        newer
     }
 
     pub(crate) fn members(&self) -> Vec<Member> {
@@ -67,20 +70,16 @@
         members.values().map(|(member, _)| member.clone()).collect()
     }
 
-    /// The nodes whose backend server takes new requests of a service.
-    pub(crate) fn ready(&self, service: &str, now: Instant) -> Vec<Member> {
-        let members = self.lock();
-        let heard = members
+    /// Forgets the members of which nothing was heard for long, and names them.
+    pub(crate) fn forget_silent(&self, now: Instant) -> Vec<ProcessName> {
+        let mut members = self.lock();
+        let silent: Vec<ProcessName> = members
             .values()
-            .filter(|(_, at)| now.duration_since(*at) < SILENT_AFTER);
-        heard
-            .map(|(member, _)| member)
-            .filter(|member| {
-                let backend = member.backend.as_ref();
-                backend.is_some_and(|b| &*b.service == service && b.state == BackendState::Ready)
-            })
-            .cloned()
-            .collect()
+            .filter(|(_, at)| now.duration_since(*at) >= SILENT_AFTER)
+            .map(|(member, _)| member.name.clone())
+            .collect();
+        members.retain(|name, _| !silent.contains(name));
+        silent
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<ProcessName, (Member, Instant)>> {
--- a/crates/nutmegwheel-node/src/door.rs
+++ b/crates/nutmegwheel-node/src/door.rs
@@ -10,11 +10,11 @@
 
 use crate::{
     call::{Answer, Call},
-    forward::forward,
-    headers,
+    forward, headers,
     refusal::{Reason, Refusal},
+    running::Parent,
     shared::Shared,
-    views,
+    suspects, views,
 };
 
 /// Answers callers.
@@ -34,14 +34,17 @@
     }
 }
 
-async fn take(shared: &Shared, req: Request, root: RootId) -> Result<Answer, Refusal> {
+async fn take(shared: &Arc<Shared>, req: Request, root: RootId) -> Result<Answer, Refusal> {
     let now = Instant::now();
     let view = shared.views.current();
-    let mut call = admit(&view, req, root, now)?;
+    let call = admit(&view, req, root, now)?;
     if call.deadline <= now {
         return Err(Refusal::not_run(Reason::Deadline, "no time was left"));
     }
-    forward(shared, &mut call).await
+    shared.suspects.check(now, suspects::fingerprint(&call))?;
+    let parent = Parent::open(call.context.clone(), call.key, call.deadline);
+    let id = forward::call_id(&call, None);
+    forward::forward(shared, &parent, call, id).await
 }
 
 /// Makes the call of a caller's request, or tells why there is none.
--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -1,97 +1,341 @@
-use std::{collections::HashSet, time::Instant};
+use std::{
+    sync::{Arc, PoisonError},
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
+use nutmegwheel_events::Event;
 use nutmegwheel_link::CallError;
-use nutmegwheel_types::ProcessName;
+use nutmegwheel_policy::{
+    deadline::{self, Deadline},
+    retry::{self, Attempt, Budgets, CallId, ChildKey, Decision, End, Proof},
+    routing::{BackendKey, LoadReport, Outcome as Ended},
+    shed,
+};
 use nutmegwheel_wire::{ReplyHead, topic};
 use prost::Message as _;
-use rand::seq::IndexedRandom as _;
+use sha2::{Digest, Sha256};
 
 use crate::{
     call::{self, Answer, Call},
-    directory::Member,
     refusal::{Outcome, Reason, Refusal},
-    serve,
+    routes::Target,
+    running::{Below, Parent},
+    serve::{self, Served},
     shared::Shared,
 };
 
-/// Sends a call to a backend server of its service, and again to another one where that is allowed.
-pub(crate) async fn forward(shared: &Shared, call: &mut Call) -> Result<Answer, Refusal> {
-    let mut tried = HashSet::new();
+/// The time for the way there and back inside a data centre.
+const NEAR_ROUND_TRIP: Duration = Duration::from_millis(1);
+/// The time for the way there and back between data centres.
+const FAR_ROUND_TRIP: Duration = Duration::from_millis(4);
+
+/// Names a call among those of its parent.
+pub(crate) fn call_id(call: &Call, name: Option<&str>) -> CallId {
+    let mut hash = Sha256::new();
+    for part in [call.method.as_str(), &call.path, name.unwrap_or_default()] {
+        hash.update((part.len() as u64).to_be_bytes());
+        hash.update(part);
+    }
+    let digest: [u8; 32] = hash.finalize().into();
+    let mut half = [0; 16];
+    half.copy_from_slice(&digest[..16]);
+    u128::from_be_bytes(half)
+}
+
+/// Sends a call of `parent` to a backend server, and again to others where that is allowed.
+pub(crate) async fn forward(
+    shared: &Arc<Shared>,
+    parent: &Parent,
+    mut call: Call,
+    id: CallId,
+) -> Result<Answer, Refusal> {
+    let begun = parent.chain(|chain| chain.begin(id)).map_err(|e| {
+        let refusal = Refusal::not_run(Reason::RetriesSpent, e.to_string());
+        refusal.after(shed::Options::default().level_lifetime)
+    })?;
+    call.context.retry_tokens = begun.tokens;
+    let workspace = call.context.workspace.clone();
+    shared
+        .ratios
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .count_first_try(Instant::now(), workspace.as_ref());
+    let mut settled = Settled {
+        parent,
+        child: begun.child,
+        end: End::Failed,
+        unspent: None,
+    };
+    let result = tries(shared, parent, &mut call, &mut settled).await;
+    if result.is_ok() {
+        settled.end = End::Answered;
+    }
+    result
+}
+
+/// Settles a call with its chain, also when its caller leaves.
+struct Settled<'a> {
+    parent: &'a Parent,
+    child: ChildKey,
+    end: End,
+    unspent: Option<u32>,
+}
+
+impl Drop for Settled<'_> {
+    fn drop(&mut self) {
+        let settle = (self.child, self.end, self.unspent);
+        self.parent
+            .chain(|chain| chain.settle(settle.0, settle.1, settle.2));
+    }
+}
+
+async fn tries(
+    shared: &Arc<Shared>,
+    parent: &Parent,
+    call: &mut Call,
+    settled: &mut Settled<'_>,
+) -> Result<Answer, Refusal> {
+    let mut tried = Vec::new();
     loop {
-        let target = choose(shared, call, &tried)?;
-        let refusal = match attempt(shared, call, &target).await {
+        let target = match choose(shared, call, &tried) {
+            Ok(target) => target,
+            Err(refusal) if tried.is_empty() => return Err(refusal),
+            // Every backend server was tried, so the last of them says how it is.
+            Err(_) => choose(shared, call, &[])?,
+        };
+        let began = Instant::now();
+        settled.unspent = None;
+        let served = attempt(shared, call, &target).await;
+        settled.unspent = served.unspent;
+        parent.note(served.below);
+        let refusal = match served.result {
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
-        if !may_retry(call, &refusal) {
-            return Err(refusal);
+        tried.push(target.key);
+        let others = shared.routes.available(&call.service) > tried.len();
+        let attempt = Attempt {
+            proof: proof(&refusal),
+            tries: u32::try_from(tried.len()).unwrap_or(u32::MAX),
+            is_non_idempotent: call.context.non_idempotent,
+            unspent: served.unspent,
+            remaining: call.deadline.saturating_duration_since(Instant::now()),
+            needs: began.elapsed().min(NEAR_ROUND_TRIP),
+            not_before: match refusal.retry_after {
+                Some(after) if !others => after,
+                _ => Duration::ZERO,
+            },
+        };
+        match decide(shared, parent, call, settled.child, &attempt) {
+            Decision::Retry { backoff, tokens } => {
+                call.context.retry_tokens = tokens;
+                tokio::time::sleep(backoff).await;
+            }
+            Decision::GiveUp(why) => return Err(given_up(shared, call, refusal, why)),
         }
-        if call.context.retry_tokens == 0 {
-            return Err(Refusal {
+    }
+}
+
+fn decide(
+    shared: &Shared,
+    parent: &Parent,
+    call: &Call,
+    child: ChildKey,
+    attempt: &Attempt,
+) -> Decision {
+    let mut ratios = shared.ratios.lock().unwrap_or_else(PoisonError::into_inner);
+    parent.chain(|chain| {
+        let budgets = Budgets {
+            chain,
+            ratios: &mut ratios,
+            workspace: call.context.workspace.as_ref(),
+        };
+        let options = retry::Options::default();
+        let now = Instant::now();
+        retry::decide(now, &options, budgets, child, attempt, &mut rand::rng())
+    })
+}
+
+fn given_up(shared: &Shared, call: &Call, refusal: Refusal, why: retry::Reason) -> Refusal {
+    match why {
+        retry::Reason::ChainSpent | retry::Reason::RatioSpent => {
+            shared.journal.emit(
+                Event::RetriesSpent,
+                &[("service", &call.service), ("last", &refusal.reason.word())],
+            );
+            Refusal {
                 reason: Reason::RetriesSpent,
+                detail: format!("{}: {}", refusal.reason.word(), refusal.detail),
                 ..refusal
-            });
+            }
+        }
+        retry::Reason::DoNotResend | retry::Reason::NotIdempotent | retry::Reason::OutOfTime => {
+            refusal
         }
-        call.context.retry_tokens -= 1;
-        tried.insert(target.name);
     }
 }
 
-fn may_retry(call: &Call, refusal: &Refusal) -> bool {
-    let safe = match refusal.outcome {
-        Outcome::NotRun => refusal.reason != Reason::Deadline,
-        Outcome::MayHaveRun => {
-            !call.context.non_idempotent
-                && matches!(refusal.reason, Reason::BackendLost | Reason::LinkLost)
+fn proof(refusal: &Refusal) -> Proof {
+    let is_final = matches!(
+        refusal.reason,
+        Reason::KeyWithdrawn
+            | Reason::BadRequest
+            | Reason::AnswerTooLarge
+            | Reason::Quarantined
+            | Reason::Deadline
+    );
+    match refusal.outcome {
+        Outcome::DoNotResend => Proof::DoNotResend,
+        _ if is_final => Proof::DoNotResend,
+        Outcome::NotRun => Proof::NotRun,
+        Outcome::MayHaveRun => Proof::MayHaveRun,
+    }
+}
+
+fn choose(shared: &Shared, call: &Call, tried: &[BackendKey]) -> Result<Target, Refusal> {
+    let now = Instant::now();
+    if call.deadline <= now {
+        let detail = "the deadline passed before the request was sent on";
+        return Err(Refusal::not_run(Reason::Deadline, detail));
+    }
+    shed_at_once(shared, call, now)?;
+    let priority = call.context.priority;
+    shared.routes.choose(now, &call.service, priority, tried)
+}
+
+/// Refuses what every backend server would shed, here or further down the chain.
+fn shed_at_once(shared: &Shared, call: &Call, now: Instant) -> Result<(), Refusal> {
+    let mut needed = vec![call.service.clone()];
+    needed.extend(shared.needs(&call.service, &call.endpoint));
+    let levels = shared.levels.lock().unwrap_or_else(PoisonError::into_inner);
+    for service in needed {
+        let available = shared.routes.available(&service);
+        let req = shed::Request {
+            is_deep: call.context.depth > 0,
+            priority: call.context.priority,
+            available,
+            service,
+        };
+        if let shed::Decision::Refuse { retry_after } = levels.decide(now, &req, &mut rand::rng()) {
+            let detail = format!("all backend servers of {} shed such requests", req.service);
+            return Err(Refusal::not_run(Reason::Overloaded, detail).after(retry_after));
         }
-        Outcome::DoNotResend => false,
+    }
+    Ok(())
+}
+
+/// Counts a request as outstanding at a backend server until it ends, also by its caller leaving.
+struct Outstanding<'a> {
+    shared: &'a Shared,
+    service: &'a str,
+    key: BackendKey,
+    ended: Ended,
+    report: Option<LoadReport>,
+}
+
+impl Drop for Outstanding<'_> {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let routes = &self.shared.routes;
+        routes.finish(now, self.service, self.key, self.ended, self.report);
+    }
+}
+
+/// One try at one backend server.
+async fn attempt(shared: &Arc<Shared>, call: &Call, target: &Target) -> Served {
+    let mut outstanding = Outstanding {
+        shared,
+        service: &call.service,
+        key: target.key,
+        ended: Ended::Cancelled,
+        report: None,
     };
-    safe && Instant::now() < call.deadline
-}
-
-fn choose(shared: &Shared, call: &Call, tried: &HashSet<ProcessName>) -> Result<Member, Refusal> {
-    let ready = shared.directory.ready(&call.service, Instant::now());
-    let fresh: Vec<&Member> = ready.iter().filter(|m| !tried.contains(&m.name)).collect();
-    let near: Vec<&Member> = fresh
-        .iter()
-        .copied()
-        .filter(|m| m.data_centre == shared.settings.data_centre)
-        .collect();
-    let chosen = near
-        .choose(&mut rand::rng())
-        .or_else(|| fresh.choose(&mut rand::rng()));
-    chosen.copied().cloned().ok_or_else(|| {
-        let detail = format!("no backend server of {} takes requests", call.service);
-        Refusal::not_run(Reason::NoBackendServer, detail)
-    })
+    let served = if target.node == shared.settings.name {
+        serve::serve(shared, call.clone()).await
+    } else {
+        send(shared, call, target).await
+    };
+    outstanding.report = served.report;
+    outstanding.ended = ended(&served);
+    if let Some(report) = served.report {
+        shared.observe(&call.service, &target.node, report.shed_level);
+    }
+    for below in &served.below {
+        shared.observe(&below.service, &below.node, below.level);
+    }
+    if served.result.is_ok() {
+        let called = served.below.iter().map(|below| below.service.clone());
+        shared.learn_needs(&call.service, &call.endpoint, called);
+    }
+    served
+}
+
+fn ended(served: &Served) -> Ended {
+    match &served.result {
+        Ok(_) => Ended::Answered,
+        Err(refusal) => match refusal.reason {
+            Reason::Overloaded | Reason::NoBackendServer | Reason::Leaving => Ended::Refused,
+            Reason::BackendLost | Reason::LinkLost | Reason::AnswerTooLarge => Ended::Failed,
+            Reason::Deadline if refusal.outcome == Outcome::MayHaveRun => Ended::Failed,
+            _ => Ended::Cancelled,
+        },
+    }
 }
 
-async fn attempt(shared: &Shared, call: &mut Call, target: &Member) -> Result<Answer, Refusal> {
-    if target.name == shared.settings.name {
-        let served = serve::serve(shared, call.clone()).await;
-        call.context.retry_tokens = served.retry_tokens;
-        return served.result;
+async fn send(shared: &Shared, call: &Call, target: &Target) -> Served {
+    match exchange(shared, call, target).await {
+        Ok((head, body)) => read_reply(head, body),
+        Err(refusal) => Served::lost(refusal),
     }
-    let Some(endpoint) = shared.endpoint() else {
-        return Err(Refusal::not_run(Reason::NotReady, "the links are not up"));
+}
+
+async fn exchange(
+    shared: &Shared,
+    call: &Call,
+    target: &Target,
+) -> Result<(ReplyHead, Bytes), Refusal> {
+    let endpoint = shared.endpoint();
+    let endpoint =
+        endpoint.ok_or_else(|| Refusal::not_run(Reason::NotReady, "the links are not up"))?;
+    let now = Instant::now();
+    let round_trip = if target.data_centre == shared.settings.data_centre {
+        NEAR_ROUND_TRIP
+    } else {
+        FAR_ROUND_TRIP
     };
-    let head = call.to_wire(Instant::now(), target.incarnation);
+    let deadline = Deadline::open(now, call.deadline.saturating_duration_since(now));
+    let time = deadline
+        .for_next_hop(now, round_trip, &deadline::Options::default())
+        .map_err(|e| Refusal::not_run(Reason::Deadline, e.to_string()))?;
+    let mut head = call.to_wire(time, target.incarnation);
+    head.stamp = Some(shared.stamp());
     let req = nutmegwheel_link::Request {
         topic: topic::CALL,
         head: head.encode_to_vec().into(),
         body: call.body.clone(),
     };
-    let reply = endpoint
-        .call(target.link, req, call.deadline)
-        .await
-        .map_err(|e| link_refusal(&e))?;
+    let reply = endpoint.call(target.link, req, call.deadline).await;
+    let reply = reply.map_err(|e| link_refusal(&e))?;
     let head = ReplyHead::decode(reply.head).map_err(|e| malformed(&e))?;
-    call.context.retry_tokens = call.context.retry_tokens.min(head.retry_tokens);
-    read_reply(head, reply.body)
+    if let Some(stamp) = head.stamp {
+        shared.hear(stamp);
+    }
+    Ok((head, reply.body))
+}
+
+fn read_reply(mut head: ReplyHead, body: Bytes) -> Served {
+    let report = head.load.take().as_ref().map(serve::report_from_wire);
+    let below = std::mem::take(&mut head.below);
+    Served {
+        unspent: Some(head.retry_tokens),
+        report,
+        below: below.into_iter().map(below_from_wire).collect(),
+        result: read_result(head, body),
+    }
 }
 
-fn read_reply(head: ReplyHead, body: Bytes) -> Result<Answer, Refusal> {
+fn read_result(head: ReplyHead, body: Bytes) -> Result<Answer, Refusal> {
     if let Some(refusal) = head.refusal {
         return Err(Refusal::from_wire(refusal));
     }
@@ -104,6 +348,14 @@
     })
 }
 
+fn below_from_wire(wire: nutmegwheel_wire::Below) -> Below {
+    Below {
+        service: wire.service.into(),
+        node: wire.node.into(),
+        level: wire.shed.as_ref().and_then(|level| level.try_into().ok()),
+    }
+}
+
 fn link_refusal(e: &CallError) -> Refusal {
     let reason = match e {
         CallError::Expired { .. } => Reason::Deadline,
--- /dev/null
+++ b/crates/nutmegwheel-node/src/gate.rs
@@ -0,0 +1,199 @@
+//! The queue in front of the node's own backend server, with those who wait in it.
+
+use std::{
+    collections::HashMap,
+    sync::{Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use nutmegwheel_policy::{
+    admission::{
+        Completion, Event, Offer, Options, Queue, Reason as Why, Refusal as Shed, Request, Ticket,
+    },
+    concurrency::{self, Gradient},
+    routing::LoadReport,
+};
+use tokio::sync::{Notify, oneshot};
+
+use crate::refusal::{Reason, Refusal};
+
+/// The slots that are assumed before the backend server announced itself.
+const UNKNOWN_SLOTS: u32 = 1;
+/// The longest sleep of the pump when nothing waits.
+const IDLE_SLEEP: Duration = Duration::from_secs(1);
+
+type Waiter = oneshot::Sender<Result<(), Shed>>;
+
+/// Admits requests to the backend server.
+pub(crate) struct Gate {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+struct State {
+    queue: Queue,
+    waiters: HashMap<Ticket, Waiter>,
+}
+
+/// A place in the queue or a slot, given back when dropped.
+pub(crate) struct Pass<'a> {
+    gate: &'a Gate,
+    ticket: Ticket,
+    completion: Completion,
+}
+
+/// Lifecycle.
+impl Gate {
+    pub(crate) fn open(now: Instant) -> Self {
+        let limiter = Gradient::open(now, UNKNOWN_SLOTS, concurrency::Options::default());
+        let queue = Queue::open(now, Box::new(limiter), Options::default());
+        Self {
+            state: Mutex::new(State {
+                queue,
+                waiters: HashMap::new(),
+            }),
+            changed: Notify::new(),
+        }
+    }
+
+    /// Takes over what the backend server announced; a new one starts slowly.
+    pub(crate) fn announced(&self, now: Instant, slots: u16, is_new: bool) {
+        let mut state = self.lock();
+        state.queue.set_slots(slots.into());
+        if is_new {
+            state.queue.cold_start(now);
+        }
+        state.pump(now);
+    }
+
+    /// Refuses all that wait, because the backend server takes nothing new.
+    pub(crate) fn refuse_waiting(&self, now: Instant) {
+        let mut state = self.lock();
+        state.queue.refuse_waiting(now, &mut rand::rng());
+        state.pump(now);
+    }
+
+    /// Gives up those whose time runs out while they wait; runs as long as the node.
+    pub(crate) async fn keep_time(&self) {
+        loop {
+            let wakeup = self.lock().queue.next_wakeup();
+            let wakeup = wakeup.unwrap_or_else(|| Instant::now() + IDLE_SLEEP);
+            tokio::select! {
+                () = tokio::time::sleep_until(wakeup.into()) => {}
+                () = self.changed.notified() => {}
+            }
+            self.lock().pump(Instant::now());
+        }
+    }
+}
+
+/// Access.
+impl Gate {
+    pub(crate) fn report(&self) -> LoadReport {
+        self.lock().queue.report()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Admission.
+impl Gate {
+    /// Waits until the request may start.
+    pub(crate) async fn enter(&self, req: Request) -> Result<Pass<'_>, Refusal> {
+        let (pass, waiting) = self.offer(req)?;
+        if let Some(waiting) = waiting {
+            let started = waiting.await;
+            started.unwrap_or(Ok(())).map_err(|shed| refusal(&shed))?;
+        }
+        Ok(pass)
+    }
+
+    #[allow(clippy::type_complexity)]
+    fn offer(
+        &self,
+        req: Request,
+    ) -> Result<(Pass<'_>, Option<oneshot::Receiver<Result<(), Shed>>>), Refusal> {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let (ticket, waiting) = match state.queue.offer(now, req, &mut rand::rng()) {
+            Offer::Refused(shed) => return Err(refusal(&shed)),
+            Offer::Started(ticket) => (ticket, None),
+            Offer::Waiting(ticket) => {
+                let (tx, rx) = oneshot::channel();
+                state.waiters.insert(ticket, tx);
+                (ticket, Some(rx))
+            }
+        };
+        state.pump(now);
+        drop(state);
+        self.changed.notify_one();
+        let pass = Pass {
+            gate: self,
+            ticket,
+            completion: Completion::Uninformative,
+        };
+        Ok((pass, waiting))
+    }
+}
+
+impl State {
+    /// Tells those who wait what became of them.
+    fn pump(&mut self, now: Instant) {
+        while let Some(event) = self.queue.poll(now, &mut rand::rng()) {
+            let (ticket, told) = match event {
+                Event::Started(ticket) => (ticket, Ok(())),
+                Event::Refused(ticket, shed) => (ticket, Err(shed)),
+            };
+            if let Some(waiter) = self.waiters.remove(&ticket) {
+                let _ = waiter.send(told);
+            }
+        }
+    }
+}
+
+impl Pass<'_> {
+    /// Says how the request ended; without it the end tells nothing of the backend server.
+    pub(crate) fn complete(mut self, completion: Completion) {
+        self.completion = completion;
+    }
+}
+
+impl Drop for Pass<'_> {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let mut state = self.gate.lock();
+        state.waiters.remove(&self.ticket);
+        if self.completion == Completion::Uninformative {
+            state.queue.cancel(now, self.ticket);
+        } else {
+            state.queue.finish(now, self.ticket, self.completion);
+        }
+        state.pump(now);
+    }
+}
+
+fn refusal(shed: &Shed) -> Refusal {
+    let (reason, detail) = match shed.reason {
+        Why::Expired => (
+            Reason::Deadline,
+            "the deadline passed while the request waited",
+        ),
+        Why::CannotFinish => (Reason::Overloaded, "it cannot finish before its deadline"),
+        Why::BelowShedLevel => (Reason::Overloaded, "less important requests are shed"),
+        Why::QueueFull => (
+            Reason::Overloaded,
+            "the queue is full of more important requests",
+        ),
+        Why::Displaced => (
+            Reason::Overloaded,
+            "a more important request took its place",
+        ),
+        Why::NotServing => (
+            Reason::NoBackendServer,
+            "the backend server takes nothing new",
+        ),
+    };
+    Refusal::not_run(reason, detail).after(shed.retry_after)
+}
--- a/crates/nutmegwheel-node/src/gossip.rs
+++ b/crates/nutmegwheel-node/src/gossip.rs
@@ -11,8 +11,11 @@
 
 /// Tells a few members and all seeds what this node knows.
 pub(crate) fn round(shared: &Arc<Shared>) {
-    let own = shared.own_member();
-    shared.directory.learn(own, Instant::now());
+    let now = Instant::now();
+    shared.learn(&shared.own_member(), now);
+    for silent in shared.directory.forget_silent(now) {
+        shared.routes.forget(now, &silent);
+    }
     let members = shared.directory.members();
     let Ok(body) = serde_json::to_vec(&members) else {
         return;
@@ -35,7 +38,7 @@
     let now = Instant::now();
     for member in members {
         if member.name != shared.settings.name {
-            shared.directory.learn(member, now);
+            shared.learn(&member, now);
         }
     }
 }
--- a/crates/nutmegwheel-node/src/headers.rs
+++ b/crates/nutmegwheel-node/src/headers.rs
@@ -7,6 +7,7 @@
 
 use crate::refusal::{Reason, Refusal};
 
+pub(crate) const CALL: HeaderName = HeaderName::from_static("nutmegwheel-call");
 pub(crate) const CONTEXT: HeaderName = HeaderName::from_static("nutmegwheel-context");
 pub(crate) const DEADLINE: HeaderName = HeaderName::from_static("nutmegwheel-deadline-ms");
 pub(crate) const NON_IDEMPOTENT: HeaderName = HeaderName::from_static("nutmegwheel-non-idempotent");
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -11,15 +11,18 @@
 mod directory;
 mod door;
 mod forward;
+mod gate;
 mod gossip;
 mod headers;
 mod local;
 mod node;
 mod platform;
 mod refusal;
+mod routes;
 mod running;
 mod serve;
 mod shared;
+mod suspects;
 mod views;
 
 pub use node::{Node, spawn};
--- a/crates/nutmegwheel-node/src/local.rs
+++ b/crates/nutmegwheel-node/src/local.rs
@@ -17,8 +17,7 @@
     call::{Answer, Call},
     directory::{Backend, BackendState},
     door::{self, Path},
-    forward::forward,
-    gossip, headers,
+    forward, headers,
     refusal::{Reason, Refusal},
     running::Parent,
     shared::Shared,
@@ -47,7 +46,7 @@
             match parent(&shared, &req) {
                 Ok(parent) => {
                     let root = parent.context.root;
-                    let result = downstream(&shared, req, parent).await;
+                    let result = downstream(&shared, req, &parent).await;
                     door::respond(&shared, result, root)
                 }
                 Err(refusal) => door::respond(&shared, Err(refusal), RootId::default()),
@@ -77,34 +76,48 @@
             "lease_ms must be {LEASE_MIN_MS} to {LEASE_MAX_MS}"
         )));
     }
-    let announcement = Announcement {
-        backend: Backend {
-            service: document.service.into(),
-            slots: document.slots,
-            state: document.state,
-        },
-        address: document.address,
-        until: Instant::now() + Duration::from_millis(document.lease_ms),
+    let before = shared.local.announced();
+    let is_new = before
+        .as_ref()
+        .is_none_or(|before| before.address != document.address);
+    let life = match &before {
+        Some(before) if !is_new => before.backend.life,
+        _ => shared.next_life(),
+    };
+    let backend = Backend {
+        service: document.service.into(),
+        slots: document.slots,
+        state: document.state,
+        life,
     };
-    let backend = announcement.backend.clone();
-    let before = shared.local.announce(announcement);
+    let now = Instant::now();
+    shared.local.announce(Announcement {
+        backend: backend.clone(),
+        address: document.address,
+        until: now + Duration::from_millis(document.lease_ms),
+    });
     if before.is_none_or(|before| before.backend != backend) {
-        shared.journal.emit(
-            Event::BackendAnnounced,
-            &[
-                ("service", &backend.service),
-                ("state", &format!("{:?}", backend.state)),
-                ("slots", &backend.slots),
-            ],
-        );
-        gossip::round(shared);
+        shared.gate.announced(now, backend.slots, is_new);
+        record(shared, &backend);
+        shared.backend_changed();
     }
     let renew = document.lease_ms / 3;
     let answer = serde_json::json!({"renew_within_ms": renew});
     Ok(json(StatusCode::OK, &answer))
 }
 
-fn parent(shared: &Shared, req: &Request) -> Result<Parent, Refusal> {
+fn record(shared: &Shared, backend: &Backend) {
+    shared.journal.emit(
+        Event::BackendAnnounced,
+        &[
+            ("service", &backend.service),
+            ("state", &format!("{:?}", backend.state)),
+            ("slots", &backend.slots),
+        ],
+    );
+}
+
+fn parent(shared: &Shared, req: &Request) -> Result<Arc<Parent>, Refusal> {
     let bad = |detail: &str| Refusal::not_run(Reason::BadRequest, detail);
     let token = headers::single(&req.head.headers, &headers::CONTEXT)?
         .ok_or_else(|| bad("a downstream call needs Nutmegwheel-Context"))?;
@@ -114,16 +127,22 @@
         .ok_or_else(|| bad("Nutmegwheel-Context names no request that runs"))
 }
 
-async fn downstream(shared: &Shared, req: Request, parent: Parent) -> Result<Answer, Refusal> {
-    let mut call = child(shared, req, parent)?;
-    forward(shared, &mut call).await
+async fn downstream(
+    shared: &Arc<Shared>,
+    req: Request,
+    parent: &Parent,
+) -> Result<Answer, Refusal> {
+    let name = headers::single(&req.head.headers, &headers::CALL)?.map(str::to_owned);
+    let call = child(shared, req, parent)?;
+    let id = forward::call_id(&call, name.as_deref());
+    forward::forward(shared, parent, call, id).await
 }
 
-fn child(shared: &Shared, req: Request, parent: Parent) -> Result<Call, Refusal> {
+fn child(shared: &Shared, req: Request, parent: &Parent) -> Result<Call, Refusal> {
     let path = Path::read(&req.head.uri)?;
     let view = shared.views.current();
     let route = door::find_route(&view, path.service, path.endpoint)?;
-    let mut context = parent.context;
+    let mut context = parent.context.clone();
     if context.depth >= DEPTH_MAX {
         let detail = format!("the chain is more than {DEPTH_MAX} calls deep");
         return Err(Refusal::not_run(Reason::BadRequest, detail));
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -30,6 +30,8 @@
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 /// The time between two looks for a lapsed announcement.
 const LAPSE_PAUSE: Duration = Duration::from_millis(100);
+/// The time between two rounds of forgetting what is too old.
+const EXPIRY_PAUSE: Duration = Duration::from_secs(1);
 /// The time in which others learn that this node leaves, and idle callers go elsewhere.
 const LEAVE_TIME: Duration = Duration::from_secs(2);
 /// The longest time that a planned stop waits for requests in flight.
@@ -137,6 +139,16 @@
         let cx = cx.clone();
         async move { lapse(&cx) }
     });
+    let cx = shared.clone();
+    tree.spawn_interval("expiry", EXPIRY_PAUSE, move || {
+        let cx = cx.clone();
+        async move { cx.expire(Instant::now()) }
+    });
+    let cx = shared.clone();
+    tree.spawn("gate", move || {
+        let cx = cx.clone();
+        async move { cx.gate.keep_time().await }
+    });
 }
 
 /// Asks the control VMs in turn for a newer view, until one answers.
@@ -169,7 +181,7 @@
         shared
             .journal
             .emit(Event::BackendLapsed, &[("service", service)]);
-        gossip::round(shared);
+        shared.backend_changed();
     }
 }
 
--- a/crates/nutmegwheel-node/src/refusal.rs
+++ b/crates/nutmegwheel-node/src/refusal.rs
@@ -5,6 +5,9 @@
 use nutmegwheel_web::Problem;
 use nutmegwheel_wire as wire;
 
+/// When to ask again where the refusal knows no better; jittered by half.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
 macro_rules! reasons {
     ($($(#[$doc:meta])* $name:ident = $word:literal, $status:ident;)*) => {
         plain_copy! {
@@ -102,7 +105,16 @@
 
 /// Answering a caller.
 impl Refusal {
-    pub(crate) fn into_problem(self, root: Option<RootId>) -> Problem {
+    fn is_worth_asking_again(&self) -> bool {
+        let status = self.reason.status();
+        let is_passing = status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS;
+        is_passing && self.outcome != Outcome::DoNotResend
+    }
+
+    pub(crate) fn into_problem(mut self, root: Option<RootId>) -> Problem {
+        if self.retry_after.is_none() && self.is_worth_asking_again() {
+            self.retry_after = Some(RETRY_PAUSE.mul_f64(rand::random_range(0.5..1.5)));
+        }
         let mut problem = Problem::new(self.reason.status(), self.reason.word(), self.detail);
         problem.outcome = Some(self.outcome.word());
         problem.retry_after = self.retry_after;
--- /dev/null
+++ b/crates/nutmegwheel-node/src/routes.rs
@@ -0,0 +1,174 @@
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use nutmegwheel_policy::routing::{
+    Announcement, BackendKey, LoadReport, Options, Outcome, Request, ServerState, Table,
+};
+use nutmegwheel_types::{DataCentreId, Incarnation, Priority, ProcessName, ServiceId, plain};
+
+use crate::{
+    directory::{BackendState, Member},
+    refusal::{Reason, Refusal},
+};
+
+/// When it is worth asking again where nothing serves.
+const NONE_READY_PAUSE: Duration = Duration::from_secs(1);
+
+plain! {
+    /// The node of a chosen backend server.
+    pub(crate) struct Target {
+        pub(crate) key: BackendKey,
+        pub(crate) node: ProcessName,
+        pub(crate) data_centre: DataCentreId,
+        pub(crate) link: SocketAddr,
+        pub(crate) incarnation: Incarnation,
+    }
+}
+
+/// The backend servers of all services, as this node sees them.
+pub(crate) struct Routes {
+    data_centre: DataCentreId,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    tables: HashMap<ServiceId, Table>,
+    nodes: HashMap<ProcessName, Node>,
+}
+
+/// Where a node is reached, and in which table its backend server stands.
+struct Node {
+    service: ServiceId,
+    link: SocketAddr,
+    incarnation: Incarnation,
+}
+
+/// Lifecycle.
+impl Routes {
+    pub(crate) fn open(data_centre: DataCentreId) -> Self {
+        Self {
+            data_centre,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Takes over what a node says of its backend server.
+    pub(crate) fn learn(&self, now: Instant, member: &Member) {
+        let mut state = self.lock();
+        let Some(backend) = &member.backend else {
+            return state.forget(now, &member.name);
+        };
+        let known = state.nodes.get(&member.name);
+        if known.is_some_and(|known| known.service != backend.service) {
+            state.forget(now, &member.name);
+        }
+        let node = Node {
+            service: backend.service.clone(),
+            link: member.link,
+            incarnation: member.incarnation,
+        };
+        state.nodes.insert(member.name.clone(), node);
+        let table = state.tables.entry(backend.service.clone());
+        let table =
+            table.or_insert_with(|| Table::open(self.data_centre.clone(), Options::default()));
+        let announcement = Announcement {
+            node: member.name.clone(),
+            data_centre: member.data_centre.clone(),
+            incarnation: backend.life,
+            slots: backend.slots.into(),
+            state: server_state(backend.state),
+        };
+        table.announce(now, announcement);
+    }
+
+    /// Gives a node nothing new from now on.
+    pub(crate) fn forget(&self, now: Instant, node: &str) {
+        self.lock().forget(now, node);
+    }
+}
+
+/// Choosing.
+impl Routes {
+    /// Chooses a backend server and counts the request as outstanding there.
+    pub(crate) fn choose(
+        &self,
+        now: Instant,
+        service: &str,
+        priority: Priority,
+        tried: &[BackendKey],
+    ) -> Result<Target, Refusal> {
+        let mut state = self.lock();
+        let refuse = |detail: String| {
+            let refusal = Refusal::not_run(Reason::NoBackendServer, detail);
+            refusal.after(NONE_READY_PAUSE)
+        };
+        let table = state.tables.get_mut(service);
+        let table = table.ok_or_else(|| refuse(format!("no backend server of {service}")))?;
+        let req = Request { priority, tried };
+        let key = table
+            .choose(now, &req, &mut rand::rng())
+            .map_err(|e| refuse(format!("{service}: {e}")))?;
+        let announcement = table.announcement(key).cloned();
+        let target = announcement.and_then(|announcement| {
+            let node = state.nodes.get(&announcement.node)?;
+            Some(Target {
+                key,
+                node: announcement.node,
+                data_centre: announcement.data_centre,
+                link: node.link,
+                incarnation: node.incarnation,
+            })
+        });
+        target.ok_or_else(|| refuse(format!("{service}: the backend server is gone")))
+    }
+
+    /// Counts the end of a request.
+    pub(crate) fn finish(
+        &self,
+        now: Instant,
+        service: &str,
+        key: BackendKey,
+        outcome: Outcome,
+        report: Option<LoadReport>,
+    ) {
+        if let Some(table) = self.lock().tables.get_mut(service) {
+            table.finish(now, key, outcome, report);
+        }
+    }
+
+    /// The number of a service's backend servers that take new work.
+    pub(crate) fn available(&self, service: &str) -> usize {
+        let state = self.lock();
+        state.tables.get(service).map_or(0, Table::available)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn forget(&mut self, now: Instant, node: &str) {
+        let Some(known) = self.nodes.remove(node) else {
+            return;
+        };
+        if let Some(table) = self.tables.get_mut(&known.service)
+            && let Some(key) = table.find(node)
+        {
+            table.remove(now, key);
+        }
+    }
+}
+
+fn server_state(state: BackendState) -> ServerState {
+    match state {
+        BackendState::Starting => ServerState::Starting,
+        BackendState::Ready => ServerState::Ready,
+        BackendState::Leaving => ServerState::Leaving,
+    }
+}
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -2,50 +2,100 @@
 
 use bytes::Bytes;
 use nutmegwheel_link::{Peer, Reply, Request, ServeFuture, Service, Topic};
-use nutmegwheel_wire::{CallHead, ReplyHead, topic};
+use nutmegwheel_policy::{
+    admission::{self, Completion},
+    routing::LoadReport,
+};
+use nutmegwheel_types::Priority;
+use nutmegwheel_wire::{self as wire, CallHead, ReplyHead, topic};
 use prost::Message as _;
 
 use crate::{
     call::{self, Answer, Call},
     gossip,
-    refusal::{Reason, Refusal},
-    running::Parent,
+    refusal::{Outcome, Reason, Refusal},
+    running::{Below, Parent},
     shared::Shared,
+    suspects,
 };
 
 /// What became of a call at its target.
 pub(crate) struct Served {
     pub(crate) result: Result<Answer, Refusal>,
-    /// The retries that the branch did not spend.
-    pub(crate) retry_tokens: u32,
+    /// The retries that the branch did not spend; `None` when the answer was lost with them.
+    pub(crate) unspent: Option<u32>,
+    /// The load of the target's backend server.
+    pub(crate) report: Option<LoadReport>,
+    /// What was learnt of the backend servers further down.
+    pub(crate) below: Vec<Below>,
+}
+
+impl Served {
+    /// A call whose answer did not come back.
+    pub(crate) fn lost(refusal: Refusal) -> Self {
+        Self {
+            result: Err(refusal),
+            unspent: None,
+            report: None,
+            below: Vec::new(),
+        }
+    }
 }
 
 /// Runs a call on this node's own backend server.
-pub(crate) async fn serve(shared: &Shared, call: Call) -> Served {
-    let retry_tokens = call.context.retry_tokens;
-    let refused = |refusal| Served {
-        result: Err(refusal),
-        retry_tokens,
-    };
+pub(crate) async fn serve(shared: &Arc<Shared>, call: Call) -> Served {
     let _in_flight = shared.enter();
-    let address = match admit(shared, &call) {
-        Ok(address) => address,
-        Err(refusal) => return refused(refusal),
-    };
-    let parent = Parent {
-        context: call.context.clone(),
-        key: call.key,
-        deadline: call.deadline,
-    };
-    let entry = shared.running.enter(parent);
-    let result = shared.local.run(address, &call, entry.token).await;
+    let parent = Parent::open(call.context.clone(), call.key, call.deadline);
+    let parent = Arc::new(parent);
+    let result = run(shared, &call, &parent).await;
     Served {
         result,
-        retry_tokens: entry.retry_tokens(),
+        unspent: Some(parent.chain(|chain| chain.left())),
+        report: Some(shared.gate.report()),
+        below: parent.below(),
+    }
+}
+
+async fn run(shared: &Arc<Shared>, call: &Call, parent: &Arc<Parent>) -> Result<Answer, Refusal> {
+    may_begin(shared, call)?;
+    shared.local.ready(&call.service)?;
+    let endpoint = call.endpoint.clone();
+    let req = admission::Request::from_context(&call.context, endpoint, call.deadline);
+    let pass = shared.gate.enter(req).await?;
+    // The request may have waited, so what it rests on is looked at again.
+    may_begin(shared, call)?;
+    let address = shared.local.ready(&call.service)?;
+    let fingerprint = suspects::fingerprint(call);
+    let watched = shared.suspects.begin(Instant::now(), fingerprint)?;
+    let entry = shared.running.enter(parent.clone());
+    let result = shared.local.run(address, call, entry.token).await;
+    pass.complete(completion(&result));
+    match &result {
+        Ok(_) => suspects::tell(shared, &watched.completed()),
+        Err(refusal) if refusal.reason == Reason::BackendLost => {
+            if refusal.outcome == Outcome::MayHaveRun {
+                watched.broken();
+            }
+            tokio::spawn(suspects::investigate(shared.clone(), address));
+        }
+        Err(_) => {}
+    }
+    result
+}
+
+fn completion(result: &Result<Answer, Refusal>) -> Completion {
+    match result {
+        Ok(_) => Completion::Answered,
+        Err(refusal) => match refusal.reason {
+            Reason::Deadline => Completion::TimedOut,
+            Reason::Overloaded => Completion::Refused,
+            _ => Completion::Uninformative,
+        },
     }
 }
 
-fn admit(shared: &Shared, call: &Call) -> Result<std::net::SocketAddr, Refusal> {
+/// Checks what must hold at the moment at which a request begins.
+fn may_begin(shared: &Shared, call: &Call) -> Result<(), Refusal> {
     if call.deadline <= Instant::now() {
         let detail = "the deadline passed before the request was begun";
         return Err(Refusal::not_run(Reason::Deadline, detail));
@@ -57,7 +107,7 @@
             "the key is withdrawn",
         ));
     }
-    shared.local.ready(&call.service)
+    Ok(())
 }
 
 /// Answers the other processes of the fleet.
@@ -78,23 +128,24 @@
     }
 
     fn notice(&self, _peer: Peer, topic: Topic, body: Bytes) {
-        if topic == topic::GOSSIP {
-            gossip::hear(&self.shared, &body);
+        match topic {
+            topic::GOSSIP => gossip::hear(&self.shared, &body),
+            topic::SUSPICIONS => suspects::hear(&self.shared, body),
+            _ => {}
         }
     }
 }
 
-async fn answer_call(shared: &Shared, req: Request) -> Reply {
-    let now = Instant::now();
-    let served = match read_call(shared, req, now) {
+async fn answer_call(shared: &Arc<Shared>, req: Request) -> Reply {
+    let served = match read_call(shared, req, Instant::now()) {
         Ok(call) => serve(shared, call).await,
-        Err(refusal) => Served {
-            result: Err(refusal),
-            retry_tokens: 0,
-        },
+        Err(refusal) => Served::lost(refusal),
     };
     let mut head = ReplyHead {
-        retry_tokens: served.retry_tokens,
+        stamp: Some(shared.stamp()),
+        retry_tokens: served.unspent.unwrap_or(0),
+        load: served.report.as_ref().map(report_to_wire),
+        below: served.below.iter().map(below_to_wire).collect(),
         ..ReplyHead::default()
     };
     let body = match served.result {
@@ -119,6 +170,9 @@
         Refusal::not_run(Reason::BadRequest, format!("the call is malformed: {e}"))
     };
     let head = CallHead::decode(req.head).map_err(|e| malformed(&e))?;
+    if let Some(stamp) = head.stamp {
+        shared.hear(stamp);
+    }
     if head.target_incarnation != shared.incarnation {
         let detail = "the call was meant for an earlier life of this node";
         return Err(Refusal::not_run(Reason::LinkLost, detail));
@@ -126,8 +180,36 @@
     Call::from_wire(head, req.body, now).map_err(|e| malformed(&e))
 }
 
+fn report_to_wire(report: &LoadReport) -> wire::Load {
+    wire::Load {
+        running: report.running,
+        waiting: report.waiting,
+        limit: report.limit,
+        shed: report.shed_level.map(Into::into),
+    }
+}
+
+/// Reads what a node tells of its load; a malformed level counts as none.
+pub(crate) fn report_from_wire(wire: &wire::Load) -> LoadReport {
+    let shed_level = wire.shed.as_ref();
+    LoadReport {
+        running: wire.running,
+        waiting: wire.waiting,
+        limit: wire.limit,
+        shed_level: shed_level.and_then(|level| Priority::try_from(level).ok()),
+    }
+}
+
+fn below_to_wire(below: &Below) -> wire::Below {
+    wire::Below {
+        service: below.service.to_string(),
+        node: below.node.to_string(),
+        shed: below.level.map(Into::into),
+    }
+}
+
 fn fetch_view(shared: &Shared, head: &[u8]) -> Reply {
-    let have = nutmegwheel_wire::FetchView::decode(head).map_or(0, |fetch| fetch.have);
+    let have = wire::FetchView::decode(head).map_or(0, |fetch| fetch.have);
     let view = shared.views.current();
     let body = if view.version > have {
         view.encode().into()
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -1,17 +1,30 @@
-use std::sync::{
-    Arc, OnceLock,
-    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+use std::{
+    sync::{
+        Arc, Mutex, OnceLock, PoisonError,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Instant,
 };
 
 use nutmegwheel_config::Settings;
-use nutmegwheel_events::Journal;
+use nutmegwheel_events::{Journal, Stamp};
 use nutmegwheel_link::Endpoint;
-use nutmegwheel_types::Incarnation;
+use nutmegwheel_policy::{
+    needs::Needs,
+    retry::{RatioOptions, Ratios},
+    shed::{self, Levels},
+};
+use nutmegwheel_types::{EndpointId, Incarnation, Priority, ProcessName, ServiceId};
+use nutmegwheel_wire as wire;
 
 use crate::{
     backend::Local,
-    directory::{Directory, Member},
+    directory::{BackendState, Directory, Member},
+    gate::Gate,
+    gossip,
+    routes::Routes,
     running::Running,
+    suspects::Suspects,
     views::Views,
 };
 
@@ -24,10 +37,17 @@
     pub(crate) directory: Directory,
     pub(crate) local: Local,
     pub(crate) running: Running,
+    pub(crate) routes: Routes,
+    pub(crate) gate: Gate,
+    pub(crate) suspects: Suspects,
+    pub(crate) levels: Mutex<Levels>,
+    pub(crate) ratios: Mutex<Ratios>,
+    needs: Mutex<Needs>,
     pub(crate) in_flight: AtomicUsize,
     endpoint: OnceLock<Endpoint>,
     leaving: AtomicBool,
     beat: AtomicU64,
+    lives: AtomicU64,
 }
 
 /// Lifecycle.
@@ -37,7 +57,14 @@
         incarnation: Incarnation,
         journal: Arc<Journal>,
     ) -> Self {
+        let now = Instant::now();
         Self {
+            routes: Routes::open(settings.data_centre.clone()),
+            gate: Gate::open(now),
+            suspects: Suspects::open(),
+            levels: Mutex::new(Levels::open(shed::Options::default())),
+            ratios: Mutex::new(Ratios::open(now, RatioOptions::default())),
+            needs: Mutex::default(),
             settings,
             incarnation,
             views: Views::open(journal.clone()),
@@ -49,9 +76,15 @@
             endpoint: OnceLock::new(),
             leaving: AtomicBool::new(false),
             beat: AtomicU64::new(0),
+            lives: AtomicU64::new(incarnation),
         }
     }
 
+    /// The number of a backend server's life, greater than all before at this node.
+    pub(crate) fn next_life(&self) -> Incarnation {
+        self.lives.fetch_add(1, Ordering::SeqCst) + 1
+    }
+
     /// Sets the endpoint, which is opened after what it serves.
     pub(crate) fn connect(&self, endpoint: Endpoint) {
         let _ = self.endpoint.set(endpoint);
@@ -85,6 +118,12 @@
         }
     }
 
+    /// A reading of the clock, to travel with a message.
+    pub(crate) fn stamp(&self) -> wire::Stamp {
+        let Stamp { millis, count } = self.journal.clock().now();
+        wire::Stamp { millis, count }
+    }
+
     /// Counts a request as in flight until the guard is dropped.
     pub(crate) fn enter(&self) -> InFlight<'_> {
         self.in_flight.fetch_add(1, Ordering::SeqCst);
@@ -92,6 +131,64 @@
     }
 }
 
+/// Learning from other processes.
+impl Shared {
+    /// Takes over what a member says of itself.
+    pub(crate) fn learn(&self, member: &Member, now: Instant) {
+        if self.directory.learn(member.clone(), now) {
+            self.routes.learn(now, member);
+        }
+    }
+
+    /// Tells the fleet at once that this node's backend server changed.
+    pub(crate) fn backend_changed(self: &Arc<Self>) {
+        let is_ready = self
+            .local
+            .announced()
+            .is_some_and(|announced| announced.backend.state == BackendState::Ready);
+        if !is_ready {
+            self.gate.refuse_waiting(Instant::now());
+        }
+        gossip::round(self);
+    }
+
+    pub(crate) fn hear(&self, stamp: wire::Stamp) {
+        self.journal.clock().hear(Stamp {
+            millis: stamp.millis,
+            count: stamp.count,
+        });
+    }
+
+    /// Takes over the level at which a backend server sheds.
+    pub(crate) fn observe(&self, service: &ServiceId, node: &ProcessName, level: Option<Priority>) {
+        let mut levels = self.levels.lock().unwrap_or_else(PoisonError::into_inner);
+        levels.observe(Instant::now(), service, node, level);
+    }
+
+    /// The services that requests of an endpoint need further down.
+    pub(crate) fn needs(&self, service: &ServiceId, endpoint: &EndpointId) -> Vec<ServiceId> {
+        let needs = self.needs.lock().unwrap_or_else(PoisonError::into_inner);
+        needs.of(service, endpoint)
+    }
+
+    pub(crate) fn learn_needs(
+        &self,
+        service: &ServiceId,
+        endpoint: &EndpointId,
+        called: impl IntoIterator<Item = ServiceId>,
+    ) {
+        let mut needs = self.needs.lock().unwrap_or_else(PoisonError::into_inner);
+        needs.learn(service, endpoint, called);
+    }
+
+    /// Forgets what is too old to count.
+    pub(crate) fn expire(&self, now: Instant) {
+        self.suspects.expire(now);
+        let mut levels = self.levels.lock().unwrap_or_else(PoisonError::into_inner);
+        levels.expire(now);
+    }
+}
+
 /// A request in flight.
 pub(crate) struct InFlight<'a>(&'a AtomicUsize);
 
--- /dev/null
+++ b/crates/nutmegwheel-node/src/suspects.rs
@@ -0,0 +1,258 @@
+//! Requests that bring down backend servers: what this node saw, and what it tells the others.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use nutmegwheel_events::Event;
+use nutmegwheel_policy::quarantine::{Death, Fingerprint, Options, Quarantine, Suspicion, Verdict};
+use nutmegwheel_wire as wire;
+use prost::Message as _;
+use sha2::{Digest, Sha256};
+
+use crate::{
+    call::Call,
+    refusal::{Outcome, Reason, Refusal},
+    shared::Shared,
+};
+
+/// The time in which a living backend server accepts a connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Runs that broke off this long before a death count as in flight at it.
+const BROKEN_MEMORY: Duration = Duration::from_secs(2);
+/// The most suspicions of one message.
+const MESSAGE_LIMIT: usize = 4096;
+
+/// What a node knows of dangerous requests.
+pub(crate) struct Suspects {
+    state: Mutex<State>,
+}
+
+struct State {
+    quarantine: Quarantine,
+    running: HashMap<Fingerprint, usize>,
+    broken: Vec<(Fingerprint, Instant)>,
+}
+
+/// A run that is watched until it ends.
+pub(crate) struct Run<'a> {
+    suspects: &'a Suspects,
+    fingerprint: Fingerprint,
+}
+
+/// What makes requests the same.
+pub(crate) fn fingerprint(call: &Call) -> Fingerprint {
+    let mut hash = Sha256::new();
+    for part in [
+        call.service.as_bytes(),
+        call.path.as_bytes(),
+        call.method.as_str().as_bytes(),
+        call.context.workspace.as_deref().unwrap_or("").as_bytes(),
+        &call.body,
+    ] {
+        hash.update((part.len() as u64).to_be_bytes());
+        hash.update(part);
+    }
+    let digest: [u8; 32] = hash.finalize().into();
+    let mut half = [0; 16];
+    half.copy_from_slice(&digest[..16]);
+    u128::from_be_bytes(half)
+}
+
+/// Lifecycle.
+impl Suspects {
+    pub(crate) fn open() -> Self {
+        Self {
+            state: Mutex::new(State {
+                quarantine: Quarantine::open(Options::default()),
+                running: HashMap::new(),
+                broken: Vec::new(),
+            }),
+        }
+    }
+
+    pub(crate) fn expire(&self, now: Instant) {
+        let mut state = self.lock();
+        state.quarantine.expire(now);
+        state.forget_broken(now);
+    }
+}
+
+/// Runs.
+impl Suspects {
+    /// Refuses what is in quarantine; cheap enough for every door.
+    pub(crate) fn check(&self, now: Instant, fingerprint: Fingerprint) -> Result<(), Refusal> {
+        match self.lock().quarantine.verdict(now, fingerprint) {
+            Verdict::Quarantined { .. } => Err(quarantined()),
+            Verdict::Clear | Verdict::Suspect => Ok(()),
+        }
+    }
+
+    /// Begins a run; a suspect waits until no other suspect runs here, elsewhere or later.
+    pub(crate) fn begin(&self, now: Instant, fingerprint: Fingerprint) -> Result<Run<'_>, Refusal> {
+        let mut state = self.lock();
+        if let Verdict::Quarantined { .. } = state.quarantine.verdict(now, fingerprint) {
+            return Err(quarantined());
+        }
+        if !state.quarantine.begin_run(now, fingerprint) {
+            let detail = "another request that may bring down backend servers runs here";
+            let refusal = Refusal::not_run(Reason::Overloaded, detail);
+            return Err(refusal.after(PROBE_TIMEOUT));
+        }
+        *state.running.entry(fingerprint).or_default() += 1;
+        Ok(Run {
+            suspects: self,
+            fingerprint,
+        })
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Run<'_> {
+    /// The backend server answered, which clears the request.
+    pub(crate) fn completed(&self) -> Vec<Suspicion> {
+        let mut state = self.suspects.lock();
+        state
+            .quarantine
+            .record_completion(Instant::now(), self.fingerprint)
+    }
+
+    /// The backend server broke off, which may be its death.
+    pub(crate) fn broken(&self) {
+        let mut state = self.suspects.lock();
+        state.broken.push((self.fingerprint, Instant::now()));
+    }
+}
+
+impl Drop for Run<'_> {
+    fn drop(&mut self) {
+        let mut state = self.suspects.lock();
+        state.quarantine.end_run(self.fingerprint);
+        if let Some(count) = state.running.get_mut(&self.fingerprint) {
+            *count -= 1;
+            if *count == 0 {
+                state.running.remove(&self.fingerprint);
+            }
+        }
+    }
+}
+
+impl State {
+    fn forget_broken(&mut self, now: Instant) {
+        self.broken
+            .retain(|(_, at)| now.saturating_duration_since(*at) < BROKEN_MEMORY);
+    }
+
+    fn in_flight(&mut self, now: Instant) -> Vec<Fingerprint> {
+        self.forget_broken(now);
+        let running = self.running.keys().copied();
+        let broken = self.broken.drain(..).map(|(fingerprint, _)| fingerprint);
+        running.chain(broken).collect()
+    }
+}
+
+/// Finds out whether the backend server died, and tells the fleet what was in flight then.
+pub(crate) async fn investigate(shared: Arc<Shared>, address: SocketAddr) {
+    let connect = tokio::net::TcpStream::connect(address);
+    match tokio::time::timeout(PROBE_TIMEOUT, connect).await {
+        Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => {}
+        _ => return,
+    }
+    let Some(dead) = shared.local.bury(address) else {
+        return;
+    };
+    let death = Death {
+        node: shared.settings.name.clone(),
+        incarnation: dead.backend.life,
+    };
+    let now = Instant::now();
+    let news = {
+        let mut state = shared.suspects.lock();
+        let in_flight = state.in_flight(now);
+        state.quarantine.record_death(now, &death, in_flight)
+    };
+    shared.journal.emit(
+        Event::BackendDied,
+        &[
+            ("service", &dead.backend.service),
+            ("in_flight", &news.len()),
+        ],
+    );
+    shared.backend_changed();
+    tell(&shared, &news);
+}
+
+/// Tells all other nodes.
+pub(crate) fn tell(shared: &Shared, news: &[Suspicion]) {
+    let Some(endpoint) = shared.endpoint().filter(|_| !news.is_empty()) else {
+        return;
+    };
+    let body = Bytes::from(to_wire(news).encode_to_vec());
+    for member in shared.directory.members() {
+        if member.name != shared.settings.name {
+            endpoint.send(member.link, wire::topic::SUSPICIONS, body.clone());
+        }
+    }
+}
+
+/// Takes over what another node tells.
+pub(crate) fn hear(shared: &Shared, body: Bytes) {
+    let Ok(message) = wire::Suspicions::decode(body) else {
+        return;
+    };
+    let now = Instant::now();
+    let mut state = shared.suspects.lock();
+    for suspicion in message.suspicions.into_iter().take(MESSAGE_LIMIT) {
+        let Some(suspicion) = from_wire(suspicion) else {
+            continue;
+        };
+        let fingerprint = suspicion.fingerprint;
+        let is_new = state.quarantine.merge(now, &suspicion);
+        let verdict = state.quarantine.verdict(now, fingerprint);
+        if is_new && matches!(verdict, Verdict::Quarantined { .. }) {
+            let fingerprint = format!("{fingerprint:032x}");
+            shared.journal.emit(
+                Event::RequestQuarantined,
+                &[("fingerprint", &fingerprint), ("by", &suspicion.death.node)],
+            );
+        }
+    }
+}
+
+fn quarantined() -> Refusal {
+    let detail = "requests like this one brought down backend servers";
+    Refusal::new(Reason::Quarantined, Outcome::DoNotResend, detail)
+}
+
+fn to_wire(news: &[Suspicion]) -> wire::Suspicions {
+    let suspicions = news.iter().map(|suspicion| wire::Suspicion {
+        fingerprint: suspicion.fingerprint.to_be_bytes().to_vec().into(),
+        node: suspicion.death.node.to_string(),
+        incarnation: suspicion.death.incarnation,
+        age_ms: u64::try_from(suspicion.age.as_millis()).unwrap_or(u64::MAX),
+        is_cleared: suspicion.is_cleared,
+    });
+    wire::Suspicions {
+        suspicions: suspicions.collect(),
+    }
+}
+
+fn from_wire(wire: wire::Suspicion) -> Option<Suspicion> {
+    let fingerprint = <[u8; 16]>::try_from(wire.fingerprint.as_ref()).ok()?;
+    Some(Suspicion {
+        fingerprint: u128::from_be_bytes(fingerprint),
+        death: Death {
+            node: wire.node.into(),
+            incarnation: wire.incarnation,
+        },
+        age: Duration::from_millis(wire.age_ms),
+        is_cleared: wire.is_cleared,
+    })
+}
--- a/crates/nutmegwheel-policy/src/lib.rs
+++ b/crates/nutmegwheel-policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod concurrency;
 pub mod deadline;
+pub mod needs;
 pub mod quarantine;
 pub mod retry;
 pub mod routing;
--- a/crates/nutmegwheel-wire/src/topic.rs
+++ b/crates/nutmegwheel-wire/src/topic.rs
@@ -6,3 +6,5 @@
 pub const FETCH_VIEW: Topic = Topic(2);
 /// A notice of the membership protocol.
 pub const GOSSIP: Topic = Topic(3);
+/// A notice of requests that were in flight when a backend server died: [`crate::Suspicions`].
+pub const SUSPICIONS: Topic = Topic(4);
