--- /dev/null
+++ b/crates/nutmegwheel-membership/examples/spread.rs
@@ -0,0 +1,263 @@
+//! Measures the spread over 50, 200 and 1000 members on a virtual clock.
+//!
+//! `cargo run --release -p nutmegwheel-membership --example spread [MEMBERS…]`
+
+#[path = "../tests/sim/mod.rs"]
+mod sim;
+
+use std::time::Duration;
+
+use nutmegwheel_membership::{AnnouncementState, WithdrawalState};
+use rand::Rng;
+use sim::{Shape, Sim};
+
+const LIMIT: Duration = Duration::from_mins(1);
+const SAMPLES: usize = 10;
+/// The changes of a day, and the seconds of a day.
+const DAY: (f64, f64) = (1700.0, 86_400.0);
+
+fn main() {
+    let mut sizes: Vec<usize> = std::env::args()
+        .skip(1)
+        .map(|size| size.parse().expect("a number of members"))
+        .collect();
+    if sizes.is_empty() {
+        sizes.extend([50, 200, 1000]);
+    }
+    for members in sizes {
+        measure(members);
+    }
+}
+
+fn measure(members: usize) {
+    let shape = Shape {
+        members,
+        data_centres: 8,
+        control: 5,
+        seed: 7,
+    };
+    let mut sim = Sim::open(shape).timed();
+    println!(
+        "\n== {members} members, 8 data centres, 5 control VMs, seed {}",
+        shape.seed
+    );
+    let joined = sim.run_until(LIMIT, Sim::all_know_all);
+    println!("all know all after the start of all: {}", text(joined));
+    for index in 0..members {
+        sim.announce(index, AnnouncementState::Ready);
+    }
+    sim.run_for(Duration::from_secs(30));
+    idle(&mut sim);
+    let mut version = 1;
+    spread_times(&mut sim, &mut version);
+    load(&mut sim, &mut version, 1.0, Duration::from_mins(5));
+    load(&mut sim, &mut version, 20.0, Duration::from_mins(1));
+    restarts(&mut sim);
+    crashes(&mut sim);
+    losses(&mut sim);
+    cut(&mut sim, &mut version);
+    cost(&sim);
+}
+
+fn idle(sim: &mut Sim) {
+    sim.reset_bytes();
+    let time = Duration::from_secs(30);
+    sim.run_for(time);
+    bytes(sim, "idle", time);
+}
+
+/// Times until news is everywhere.
+fn spread_times(sim: &mut Sim, version: &mut u64) {
+    let mut versions = Vec::new();
+    let mut leaving = Vec::new();
+    let mut withdrawn = Vec::new();
+    let mut in_force = Vec::new();
+    for sample in 0..SAMPLES {
+        *version += 1;
+        let goal = *version;
+        sim.publish(0, goal);
+        versions.push(sim.run_until(LIMIT, |sim| sim.all_hold(goal)));
+        let index = sim.rng.random_range(sim.shape.control..sim.shape.members);
+        let key = key(1000 + sample);
+        sim.withdraw(index, key, false);
+        withdrawn.push(sim.run_until(LIMIT, |sim| sim.all_have_withdrawn(&key)));
+        sim.withdraw(0, key, true);
+        in_force.push(sim.run_until(LIMIT, |sim| {
+            sim.processes[0].gossip.withdrawal(&key) == WithdrawalState::InForce
+        }));
+        let index = sim.shape.members - 1 - sample;
+        sim.leave(index);
+        leaving.push(sim.run_until(LIMIT, |sim| sim.all_see_leaving(index)));
+        sim.restart(index);
+        sim.run_for(Duration::from_secs(3));
+    }
+    summary("new version everywhere", &versions);
+    summary("withdrawn key held everywhere", &withdrawn);
+    summary("withdrawal answered in force after its commit", &in_force);
+    summary("leaving seen everywhere", &leaving);
+}
+
+/// Bytes a second under changes, of which each fifth withdraws a key.
+fn load(sim: &mut Sim, version: &mut u64, times: f64, time: Duration) {
+    sim.run_for(Duration::from_secs(10));
+    sim.reset_bytes();
+    let pause = Duration::from_secs_f64(DAY.1 / DAY.0 / times);
+    let end = sim.now + time;
+    let mut changes = 0;
+    while sim.now + pause <= end {
+        *version += 1;
+        changes += 1;
+        sim.publish(0, *version);
+        if version.is_multiple_of(5) {
+            let number = usize::try_from(*version).unwrap();
+            sim.withdraw(0, key(10_000 + number), true);
+        }
+        sim.run_for(pause);
+    }
+    sim.run_to(end);
+    bytes(
+        sim,
+        &format!("{changes} changes, {times} x 1700 a day"),
+        time,
+    );
+}
+
+/// Bytes a second while one process after the other restarts.
+fn restarts(sim: &mut Sim) {
+    let time = Duration::from_secs(30);
+    sim.reset_bytes();
+    let deaths = sim.counts.false_deaths;
+    for round in 0..30 {
+        let index = sim.shape.control + 24 + round % (sim.shape.members - sim.shape.control - 24);
+        sim.leave(index);
+        sim.run_for(Duration::from_millis(500));
+        sim.restart(index);
+        sim.announce(index, AnnouncementState::Ready);
+        sim.run_for(Duration::from_millis(500));
+    }
+    bytes(sim, "a planned restart a second", time);
+    let settled = sim.run_until(LIMIT, Sim::all_know_all);
+    println!("all know all after the last restart: {}", text(settled));
+    println!("false deaths in it: {}", sim.counts.false_deaths - deaths);
+}
+
+fn crashes(sim: &mut Sim) {
+    let mut found = Vec::new();
+    let mut back = Vec::new();
+    for sample in 0..5 {
+        let index = sim.shape.members - 1 - sample;
+        sim.crash(index);
+        found.push(sim.run_until(LIMIT, |sim| sim.all_see_dead(index)));
+        sim.restart(index);
+        back.push(sim.run_until(LIMIT, Sim::all_know_all));
+    }
+    summary("crash seen everywhere", &found);
+    summary("restarted and known everywhere", &back);
+}
+
+fn losses(sim: &mut Sim) {
+    for drops in [0.01, 0.05] {
+        let (deaths, suspicions) = (sim.counts.false_deaths, sim.counts.suspicions);
+        sim.drops = drops;
+        sim.run_for(Duration::from_mins(1));
+        sim.drops = 0.0;
+        println!(
+            "{} % of messages lost for 60 s: {} false deaths seen, {} suspicions seen (over all views)",
+            drops * 100.0,
+            sim.counts.false_deaths - deaths,
+            sim.counts.suspicions - suspicions,
+        );
+        sim.run_for(Duration::from_secs(10));
+    }
+}
+
+/// Cuts a data centre off for 30 s, changes things on the other side, and heals.
+fn cut(sim: &mut Sim, version: &mut u64) {
+    const CENTRE: usize = 7;
+    let deaths = sim.counts.false_deaths;
+    sim.cut(CENTRE);
+    sim.run_for(Duration::from_secs(10));
+    *version += 3;
+    let goal = *version;
+    sim.publish(0, goal);
+    let key = key(77);
+    sim.withdraw(0, key, true);
+    sim.run_for(Duration::from_secs(20));
+    let state = sim.processes[0].gossip.withdrawal(&key);
+    println!("a withdrawal during a cut of dc7: {state:?}");
+    let (serving, all) = sim.serving(CENTRE);
+    println!("serving in the cut data centre after 30 s: {serving} of {all}");
+    println!(
+        "false deaths by the cut: {}",
+        sim.counts.false_deaths - deaths
+    );
+    sim.heal();
+    let healed = sim.run_until(LIMIT, |sim| {
+        sim.all_hold(goal) && sim.all_have_withdrawn(&key) && sim.all_know_all()
+    });
+    println!(
+        "version and withdrawal everywhere after healing: {}",
+        text(healed)
+    );
+    let in_force = sim.run_until(LIMIT, |sim| {
+        sim.processes[0].gossip.withdrawal(&key) == WithdrawalState::InForce
+    });
+    println!("and answered in force: {}", text(in_force));
+}
+
+fn cost(sim: &Sim) {
+    let counts = &sim.counts;
+    println!(
+        "cost: {} ns a tick ({} ticks), {} ns a receive ({} receives)",
+        counts.tick_time.as_nanos() / u128::from(counts.ticks.max(1)),
+        counts.ticks,
+        counts.receive_time.as_nanos() / u128::from(counts.receives.max(1)),
+        counts.receives,
+    );
+}
+
+fn bytes(sim: &Sim, what: &str, time: Duration) {
+    let seconds = time.as_secs();
+    let sent: Vec<u64> = sim.up().map(|p| p.sent / seconds).collect();
+    let received: Vec<u64> = sim.up().map(|p| p.received / seconds).collect();
+    let mean = |all: &[u64]| all.iter().sum::<u64>() / u64::try_from(all.len()).unwrap();
+    let max = |all: &[u64]| all.iter().max().copied().unwrap_or_default();
+    println!(
+        "{what}: B/s sent mean {} max {}, received mean {} max {}",
+        mean(&sent),
+        max(&sent),
+        mean(&received),
+        max(&received),
+    );
+    let up = u64::try_from(sent.len()).unwrap();
+    for (kind, total) in &sim.counts.sent_by_kind {
+        print!("  {kind} {}", total / seconds / up);
+    }
+    println!();
+}
+
+fn summary(what: &str, times: &[Option<Duration>]) {
+    let missed = times.iter().filter(|time| time.is_none()).count();
+    let mut done: Vec<Duration> = times.iter().copied().flatten().collect();
+    done.sort_unstable();
+    let middle = done.get(done.len() / 2).copied();
+    println!(
+        "{what}: p50 {} max {} ({} samples, {missed} not within 60 s)",
+        text(middle),
+        text(done.last().copied()),
+        times.len(),
+    );
+}
+
+fn text(time: Option<Duration>) -> String {
+    time.map_or_else(
+        || "not within 60 s".into(),
+        |time| format!("{} ms", time.as_millis()),
+    )
+}
+
+fn key(number: usize) -> [u8; 32] {
+    let mut key = [0; 32];
+    key[..8].copy_from_slice(&number.to_be_bytes());
+    key
+}
--- a/crates/nutmegwheel-membership/src/gossip/budget.rs
+++ b/crates/nutmegwheel-membership/src/gossip/budget.rs
@@ -3,9 +3,9 @@
 use nutmegwheel_types::plain_copy;
 
 /// What gossip may send on average besides probes and renewals, in bytes a second.
-const BYTES_PER_SECOND: i64 = 4 * 1024;
+const BYTES_PER_SECOND: i64 = 6 * 1024;
 /// What it may send at once after a quiet time, in bytes.
-const BURST_BYTES: i64 = 24 * 1024;
+const BURST_BYTES: i64 = 128 * 1024;
 
 plain_copy! {
     /// The allowance of bytes for records; urgent ones may overdraw it and hold back the others.
--- a/crates/nutmegwheel-membership/src/gossip/control.rs
+++ b/crates/nutmegwheel-membership/src/gossip/control.rs
@@ -167,7 +167,7 @@
         if !is_control && self.duty.is_none() {
             return;
         }
-        let known = self.table.control();
+        let known = self.table.control().to_vec();
         if !is_control {
             self.control.attach(now, &known, &mut self.random);
         }
--- a/crates/nutmegwheel-membership/src/gossip/dissemination.rs
+++ b/crates/nutmegwheel-membership/src/gossip/dissemination.rs
@@ -3,7 +3,7 @@
 use nutmegwheel_types::KeyHash;
 
 use super::{Gossip, is_due};
-use crate::table::Remote;
+use crate::table::{BUCKETS, Remote};
 use crate::{Body, Digest, LinkAddress, Record};
 
 /// The peers that get urgent news at once.
@@ -18,8 +18,10 @@
 const CONTACT: Duration = Duration::from_secs(10);
 /// The records that travel on a probe or its answer.
 const PIGGYBACKED: usize = 4;
-/// The buckets that one exchange of records covers.
-const BUCKETS_AT_ONCE: usize = 4;
+/// How soon tables are compared again after a comparison that brought news.
+const COMPARE_AGAIN: Duration = Duration::from_millis(500);
+/// The records at which an exchange takes in no further bucket.
+const RECORDS_AT_ONCE: usize = 100;
 /// The records in one message of an answer to a join.
 const RECORDS_IN_JOIN: usize = 24;
 /// The bytes of a withdrawn key in a message.
@@ -41,7 +43,7 @@
             self.rumours.withdrawn(*key);
         }
         let own = self.table.own().data_centre.clone();
-        let mut here = self.table.local();
+        let mut here = self.table.local().to_vec();
         here.retain(|address| Some(*address) != from);
         for to in self.random.draw(&mut here, FAN_OUT) {
             self.push(to, records.to_vec(), withdrawn.to_vec());
@@ -55,7 +57,7 @@
         if mine.is_empty() && withdrawn.is_empty() && !records.is_empty() {
             return;
         }
-        for way in self.table.remote() {
+        for way in self.table.remote().to_vec() {
             for to in way.partners {
                 self.push(to, mine.clone(), withdrawn.to_vec());
             }
@@ -79,7 +81,7 @@
         let rounds = self.rounds();
         let batch = self.rumours.take(rounds);
         let records = self.records_of(&batch.records);
-        let mut here = self.table.local();
+        let mut here = self.table.local().to_vec();
         for to in self.random.draw(&mut here, PUSH_TO) {
             self.push(to, records.clone(), batch.withdrawn.clone());
         }
@@ -98,10 +100,9 @@
     }
 
     /// How often an item is passed on: enough for all of the data centre to get it.
-    fn rounds(&mut self) -> u32 {
-        const SPARE: u32 = 2;
-        let members = self.table.local_count().max(1);
-        members.ilog2().div_ceil(2) + SPARE
+    fn rounds(&self) -> u32 {
+        let members = self.table.local().len().max(2);
+        members.ilog2().div_ceil(2)
     }
 
     fn records_of(&self, names: &[nutmegwheel_types::ProcessName]) -> Vec<Record> {
@@ -118,9 +119,9 @@
     /// for, and now and then to a contact of the settings.
     pub(super) fn compare(&mut self, now: Instant) {
         if is_due(&mut self.timers.compared, now, COMPARE) {
-            let here = self.table.local();
+            let here = self.table.local().to_vec();
             self.compare_with_one_of(&here);
-            for way in self.table.remote() {
+            for way in self.table.remote().to_vec() {
                 let choice = self.partner(&way);
                 self.compare_with_one_of(&choice);
             }
@@ -174,17 +175,21 @@
         if differing.is_empty() {
             return;
         }
-        let buckets = self.random.draw(&mut differing, BUCKETS_AT_ONCE);
-        let records: Vec<Record> = self
-            .table
-            .in_buckets(&buckets)
-            .into_iter()
-            .cloned()
-            .collect();
+        let (buckets, records) = self.choose(&mut differing);
         self.budget.spend(records.iter().map(Record::size).sum());
         self.send(from, Body::Sync { buckets, records });
     }
 
+    /// Draws as many of the buckets as go into one exchange, with the own records in them.
+    fn choose(&mut self, differing: &mut [u32]) -> (Vec<u32>, Vec<Record>) {
+        let per_bucket = self.table.all().count().div_ceil(BUCKETS as usize).max(1);
+        let count = (RECORDS_AT_ONCE / per_bucket).max(1);
+        let buckets = self.random.draw(differing, count);
+        let records = self.table.in_buckets(&buckets);
+        let records = records.into_iter().cloned().collect();
+        (buckets, records)
+    }
+
     /// Takes the records of some buckets in and returns those that the peer lacks.
     pub(super) fn receive_sync(
         &mut self,
@@ -200,6 +205,7 @@
             self.push(from, newer, Vec::new());
         }
         if is_news && self.budget.has_left() {
+            self.timers.compared = (now + COMPARE_AGAIN).checked_sub(COMPARE);
             self.send(from, Body::Digest(self.digest()));
         }
     }
--- a/crates/nutmegwheel-membership/src/gossip/membership.rs
+++ b/crates/nutmegwheel-membership/src/gossip/membership.rs
@@ -45,6 +45,16 @@
     }
 }
 
+/// Says whether a delay would send work to a process that cannot take it.
+fn cannot_wait(record: &Record) -> bool {
+    record.standing == Standing::Leaving
+        || record.health == Health::Dead
+        || record
+            .announcement
+            .as_ref()
+            .is_some_and(|a| a.state == AnnouncementState::Leaving)
+}
+
 /// What the process learns about others.
 impl Gossip {
     /// Takes records in and passes on at once those whose news cannot wait.
@@ -61,7 +71,8 @@
             };
             count += 1;
             self.rumours.record(&record.name);
-            if self.report(&learnt, record) {
+            let is_urgent = self.report(&learnt, record);
+            if is_urgent && (cannot_wait(record) || !self.rumours.is_full()) {
                 urgent.push(record.clone());
             }
         }
--- a/crates/nutmegwheel-membership/src/gossip/spread.rs
+++ b/crates/nutmegwheel-membership/src/gossip/spread.rs
@@ -123,6 +123,9 @@
 
     /// Asks a seed of each data centre for its word on the followed withdrawals.
     pub(super) fn ask_data_centres(&mut self, now: Instant) {
+        if !self.followed.is_open() {
+            return;
+        }
         for data_centre in self.needed_data_centres() {
             let mut seeds = self.table.seeds_of(&data_centre);
             let Some(to) = self.random.draw(&mut seeds, 1).first().copied() else {
@@ -171,6 +174,8 @@
         {
             let data_centre = record.data_centre.clone();
             self.followed.confirm(&data_centre, &answer.in_force);
+            let all = self.needed_data_centres();
+            self.followed.finish(&all);
         }
         if let Some(duty) = &mut self.duty {
             duty.held(now, from, answer);
--- a/crates/nutmegwheel-membership/src/gossip/tick.rs
+++ b/crates/nutmegwheel-membership/src/gossip/tick.rs
@@ -20,6 +20,7 @@
             return Vec::new();
         }
         self.budget.fill(now);
+        self.table.refresh_routes();
         self.notice_pause(now);
         self.join(now);
         self.probe(now);
@@ -46,7 +47,7 @@
         let mut steps = self.prober.advance(now);
         if self.prober.is_due(now) {
             let members = self.table.local();
-            steps.extend(self.prober.start(now, &members, &mut self.random));
+            steps.extend(self.prober.start(now, members, &mut self.random));
         }
         for step in steps {
             self.take_probe_step(now, step);
@@ -60,7 +61,7 @@
                 self.send(target, Body::Ping { sequence, records });
             }
             Step::Indirect { sequence, target } => {
-                let mut others = self.table.local();
+                let mut others = self.table.local().to_vec();
                 others.retain(|address| *address != target);
                 for helper in self.random.draw(&mut others, HELPERS) {
                     self.send(helper, Body::ProbeRequest { sequence, target });
--- a/crates/nutmegwheel-membership/src/rumours.rs
+++ b/crates/nutmegwheel-membership/src/rumours.rs
@@ -18,6 +18,9 @@
 
 /// The records in one message.
 const RECORDS_IN_BATCH: usize = 12;
+/// The records that are on the way at a time; in a mass change the rest is left to the comparing
+/// of tables, which sends nothing twice.
+const RECORDS_KEPT: usize = 48;
 /// The withdrawn keys in one message.
 const KEYS_IN_BATCH: usize = 32;
 
@@ -32,7 +35,9 @@
 
     /// Starts to pass a record on, from the beginning if an older one was on the way.
     pub(crate) fn record(&mut self, name: &ProcessName) {
-        self.records.insert(name.clone(), 0);
+        if !self.is_full() || self.records.contains_key(name) {
+            self.records.insert(name.clone(), 0);
+        }
     }
 
     /// Starts to pass a withdrawn key on.
@@ -56,6 +61,10 @@
 
 /// Access.
 impl Rumours {
+    pub(crate) fn is_full(&self) -> bool {
+        self.records.len() >= RECORDS_KEPT
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.records.is_empty() && self.withdrawn.is_empty()
     }
--- a/crates/nutmegwheel-membership/src/table.rs
+++ b/crates/nutmegwheel-membership/src/table.rs
@@ -15,13 +15,15 @@
         suspects: BTreeMap<ProcessName, Instant>,
         dead: BTreeMap<ProcessName, Instant>,
         buckets: Vec<u32>,
-        routes: Option<Routes>,
+        routes: Routes,
+        are_routes_old: bool,
     }
 
     /// Whom this process talks to, recomputed when members come and go.
     struct Routes {
         local: Vec<LinkAddress>,
         remote: Vec<Remote>,
+        control: Vec<LinkAddress>,
     }
 
     /// The way to another data centre.
@@ -67,7 +69,12 @@
             suspects: BTreeMap::new(),
             dead: BTreeMap::new(),
             buckets: vec![0; BUCKETS as usize],
-            routes: None,
+            routes: Routes {
+                local: Vec::new(),
+                remote: Vec::new(),
+                control: Vec::new(),
+            },
+            are_routes_old: true,
         };
         table.put(own);
         table
@@ -143,7 +150,7 @@
             }
         }
         if !is_same_route {
-            self.routes = None;
+            self.are_routes_old = true;
         }
         self.buckets[bucket] ^= record.state_hash();
         self.by_address.insert(record.link, record.name.clone());
@@ -185,26 +192,14 @@
         }
     }
 
-    fn routes(&mut self) -> &Routes {
-        if self.routes.is_none() {
-            self.routes = Some(self.compute_routes());
+    /// Computes whom this process talks to if members came or went.
+    ///
+    /// Routes may be old in between, so that a burst of joins costs one computation a tick.
+    pub(crate) fn refresh_routes(&mut self) {
+        if self.are_routes_old {
+            self.routes = self.compute_routes();
+            self.are_routes_old = false;
         }
-        self.routes.as_ref().expect("they were computed just now")
-    }
-
-    /// The other members of the own data centre.
-    pub(crate) fn local(&mut self) -> Vec<LinkAddress> {
-        self.routes().local.clone()
-    }
-
-    /// The number of other members of the own data centre.
-    pub(crate) fn local_count(&mut self) -> usize {
-        self.routes().local.len()
-    }
-
-    /// The ways to those data centres for which this process is a gateway.
-    pub(crate) fn remote(&mut self) -> Vec<Remote> {
-        self.routes().remote.clone()
     }
 }
 
@@ -231,12 +226,19 @@
         self.all().filter(|record| record.health != Health::Dead)
     }
 
+    /// The other members of the own data centre.
+    pub(crate) fn local(&self) -> &[LinkAddress] {
+        &self.routes.local
+    }
+
+    /// The ways to those data centres for which this process is a gateway.
+    pub(crate) fn remote(&self) -> &[Remote] {
+        &self.routes.remote
+    }
+
     /// The other control VMs that are not dead.
-    pub(crate) fn control(&self) -> Vec<LinkAddress> {
-        self.live()
-            .filter(|record| record.role == Role::Control && record.name != self.own.name)
-            .map(|record| record.link)
-            .collect()
+    pub(crate) fn control(&self) -> &[LinkAddress] {
+        &self.routes.control
     }
 
     pub(crate) fn seeds_of(&self, data_centre: &str) -> Vec<LinkAddress> {
@@ -292,7 +294,16 @@
                 all: members.iter().map(|record| record.link).collect(),
             })
             .collect();
-        Routes { local, remote }
+        let control = self
+            .live()
+            .filter(|record| record.role == Role::Control && record.name != self.own.name)
+            .map(|record| record.link)
+            .collect();
+        Routes {
+            local,
+            remote,
+            control,
+        }
     }
 }
 
--- a/crates/nutmegwheel-membership/src/withdrawal.rs
+++ b/crates/nutmegwheel-membership/src/withdrawal.rs
@@ -28,6 +28,7 @@
     struct Progress {
         committed: bool,
         confirmed: BTreeSet<DataCentreId>,
+        is_in_force: bool,
     }
 }
 
@@ -49,6 +50,7 @@
         let progress = self.keys.entry(key).or_insert_with(|| Progress {
             committed: false,
             confirmed: BTreeSet::new(),
+            is_in_force: false,
         });
         if committed && !progress.committed {
             progress.committed = true;
@@ -65,7 +67,7 @@
         let keys: Vec<KeyHash> = self
             .keys
             .iter()
-            .filter(|(_, progress)| progress.committed)
+            .filter(|(_, progress)| progress.committed && !progress.is_in_force)
             .filter(|(_, progress)| !progress.confirmed.contains(data_centre))
             .map(|(key, _)| *key)
             .take(KEYS_IN_REQUEST)
@@ -76,6 +78,14 @@
         keys
     }
 
+    /// Notes which withdrawals all data centres have confirmed, after which nobody is asked.
+    pub(crate) fn finish(&mut self, all: &[DataCentreId]) {
+        for progress in self.keys.values_mut() {
+            let is_confirmed = all.iter().all(|name| progress.confirmed.contains(name));
+            progress.is_in_force |= progress.committed && is_confirmed;
+        }
+    }
+
     pub(crate) fn confirm(&mut self, data_centre: &DataCentreId, keys: &[KeyHash]) {
         for key in keys {
             if let Some(progress) = self.keys.get_mut(key) {
@@ -87,6 +97,11 @@
 
 /// Access.
 impl Followed {
+    /// Says whether data centres must be asked.
+    pub(crate) fn is_open(&self) -> bool {
+        self.keys.values().any(|p| p.committed && !p.is_in_force)
+    }
+
     pub(crate) fn state(&self, key: &KeyHash, all: &[DataCentreId]) -> WithdrawalState {
         let Some(progress) = self.keys.get(key) else {
             return WithdrawalState::Unknown;
@@ -96,7 +111,7 @@
             .filter(|name| !progress.confirmed.contains(*name))
             .cloned()
             .collect();
-        if progress.committed && waiting_for.is_empty() {
+        if progress.is_in_force {
             return WithdrawalState::InForce;
         }
         WithdrawalState::Pending {
