--- a/crates/nutmegwheel-agreement/src/raft/leader.rs
+++ b/crates/nutmegwheel-agreement/src/raft/leader.rs
@@ -79,7 +79,7 @@
             reads: VecDeque::new(),
             joiners: BTreeSet::new(),
         });
-        self.track_members();
+        self.track_members(first);
         self.effects.notices.push(Notice::Leading(self.hard.term));
         self.append_own(Payload::Noop);
         self.begin_round();
@@ -137,7 +137,7 @@
         };
         let entry = Entry { position, payload };
         self.append_entries(vec![entry]);
-        self.track_members();
+        self.track_members(position.index);
         self.advance_commit();
     }
 
@@ -152,9 +152,9 @@
         }
     }
 
-    /// Begins to follow the progress of new members and forgets those that are gone.
-    fn track_members(&mut self) {
-        let next = self.last().index + 1;
+    /// Begins to follow the progress of new members, whose log is looked for from `next` on, and
+    /// forgets those that are gone.
+    fn track_members(&mut self, next: LogIndex) {
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
