--- a/crates/nutmegwheel-agreement/tests/raft.rs
+++ b/crates/nutmegwheel-agreement/tests/raft.rs
@@ -21,7 +21,9 @@
     let (invariant, trace) = report.broken.expect("the check must find the bug");
     let Report { states, .. } = report;
     println!("{variant:?}: {invariant} broken after {states} states by");
-    trace.iter().for_each(|step| println!("    {step}"));
+    for step in &trace {
+        println!("    {step}");
+    }
     assert_eq!(trace.len(), steps, "the shortest trace");
 }
 
@@ -76,3 +78,54 @@
     };
     assert_caught(Variant::SameIncarnation, budget, 7);
 }
+
+/// Larger worlds, for optimized builds: `cargo test --release --test raft`.
+#[cfg(not(debug_assertions))]
+mod large {
+    use super::{Budget, assert_holds};
+
+    #[test]
+    fn a_lost_disk_with_commands_and_its_repair() {
+        let budget = Budget {
+            campaigns: 2,
+            proposals: 1,
+            lost_disks: 1,
+            joins: 1,
+            ..Budget::default()
+        };
+        assert_holds("a lost disk with commands and its repair", budget);
+    }
+
+    #[test]
+    fn a_second_disk_lost_around_a_repair() {
+        let budget = Budget {
+            campaigns: 1,
+            lost_disks: 2,
+            joins: 2,
+            ..Budget::default()
+        };
+        assert_holds("a second disk lost around a repair", budget);
+    }
+
+    #[test]
+    fn snapshots_elections_and_crashes() {
+        let budget = Budget {
+            campaigns: 2,
+            proposals: 1,
+            snapshots: 1,
+            ..Budget::default()
+        };
+        assert_holds("snapshots and elections", budget);
+    }
+
+    #[test]
+    fn removals_and_elections() {
+        let budget = Budget {
+            campaigns: 2,
+            removals: 1,
+            heartbeats: 1,
+            ..Budget::default()
+        };
+        assert_holds("removals and elections", budget);
+    }
+}
