--- /dev/null
+++ b/crates/nutmegwheel-link/examples/bench.rs
@@ -0,0 +1,157 @@
+//! Measures links over loopback: `cargo run --release -p nutmegwheel-link --example bench`.
+//!
+//! Prints round trips a second and latencies at several numbers of concurrent calls of 1 KiB, with
+//! both ends on one thread, then the resident memory of idle links.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use nutmegwheel_link::{
+    Endpoint, Limits, Options, Peer, Reply, Request, ServeFuture, Service, Topic,
+};
+
+const BODY_BYTES: usize = 1024;
+const MEASURED: Duration = Duration::from_secs(2);
+const WARM_UP: usize = 500;
+const IDLE_PEERS: usize = 250;
+
+struct Echo;
+
+impl Service for Echo {
+    fn serve(&self, _peer: Peer, req: Request) -> ServeFuture {
+        Box::pin(async move {
+            Reply {
+                head: req.head,
+                body: req.body,
+            }
+        })
+    }
+
+    fn notice(&self, _peer: Peer, _topic: Topic, _body: Bytes) {}
+}
+
+async fn endpoint() -> Endpoint {
+    let opts = Options {
+        name: "bench".into(),
+        data_centre: "riga1".into(),
+        incarnation: 1,
+        listen: "127.0.0.1:0".parse().expect("an address"),
+        fleet_secret: b"a secret for the bench of links.".to_vec(),
+        limits: Limits::default(),
+    };
+    Endpoint::bind(opts, Arc::new(Echo)).await.expect("bind")
+}
+
+fn request(body_bytes: usize) -> Request {
+    Request {
+        topic: Topic(1),
+        head: Bytes::from_static(&[1; 64]),
+        body: Bytes::from(vec![2; body_bytes]),
+    }
+}
+
+async fn call(caller: &Endpoint, to: SocketAddr, req: Request) -> Duration {
+    let begin = Instant::now();
+    caller
+        .call(to, req, begin + Duration::from_secs(10))
+        .await
+        .expect("a reply");
+    begin.elapsed()
+}
+
+/// Calls one after the other until the time is up, and returns the latencies.
+async fn call_repeatedly(caller: Endpoint, to: SocketAddr, end: Instant) -> Vec<Duration> {
+    let mut latencies = Vec::new();
+    while Instant::now() < end {
+        latencies.push(call(&caller, to, request(BODY_BYTES)).await);
+    }
+    latencies
+}
+
+async fn measure(caller: &Endpoint, to: SocketAddr, concurrent: usize) {
+    for _ in 0..WARM_UP {
+        call(caller, to, request(BODY_BYTES)).await;
+    }
+    let begin = Instant::now();
+    let tasks: Vec<_> = (0..concurrent)
+        .map(|_| tokio::spawn(call_repeatedly(caller.clone(), to, begin + MEASURED)))
+        .collect();
+    let mut latencies = Vec::new();
+    for task in tasks {
+        latencies.extend(task.await.expect("no panic"));
+    }
+    let seconds = begin.elapsed().as_secs_f64();
+    report(&format!("{concurrent} concurrent"), &mut latencies, seconds);
+}
+
+fn report(what: &str, latencies: &mut [Duration], seconds: f64) {
+    latencies.sort_unstable();
+    let count = latencies.len();
+    let at = |hundredth: usize| latencies[(count * hundredth / 100).min(count - 1)];
+    let rate = f64::from(u32::try_from(count).unwrap_or(u32::MAX)) / seconds;
+    println!("{what}: {rate:.0}/s, p50 {:?}, p99 {:?}", at(50), at(99));
+}
+
+/// Small calls beside a stream of bodies of 4 MiB.
+async fn measure_beside_large(caller: &Endpoint, to: SocketAddr) {
+    let begin = Instant::now();
+    let end = begin + MEASURED;
+    let large = tokio::spawn({
+        let caller = caller.clone();
+        async move {
+            let mut count = 0;
+            while Instant::now() < end {
+                call(&caller, to, request(4 * 1024 * 1024)).await;
+                count += 1;
+            }
+            count
+        }
+    });
+    let mut latencies = call_repeatedly(caller.clone(), to, end).await;
+    let large = large.await.expect("no panic");
+    let what = format!("1 concurrent beside {large} bodies of 4 MiB");
+    report(&what, &mut latencies, begin.elapsed().as_secs_f64());
+}
+
+fn resident_kib() -> usize {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().nth(1))
+        .and_then(|kib| kib.parse().ok())
+        .unwrap_or_default()
+}
+
+async fn measure_memory() {
+    let mut peers = Vec::new();
+    for _ in 0..IDLE_PEERS {
+        peers.push(endpoint().await);
+    }
+    let caller = endpoint().await;
+    let before = resident_kib();
+    for peer in &peers {
+        call(&caller, peer.local_addr(), request(64)).await;
+    }
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let links = caller.stats().dialled_links;
+    let grown = resident_kib() - before;
+    println!(
+        "{links} idle links, both ends: {grown} KiB, {} KiB a link",
+        grown / links.max(1)
+    );
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() {
+    let (caller, server) = (endpoint().await, endpoint().await);
+    let to = server.local_addr();
+    for concurrent in [1, 32, 256] {
+        measure(&caller, to, concurrent).await;
+    }
+    measure_beside_large(&caller, to).await;
+    measure_memory().await;
+}
--- a/crates/nutmegwheel-link/src/link/driver.rs
+++ b/crates/nutmegwheel-link/src/link/driver.rs
@@ -51,8 +51,6 @@
     frames: Vec<Kind>,
     /// Bytes that were handed to the socket and not yet reported to the state machine.
     written: usize,
-    /// Whether bytes came since the buffers were last looked at for release.
-    is_active: bool,
     /// When a drained link is closed although its dialler has not done so.
     linger_until: Option<Instant>,
 }
@@ -61,6 +59,8 @@
 struct Wait {
     until: Instant,
     read: bool,
+    /// Whether no stream is open.
+    is_quiet: bool,
 }
 
 /// Lifecycle
@@ -81,7 +81,6 @@
             output: BytesMut::new(),
             frames: Vec::new(),
             written: 0,
-            is_active: false,
             linger_until: None,
         }
     }
@@ -120,6 +119,9 @@
         let mut is_draining = false;
         while let Some(wait) = self.turn()? {
             set_timer(timer.as_mut(), wait.until);
+            if wait.is_quiet {
+                self.release_buffers();
+            }
             // Reading comes first, so that a process that was itself stopped for a while hears
             // what is waiting for it before it judges the far side silent.
             tokio::select! {
@@ -135,7 +137,7 @@
                     is_draining = true;
                     self.link.go_away();
                 }
-                () = timer.as_mut() => self.release_buffers(),
+                () = timer.as_mut() => {}
             }
         }
         Ok(())
@@ -165,6 +167,7 @@
         state.mux.fill(&mut self.output, WRITE_BATCH, now);
         let mut until = state.mux.next_tick(now);
         let read = state.mux.wants_read();
+        let is_quiet = state.mux.open_streams() == 0;
         let is_flushed = self.output.is_empty();
         if is_flushed && state.mux.is_finished(now) {
             return Ok(None);
@@ -177,12 +180,16 @@
             }
             until = until.min(end);
         }
-        Ok(Some(Wait { until, read }))
+        Ok(Some(Wait {
+            until,
+            read,
+            is_quiet,
+        }))
     }
 
-    /// An idle link holds no buffers, so that a thousand of them cost little.
+    /// A link without open streams holds no buffers, so that a thousand of them cost little.
     fn release_buffers(&mut self) {
-        if !std::mem::take(&mut self.is_active) && self.input.is_empty() && self.output.is_empty() {
+        if self.input.is_empty() && self.output.is_empty() {
             self.input = BytesMut::new();
             self.output = BytesMut::new();
             self.frames = Vec::new();
@@ -221,7 +228,6 @@
                 Err(e) => return Err(e.into()),
             }
         }
-        self.is_active |= total > 0;
         self.take_frames()?;
         if is_closed { Err(End::Closed) } else { Ok(()) }
     }
--- a/crates/nutmegwheel-link/src/mux/calls.rs
+++ b/crates/nutmegwheel-link/src/mux/calls.rs
@@ -71,6 +71,10 @@
         self.table.len()
     }
 
+    pub(crate) fn buffered_bytes(&self) -> usize {
+        self.queued + self.granted
+    }
+
     /// Whether no further call is taken, because the far side goes away or the ids are used up.
     pub(crate) fn is_draining(&self) -> bool {
         let taken = self.last_id as usize + self.unstarted;
--- a/crates/nutmegwheel-link/src/mux/mod.rs
+++ b/crates/nutmegwheel-link/src/mux/mod.rs
@@ -85,6 +85,13 @@
         self.calls.len() + self.serves.len()
     }
 
+    /// The bytes of messages that this side holds, or has permitted the far side to send beyond
+    /// the first window of each stream.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.calls.buffered_bytes() + self.serves.buffered_bytes()
+    }
+
     /// Whether this link takes no further calls.
     #[must_use]
     pub fn is_draining(&self) -> bool {
--- a/crates/nutmegwheel-link/src/mux/serves.rs
+++ b/crates/nutmegwheel-link/src/mux/serves.rs
@@ -62,6 +62,10 @@
         self.table.len()
     }
 
+    pub(crate) fn buffered_bytes(&self) -> usize {
+        self.held + self.queued
+    }
+
     pub(crate) fn is_going_away(&self) -> bool {
         self.last_taken.is_some()
     }
--- /dev/null
+++ b/tests/support/src/relay/plan.rs
@@ -0,0 +1,71 @@
+use std::time::Duration;
+
+/// A way through the relay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// From the process that connected to the relay.
+    ToTarget,
+    /// To the process that connected to the relay.
+    FromTarget,
+}
+
+/// What the relay does to its connections.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Plan {
+    pub(super) accepted: u64,
+    pub(super) cut_up_to: u64,
+    pub(super) silent_up_to: u64,
+    pub(super) refuse: bool,
+    pub(super) silence_new: bool,
+    pub(super) hold: bool,
+    pub(super) delay: Duration,
+    pub(super) fault: Option<Fault>,
+    faults: u64,
+}
+
+/// A fault at one place in the bytes of a direction.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Fault {
+    pub(super) number: u64,
+    pub(super) direction: Direction,
+    pub(super) kind: Kind,
+    pub(super) after: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Kind {
+    Truncate,
+    Corrupt,
+}
+
+impl Plan {
+    pub(super) fn pass(&mut self) {
+        // Connections that were made while everything was silent stay so.
+        if self.silence_new {
+            self.silent_up_to = self.accepted;
+        }
+        self.refuse = false;
+        self.silence_new = false;
+        self.hold = false;
+        self.delay = Duration::ZERO;
+        self.fault = None;
+    }
+
+    pub(super) fn set_fault(&mut self, direction: Direction, kind: Kind, after: usize) {
+        self.faults += 1;
+        self.fault = Some(Fault {
+            number: self.faults,
+            direction,
+            kind,
+            after,
+        });
+    }
+
+    pub(super) fn is_cut(&self, connection: u64) -> bool {
+        connection <= self.cut_up_to
+    }
+
+    pub(super) fn is_flowing(&self, connection: u64) -> bool {
+        !self.hold && !self.silence_new && connection > self.silent_up_to
+    }
+}
