--- a/tests/support/src/relay.rs
+++ b/tests/support/src/relay.rs
@@ -140,12 +140,14 @@
         self.change(|plan| plan.hold = false);
     }
 
-    /// Closes each connection once `bytes` more bytes have gone through in one direction.
+    /// Closes a connection once `bytes` more bytes have gone through it in one direction; only the
+    /// first connection that gets there.
     pub fn truncate_after(&self, direction: Direction, bytes: usize) {
         self.change(|plan| plan.set_fault(direction, plan::Kind::Truncate, bytes));
     }
 
-    /// Flips the bits of one byte on each connection, `bytes` bytes further on in one direction.
+    /// Flips the bits of the byte that comes `bytes` bytes further on in one direction of a
+    /// connection; only on the first connection that gets there.
     pub fn corrupt_after(&self, direction: Direction, bytes: usize) {
         self.change(|plan| plan.set_fault(direction, plan::Kind::Corrupt, bytes));
     }
