--- a/tests/support/src/lib.rs
+++ b/tests/support/src/lib.rs
@@ -9,6 +9,7 @@
 mod caller;
 mod fleet;
 mod ledger;
+pub mod relay;
 
 pub use backend::{Backend, BackendOptions, Behaviour, Fault, raw};
 pub use caller::{Answer, Caller};
