feat: gossip, freshness leases and withdrawals in nodes and control VMs

The stand-in that spread all members whole and polled for views is gone; nutmegwheel-spread drives the membership crate over the links. A view travels as the step from the one before (Delta), and the control state applies the same step.

--- /dev/null
+++ b/crates/nutmegwheel-config/src/delta.rs
@@ -0,0 +1,73 @@
+use nutmegwheel_types::{KeyHash, WorkspaceId, hex};
+use serde::{Deserialize, Serialize};
+
+use crate::{Change, Configuration, View, ViewError};
+
+/// What turns a view into its next version; small enough to be sent to every process.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Delta {
+    /// A committed change.
+    Change(Change),
+    /// A withdrawn key.
+    Withdraw(KeyHash),
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Document {
+    Change(String),
+    Withdraw(String),
+}
+
+impl Delta {
+    /// The form in which it travels.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        let document = match self {
+            Self::Change(change) => Document::Change(change.to_json()),
+            Self::Withdraw(hash) => Document::Withdraw(hex::encode(hash)),
+        };
+        serde_json::to_vec(&document).unwrap_or_default()
+    }
+
+    /// Reads what [`Delta::encode`] wrote.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a malformed document as a whole.
+    pub fn decode(bytes: &[u8]) -> Result<Self, ViewError> {
+        match serde_json::from_slice(bytes)? {
+            Document::Change(text) => Ok(Self::Change(Change::parse(&text)?)),
+            Document::Withdraw(text) => {
+                let hash = hex::decode(&text).ok_or(ViewError::Hash(text))?;
+                Ok(Self::Withdraw(hash))
+            }
+        }
+    }
+}
+
+/// Moving on to the next version.
+impl View {
+    /// Applies what was committed as the next version.
+    pub fn advance(&mut self, delta: Delta) {
+        match delta {
+            Delta::Change(Change::Configure(configuration)) => self.configure(configuration),
+            Delta::Change(Change::GiveKey { workspace, hash }) => self.give_key(workspace, hash),
+            Delta::Withdraw(hash) => self.withdraw(hash),
+        }
+        self.version += 1;
+    }
+
+    fn configure(&mut self, configuration: Configuration) {
+        self.configuration = configuration;
+    }
+
+    fn give_key(&mut self, workspace: WorkspaceId, hash: KeyHash) {
+        self.keys.insert(hash, workspace);
+    }
+
+    fn withdraw(&mut self, hash: KeyHash) {
+        self.keys.remove(&hash);
+        self.withdrawn.insert(hash);
+    }
+}
--- a/crates/nutmegwheel-config/src/lib.rs
+++ b/crates/nutmegwheel-config/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod change;
 mod configuration;
+mod delta;
 mod error;
 mod reader;
 mod settings;
@@ -14,6 +15,7 @@
 
 pub use change::Change;
 pub use configuration::{Class, Configuration, NoRoute, Route, WhenCutOff, Workspace};
+pub use delta::Delta;
 pub use error::CheckError;
 pub use settings::{Listen, Role, Seed, Settings};
 pub use view::{View, ViewError, hash_key};
--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -4,11 +4,13 @@
 use nutmegwheel_config::Settings;
 use nutmegwheel_events::{Event, Journal};
 use nutmegwheel_link::{Endpoint, Limits, Options};
+use nutmegwheel_spread::{Spread, TICK};
 use nutmegwheel_supervisor::Supervisor;
 use nutmegwheel_types::Incarnation;
 
 use crate::{
     log::{Log, SoleLog},
+    members::{Members, Offer},
     operators::Operators,
     service::ControlService,
 };
@@ -17,6 +19,8 @@
 const BODY_LIMIT: usize = 1024 * 1024;
 /// The time in which an operator's request must have arrived.
 const PATIENCE: Duration = Duration::from_secs(10);
+/// The time between two signs of life of the control quorum.
+const STAMP_PAUSE: Duration = Duration::from_millis(300);
 /// How long answers that are being written may take when the process stops.
 const GRACE: Duration = Duration::from_millis(500);
 
@@ -26,6 +30,7 @@
     tree: Supervisor,
     endpoint: Endpoint,
     web: nutmegwheel_web::Server,
+    spread: Arc<Spread>,
 }
 
 /// Starts the control role.
@@ -39,7 +44,13 @@
     journal: Arc<Journal>,
 ) -> anyhow::Result<Control> {
     let tree = Supervisor::open(journal.clone());
-    let log: Arc<dyn Log> = Arc::new(SoleLog::default());
+    let spread = Arc::new(Spread::open(&settings, incarnation));
+    let members = Arc::new(Members::open(spread.clone(), journal.clone()));
+    let offer = Offer {
+        spread: spread.clone(),
+    };
+    let log: Arc<dyn Log> = Arc::new(SoleLog::open(offer));
+    members.connect(log.clone());
     let opts = Options {
         name: settings.name.clone(),
         data_centre: settings.data_centre.clone(),
@@ -48,12 +59,17 @@
         fleet_secret: settings.fleet_secret.clone().into_bytes(),
         limits: Limits::default(),
     };
-    let service = Arc::new(ControlService { log: log.clone() });
+    let service = Arc::new(ControlService {
+        members: members.clone(),
+    });
     let endpoint = Endpoint::bind(opts, service)
         .await
         .context("open listen.link")?;
+    spread.connect(endpoint.clone());
+    spawn_tasks(&tree, &members);
     let operators = Operators {
         log,
+        members: members.clone(),
         journal: journal.clone(),
         secret: settings.operator_secret.as_str().into(),
     };
@@ -67,9 +83,23 @@
         tree,
         endpoint,
         web,
+        spread,
     })
 }
 
+fn spawn_tasks(tree: &Supervisor, members: &Arc<Members>) {
+    let cx = members.clone();
+    tree.spawn_interval("gossip", TICK, move || {
+        let cx = cx.clone();
+        async move { cx.tick() }
+    });
+    let cx = members.clone();
+    tree.spawn_interval("stamp", STAMP_PAUSE, move || {
+        let cx = cx.clone();
+        async move { cx.issue_stamp(0) }
+    });
+}
+
 fn bind_web(address: SocketAddr, operators: Operators) -> anyhow::Result<nutmegwheel_web::Server> {
     let opts = nutmegwheel_web::Options {
         address,
@@ -85,7 +115,9 @@
     /// Takes nothing new, finishes what is in flight and ends.
     pub async fn shutdown(self) {
         self.journal.emit(Event::ProcessLeaving, &[]);
+        self.spread.leave();
         self.web.stop();
+        self.spread.stop();
         self.endpoint.shutdown().await;
         tokio::time::sleep(GRACE).await;
         self.tree.stop();
--- a/crates/nutmegwheel-control/src/lib.rs
+++ b/crates/nutmegwheel-control/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod control;
 mod log;
+mod members;
 mod operators;
 mod service;
 /// What the replicated log makes of the operators' changes.
--- /dev/null
+++ b/crates/nutmegwheel-control/src/members.rs
@@ -0,0 +1,125 @@
+//! A control VM's part in the gossip: it publishes what is committed and commits the withdrawals
+//! that it hears of.
+
+use std::{
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use nutmegwheel_config::{Delta, View};
+use nutmegwheel_events::{Event as Logged, Journal};
+use nutmegwheel_link::Peer;
+use nutmegwheel_spread::{Event, Record, Spread, Stamp};
+use nutmegwheel_types::{KeyHash, hex};
+
+use crate::{
+    log::{Log, Publisher},
+    state::Command,
+};
+
+/// How long a word of authority holds; the next one is given long before.
+const AUTHORITY: Duration = Duration::from_secs(1);
+
+/// The fleet as a control VM sees it.
+pub(crate) struct Members {
+    pub(crate) spread: Arc<Spread>,
+    journal: Arc<Journal>,
+    log: OnceLock<Arc<dyn Log>>,
+    sequence: AtomicU64,
+}
+
+/// Lifecycle.
+impl Members {
+    pub(crate) fn open(spread: Arc<Spread>, journal: Arc<Journal>) -> Self {
+        Self {
+            spread,
+            journal,
+            log: OnceLock::new(),
+            sequence: AtomicU64::new(0),
+        }
+    }
+
+    /// Sets the log, which is opened after what hears of it.
+    pub(crate) fn connect(&self, log: Arc<dyn Log>) {
+        let _ = self.log.set(log);
+    }
+}
+
+/// Gossip.
+impl Members {
+    pub(crate) fn tick(&self) {
+        let events = self.spread.tick();
+        self.handle(events);
+    }
+
+    pub(crate) fn receive(&self, peer: &Peer, body: &Bytes) {
+        let events = self.spread.receive(peer, body);
+        self.handle(events);
+    }
+
+    /// Tells the fleet that the control quorum lives; for its leader.
+    pub(crate) fn issue_stamp(&self, term: u64) {
+        let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        self.spread.issue_stamp(Stamp { term, sequence });
+        self.spread.authorise(Instant::now() + AUTHORITY);
+    }
+
+    /// Takes in a withdrawal by an operator and follows how far it comes.
+    pub(crate) fn withdraw(&self, hash: KeyHash, committed: bool) {
+        let events = self.spread.withdraw(hash, committed);
+        self.handle(events);
+    }
+
+    fn handle(&self, events: Vec<Event>) {
+        for event in events {
+            match event {
+                Event::Joined(record) => self.record(Logged::MemberJoined, &record),
+                Event::Suspected(record) => self.record(Logged::MemberSuspected, &record),
+                Event::Leaving(record) | Event::Left(record) => {
+                    self.record(Logged::MemberLeft, &record);
+                }
+                Event::Died(record) => self.record(Logged::MemberDied, &record),
+                Event::Withdrawn(hash) => self.commit_withdrawal(hash),
+                // What is committed comes by the log alone.
+                Event::Fetched(_)
+                | Event::Announced(_)
+                | Event::VersionHeard(_)
+                | Event::Refuted(_) => {}
+            }
+        }
+    }
+
+    fn record(&self, event: Logged, record: &Record) {
+        self.journal.emit(event, &[("member", &record.name)]);
+    }
+
+    /// Commits a withdrawal that was taken by another process, so that it outlives it.
+    fn commit_withdrawal(&self, hash: KeyHash) {
+        let Some(log) = self.log.get().cloned() else {
+            return;
+        };
+        if log.view().withdrawn.contains(&hash) {
+            return;
+        }
+        let command = Command::Withdraw {
+            hash: hex::encode(&hash),
+        };
+        tokio::spawn(async move { log.commit(command).await });
+    }
+}
+
+/// Offers what is committed to the fleet.
+pub(crate) struct Offer {
+    pub(crate) spread: Arc<Spread>,
+}
+
+impl Publisher for Offer {
+    fn publish(&self, view: &View, delta: Option<&Delta>) {
+        let delta = delta.map(Delta::encode);
+        self.spread.hold(view, delta.as_deref());
+    }
+}
--- a/crates/nutmegwheel-control/src/operators.rs
+++ b/crates/nutmegwheel-control/src/operators.rs
@@ -5,12 +5,14 @@
 use http::{Method, StatusCode, request::Parts};
 use nutmegwheel_config::Change;
 use nutmegwheel_events::{Event, Journal};
+use nutmegwheel_spread::WithdrawalState;
 use nutmegwheel_types::{KeyHash, hex};
 use nutmegwheel_web::{Handler, HandlerFuture, Problem, Request, Response, authorize, json};
 use serde_json::{Value, json as value};
 
 use crate::{
     log::{Log, LogError},
+    members::Members,
     state::{ChangeNumber, Command, Verdict, Winner},
 };
 
@@ -21,6 +23,7 @@
 #[derive(Clone)]
 pub(crate) struct Operators {
     pub(crate) log: Arc<dyn Log>,
+    pub(crate) members: Arc<Members>,
     pub(crate) journal: Arc<Journal>,
     pub(crate) secret: Arc<str>,
 }
@@ -127,20 +130,24 @@
 /// Withdrawals.
 impl Operators {
     async fn withdraw(&self, hash: KeyHash) -> Result<Response, Problem> {
+        self.members.withdraw(hash, false);
         let command = Command::Withdraw {
             hash: hex::encode(&hash),
         };
-        self.commit(command).await?;
+        // Without a quorum the mark is taken all the same, and the answer says that it is pending.
+        if self.log.commit(command).await.is_ok() {
+            self.members.withdraw(hash, true);
+        }
         self.withdrawal(hash)
     }
 
     fn withdrawal(&self, hash: KeyHash) -> Result<Response, Problem> {
-        if !self.log.view().withdrawn.contains(&hash) {
-            let detail = "this key was never withdrawn";
-            return Err(Problem::new(StatusCode::NOT_FOUND, "not-withdrawn", detail));
+        let is_committed = self.log.view().withdrawn.contains(&hash);
+        if is_committed && self.members.spread.withdrawal(&hash) == WithdrawalState::Unknown {
+            // Another process took it, or this one did in an earlier life; follow it from here.
+            self.members.withdraw(hash, true);
         }
-        let shown = value!({"state": "pending", "waiting_for": Vec::<String>::new()});
-        Ok(json(StatusCode::OK, &shown))
+        withdrawal_to_response(&self.members.spread.withdrawal(&hash))
     }
 }
 
@@ -157,6 +164,22 @@
     }
 }
 
+/// How far a withdrawal has come, as operators are told.
+fn withdrawal_to_response(state: &WithdrawalState) -> Result<Response, Problem> {
+    let shown = match state {
+        WithdrawalState::InForce => value!({"state": "in-force"}),
+        WithdrawalState::Pending { waiting_for, .. } => {
+            value!({"state": "pending", "waiting_for": waiting_for})
+        }
+        WithdrawalState::Unknown => {
+            let detail = "this key was never withdrawn";
+            let status = StatusCode::NOT_FOUND;
+            return Err(Problem::new(status, "not-withdrawn", detail));
+        }
+    };
+    Ok(json(StatusCode::OK, &shown))
+}
+
 fn read_number(text: &str) -> Result<ChangeNumber, Problem> {
     let number = text.parse().ok();
     number
--- a/crates/nutmegwheel-control/src/service.rs
+++ b/crates/nutmegwheel-control/src/service.rs
@@ -2,38 +2,28 @@
 
 use bytes::Bytes;
 use nutmegwheel_link::{Peer, Reply, Request, ServeFuture, Service, Topic};
-use nutmegwheel_wire::{FetchView, topic};
-use prost::Message as _;
+use nutmegwheel_wire::topic;
 
-use crate::log::Log;
+use crate::members::Members;
 
 /// Answers the other processes of the fleet.
 pub(crate) struct ControlService {
-    pub(crate) log: Arc<dyn Log>,
+    pub(crate) members: Arc<Members>,
 }
 
 impl Service for ControlService {
-    fn serve(&self, _peer: Peer, req: Request) -> ServeFuture {
-        let body = match req.topic {
-            topic::FETCH_VIEW => self.fetch_view(&req.head),
-            _ => Bytes::new(),
-        };
-        let head = Bytes::new();
-        Box::pin(async move { Reply { head, body } })
+    fn serve(&self, _peer: Peer, _req: Request) -> ServeFuture {
+        Box::pin(async {
+            Reply {
+                head: Bytes::new(),
+                body: Bytes::new(),
+            }
+        })
     }
 
-    fn notice(&self, _peer: Peer, _topic: Topic, _body: Bytes) {}
-}
-
-impl ControlService {
-    /// The newest view, or nothing when the asker holds it.
-    fn fetch_view(&self, head: &[u8]) -> Bytes {
-        let have = FetchView::decode(head).map_or(0, |fetch| fetch.have);
-        let view = self.log.view();
-        if view.version > have {
-            view.encode().into()
-        } else {
-            Bytes::new()
+    fn notice(&self, peer: Peer, topic: Topic, body: Bytes) {
+        if topic == topic::GOSSIP {
+            self.members.receive(&peer, &body);
         }
     }
 }
--- a/crates/nutmegwheel-control/src/state.rs
+++ b/crates/nutmegwheel-control/src/state.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use nutmegwheel_config::{Change, CheckError, Configuration, View};
+use nutmegwheel_config::{Change, CheckError, Delta, View};
 use nutmegwheel_types::{ConfigVersion, KeyHash, WorkspaceId, hex, plain};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -166,11 +166,11 @@
             Ok(change) => change,
             Err(e) => return e.into(),
         };
-        let kind = kind(&change);
-        if let Err(refused) = self.make(change) {
+        if let Err(refused) = self.check(&change) {
             return refused;
         }
-        self.view.version += 1;
+        let kind = kind(&change);
+        self.view.advance(Delta::Change(change));
         self.remember(number, digest, kind);
         Verdict::Committed {
             version: self.view.version,
@@ -178,48 +178,39 @@
         }
     }
 
-    fn make(&mut self, change: Change) -> Result<(), Verdict> {
+    /// Checks a change against what is committed.
+    fn check(&self, change: &Change) -> Result<(), Verdict> {
         match change {
-            Change::Configure(configuration) => {
-                self.configure(configuration);
-                Ok(())
-            }
-            Change::GiveKey { workspace, hash } => self.give_key(workspace, hash),
+            Change::Configure(_) => Ok(()),
+            Change::GiveKey { workspace, hash } => self.check_key(workspace, hash),
         }
     }
 
-    fn configure(&mut self, configuration: Configuration) {
-        self.view.configuration = configuration;
-    }
-
-    fn give_key(&mut self, workspace: WorkspaceId, hash: KeyHash) -> Result<(), Verdict> {
-        if self.view.withdrawn.contains(&hash) {
+    fn check_key(&self, workspace: &WorkspaceId, hash: &KeyHash) -> Result<(), Verdict> {
+        if self.view.withdrawn.contains(hash) {
             return Err(Verdict::KeyWithdrawn);
         }
-        if !self.view.configuration.workspaces.contains_key(&workspace) {
+        if !self.view.configuration.workspaces.contains_key(workspace) {
             let detail = format!("there is no workspace {workspace:?}");
             return Err(refused("give_key.workspace", detail));
         }
-        match self.view.keys.get(&hash) {
-            Some(owner) if *owner != workspace => return Err(Verdict::KeyTaken),
+        match self.view.keys.get(hash) {
+            Some(owner) if owner != workspace => Err(Verdict::KeyTaken),
             None if self.key_count() >= KEY_LIMIT => {
                 let detail = format!("the fleet holds {KEY_LIMIT} keys already");
-                return Err(refused("give_key.hash", detail));
+                Err(refused("give_key.hash", detail))
             }
-            _ => {}
+            _ => Ok(()),
         }
-        self.view.keys.insert(hash, workspace);
-        Ok(())
     }
 
     fn apply_withdrawal(&mut self, hash: &str) -> Verdict {
         let Some(hash) = hex::decode(hash) else {
             return refused("hash", "must be 64 hex digits".to_owned());
         };
-        let first = self.view.withdrawn.insert(hash);
+        let first = !self.view.withdrawn.contains(&hash);
         if first {
-            self.view.keys.remove(&hash);
-            self.view.version += 1;
+            self.view.advance(Delta::Withdraw(hash));
         }
         Verdict::Committed {
             version: self.view.version,
@@ -245,6 +236,17 @@
     }
 }
 
+impl Command {
+    /// What the command changes in the view when it is committed for the first time.
+    #[must_use]
+    pub fn delta(&self) -> Option<Delta> {
+        match self {
+            Self::Change { content, .. } => Change::parse(content).ok().map(Delta::Change),
+            Self::Withdraw { hash } => hex::decode(hash).map(Delta::Withdraw),
+        }
+    }
+}
+
 impl From<CheckError> for Verdict {
     fn from(e: CheckError) -> Self {
         refused(&e.field, format!("line {}: {}", e.line, e.detail))
--- a/crates/nutmegwheel-membership/src/gossip/control.rs
+++ b/crates/nutmegwheel-membership/src/gossip/control.rs
@@ -7,7 +7,8 @@
 use crate::freshness::{Lease, LeaseOptions, Settling, Step};
 use crate::random::Random;
 use crate::{
-    Body, Confirmation, LinkAddress, Renew, Role, Stamp, StampAge, WithdrawnPart, WithdrawnSet,
+    Body, Confirmation, CutOff, LinkAddress, Renew, Role, Stamp, StampAge, WithdrawnPart,
+    WithdrawnSet,
 };
 
 /// How often a watched control VM is asked.
@@ -158,6 +159,11 @@
         self.settle_with(true);
     }
 
+    /// Takes over what the operators want a data centre to do that is cut off.
+    pub fn set_cut_off(&mut self, cut_off: CutOff) {
+        self.options.cut_off = cut_off;
+    }
+
     pub(super) fn is_authority(&self, now: Instant) -> bool {
         self.authority_until.is_some_and(|until| now < until)
     }
--- a/crates/nutmegwheel-node/src/backend.rs
+++ b/crates/nutmegwheel-node/src/backend.rs
@@ -11,11 +11,12 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use nutmegwheel_types::plain;
+use nutmegwheel_spread::AnnouncementState;
+use nutmegwheel_types::{Incarnation, ServiceId, plain, plain_copy};
+use serde::Deserialize;
 
 use crate::{
     call::{Answer, Call},
-    directory::{Backend, BackendState},
     headers,
     refusal::{Reason, Refusal},
     running::Token,
@@ -26,7 +27,37 @@
 /// The time for which an unused connection to the backend server is kept.
 const IDLE_CONNECTION: Duration = Duration::from_secs(30);
 
+plain_copy! {
+    /// What a backend server says of itself.
+    #[derive(Deserialize)]
+    #[serde(rename_all = "snake_case")]
+    pub(crate) enum BackendState {
+        Starting,
+        Ready,
+        Leaving,
+    }
+}
+
+impl From<BackendState> for AnnouncementState {
+    fn from(state: BackendState) -> Self {
+        match state {
+            BackendState::Starting => Self::Starting,
+            BackendState::Ready => Self::Ready,
+            BackendState::Leaving => Self::Leaving,
+        }
+    }
+}
+
 plain! {
+    /// The backend server of a node.
+    pub(crate) struct Backend {
+        pub(crate) service: ServiceId,
+        pub(crate) slots: u16,
+        pub(crate) state: BackendState,
+        /// The number of its life, greater after every restart of it.
+        pub(crate) life: Incarnation,
+    }
+
     /// What the backend server announced last.
     pub(crate) struct Announcement {
         pub(crate) backend: Backend,
--- a/crates/nutmegwheel-node/src/door.rs
+++ b/crates/nutmegwheel-node/src/door.rs
@@ -13,6 +13,7 @@
     forward, headers,
     refusal::{Reason, Refusal},
     running::Parent,
+    serve,
     shared::Shared,
     suspects, views,
 };
@@ -36,8 +37,15 @@
 
 async fn take(shared: &Arc<Shared>, req: Request, root: RootId) -> Result<Answer, Refusal> {
     let now = Instant::now();
+    if shared.is_closed() {
+        let detail = "this node stops; ask another one";
+        return Err(Refusal::not_run(Reason::Leaving, detail));
+    }
     let view = shared.views.current();
     let call = admit(&view, req, root, now)?;
+    if let Some(key) = &call.key {
+        serve::may_serve(shared, key)?;
+    }
     if call.deadline <= now {
         return Err(Refusal::not_run(Reason::Deadline, "no time was left"));
     }
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -8,13 +8,12 @@
 
 mod backend;
 mod call;
-mod directory;
 mod door;
 mod forward;
 mod gate;
-mod gossip;
 mod headers;
 mod local;
+mod members;
 mod node;
 mod platform;
 mod refusal;
--- a/crates/nutmegwheel-node/src/local.rs
+++ b/crates/nutmegwheel-node/src/local.rs
@@ -13,9 +13,8 @@
 use serde::Deserialize;
 
 use crate::{
-    backend::Announcement,
+    backend::{Announcement, Backend, BackendState},
     call::{Answer, Call},
-    directory::{Backend, BackendState},
     door::{self, Path},
     forward, headers,
     refusal::{Reason, Refusal},
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -8,32 +8,28 @@
 use nutmegwheel_config::Settings;
 use nutmegwheel_events::{Event, Journal};
 use nutmegwheel_link::{Endpoint, Limits, Options};
+use nutmegwheel_spread::TICK;
 use nutmegwheel_supervisor::Supervisor;
 use nutmegwheel_types::Incarnation;
 use nutmegwheel_web::{Handler, Server};
-use nutmegwheel_wire::{FetchView, topic};
-use prost::Message as _;
 
 use crate::{
-    door::Door, gossip, local::LocalDoor, platform::Platform, serve::NodeService, shared::Shared,
+    door::Door,
+    local::LocalDoor,
+    members,
+    platform::Platform,
+    serve::NodeService,
+    shared::{LEAVE_TIME, Shared},
 };
 
 /// The largest body of a request, in bytes.
 const BODY_LIMIT: usize = 1024 * 1024;
 /// The time in which a request must have arrived.
 const PATIENCE: Duration = Duration::from_secs(10);
-/// The time between two rounds of gossip.
-const GOSSIP_PAUSE: Duration = Duration::from_millis(500);
-/// The time between two looks for a newer view.
-const FETCH_PAUSE: Duration = Duration::from_millis(300);
-/// The time for one fetch of a view.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 /// The time between two looks for a lapsed announcement.
 const LAPSE_PAUSE: Duration = Duration::from_millis(100);
 /// The time between two rounds of forgetting what is too old.
 const EXPIRY_PAUSE: Duration = Duration::from_secs(1);
-/// The time in which others learn that this node leaves, and idle callers go elsewhere.
-const LEAVE_TIME: Duration = Duration::from_secs(2);
 /// The longest time that a planned stop waits for requests in flight.
 const DRAIN_LIMIT: Duration = Duration::from_secs(30);
 /// The time between two looks whether requests are in flight.
@@ -125,14 +121,9 @@
 
 fn spawn_tasks(tree: &Supervisor, shared: &Arc<Shared>) {
     let cx = shared.clone();
-    tree.spawn_interval("gossip", GOSSIP_PAUSE, move || {
+    tree.spawn_interval("gossip", TICK, move || {
         let cx = cx.clone();
-        async move { gossip::round(&cx) }
-    });
-    let cx = shared.clone();
-    tree.spawn_interval("views", FETCH_PAUSE, move || {
-        let cx = cx.clone();
-        async move { fetch_view(&cx).await }
+        async move { members::handle(&cx, cx.spread.tick()) }
     });
     let cx = shared.clone();
     tree.spawn_interval("announcement", LAPSE_PAUSE, move || {
@@ -151,30 +142,6 @@
     });
 }
 
-/// Asks the control VMs in turn for a newer view, until one answers.
-async fn fetch_view(shared: &Shared) {
-    let Some(endpoint) = shared.endpoint() else {
-        return;
-    };
-    for seed in shared.settings.control_vms() {
-        let head = FetchView {
-            have: shared.views.version(),
-        };
-        let req = nutmegwheel_link::Request {
-            topic: topic::FETCH_VIEW,
-            head: head.encode_to_vec().into(),
-            body: bytes::Bytes::new(),
-        };
-        let deadline = Instant::now() + FETCH_TIMEOUT;
-        if let Ok(reply) = endpoint.call(seed.link, req, deadline).await {
-            if !reply.body.is_empty() {
-                shared.views.offer(&reply.body);
-            }
-            return;
-        }
-    }
-}
-
 fn lapse(shared: &Arc<Shared>) {
     if let Some(lapsed) = shared.local.lapse(Instant::now()) {
         let service = &lapsed.backend.service;
@@ -191,12 +158,12 @@
     pub async fn shutdown(self) {
         self.shared.journal.emit(Event::ProcessLeaving, &[]);
         self.shared.leave();
-        gossip::round(&self.shared);
         tokio::time::sleep(LEAVE_TIME).await;
         self.drain().await;
         for server in &self.servers {
             server.stop();
         }
+        self.shared.spread.stop();
         if let Some(endpoint) = self.shared.endpoint() {
             endpoint.shutdown().await;
         }
--- a/crates/nutmegwheel-node/src/platform.rs
+++ b/crates/nutmegwheel-node/src/platform.rs
@@ -1,12 +1,14 @@
 use std::sync::Arc;
 
 use http::{Method, StatusCode};
+use nutmegwheel_spread::{Decision, Why, WithdrawalState};
+use nutmegwheel_types::KeyHash;
 use nutmegwheel_web::{
     Handler, HandlerFuture, Problem, Request, Response, authorize, events, json,
 };
 use serde_json::json as value;
 
-use crate::shared::Shared;
+use crate::{members, shared::Shared};
 
 /// Answers the platform and operators on a node.
 pub(crate) struct Platform {
@@ -20,13 +22,13 @@
     }
 }
 
-fn answer(shared: &Shared, req: &Request) -> Result<Response, Problem> {
+fn answer(shared: &Arc<Shared>, req: &Request) -> Result<Response, Problem> {
     match (&req.head.method, req.head.uri.path()) {
         (&Method::GET, "/livez") => Ok(json(StatusCode::OK, &value!({"ok": true}))),
         (&Method::GET, "/readyz") => readiness(shared),
-        (&Method::GET, path) if path.starts_with("/v1/") => {
+        (method, path) if path.starts_with("/v1/") => {
             authorize(&req.head, &shared.settings.operator_secret)?;
-            view(shared, req, path)
+            operator(shared, req, method, path)
         }
         _ => Err(unknown_route()),
     }
@@ -35,10 +37,13 @@
 fn readiness(shared: &Shared) -> Result<Response, Problem> {
     let why = if shared.is_leaving() {
         "the node is leaving"
-    } else if shared.views.version() == 0 {
-        "the node has no configuration yet"
     } else {
-        return Ok(json(StatusCode::OK, &value!({"ok": true})));
+        match shared.spread.decide() {
+            Decision::Serve => return Ok(json(StatusCode::OK, &value!({"ok": true}))),
+            Decision::Fenced(Why::NoConfiguration) => "the node has no configuration yet",
+            Decision::Fenced(Why::NoMajority) => "no majority of the seeds confirms the node",
+            Decision::Fenced(Why::CutOff) => "the data centre is cut off",
+        }
     };
     Err(Problem::new(
         StatusCode::SERVICE_UNAVAILABLE,
@@ -47,21 +52,52 @@
     ))
 }
 
-fn view(shared: &Shared, req: &Request, path: &str) -> Result<Response, Problem> {
-    match path {
-        "/v1/status" => Ok(status(shared)),
-        "/v1/events" => Ok(events(&shared.journal, &req.head)),
+fn operator(
+    shared: &Arc<Shared>,
+    req: &Request,
+    method: &Method,
+    path: &str,
+) -> Result<Response, Problem> {
+    match (method, path, path.strip_prefix("/v1/withdrawals/")) {
+        (&Method::GET, "/v1/status", _) => Ok(status(shared)),
+        (&Method::GET, "/v1/events", _) => Ok(events(&shared.journal, &req.head)),
+        (&Method::PUT, _, Some(hash)) => {
+            let hash = read_hash(hash)?;
+            members::handle(shared, shared.spread.withdraw(hash, false));
+            withdrawal(shared, &hash)
+        }
+        (&Method::GET, _, Some(hash)) => withdrawal(shared, &read_hash(hash)?),
         _ => Err(unknown_route()),
     }
 }
 
+fn withdrawal(shared: &Shared, hash: &KeyHash) -> Result<Response, Problem> {
+    let shown = match shared.spread.withdrawal(hash) {
+        WithdrawalState::InForce => value!({"state": "in-force"}),
+        WithdrawalState::Pending { waiting_for, .. } => {
+            value!({"state": "pending", "waiting_for": waiting_for})
+        }
+        WithdrawalState::Unknown => {
+            let detail = "this key was never withdrawn here";
+            let status = StatusCode::NOT_FOUND;
+            return Err(Problem::new(status, "not-withdrawn", detail));
+        }
+    };
+    Ok(json(StatusCode::OK, &shown))
+}
+
+fn read_hash(text: &str) -> Result<KeyHash, Problem> {
+    let hash = nutmegwheel_types::hex::decode(text);
+    hash.ok_or_else(|| Problem::bad_request(format!("{text:?} is not 64 hex digits")))
+}
+
 fn status(shared: &Shared) -> Response {
     let shown = value!({
         "name": shared.settings.name,
         "data_centre": shared.settings.data_centre,
         "incarnation": shared.incarnation,
         "version": shared.views.version(),
-        "members": shared.directory.members(),
+        "members": members::shown(shared),
         "running": shared.running.count(),
     });
     json(StatusCode::OK, &shown)
--- a/crates/nutmegwheel-node/src/routes.rs
+++ b/crates/nutmegwheel-node/src/routes.rs
@@ -8,12 +8,10 @@
 use nutmegwheel_policy::routing::{
     Announcement, BackendKey, LoadReport, Options, Outcome, Request, ServerState, Table,
 };
+use nutmegwheel_spread::{AnnouncementState, Health, Record, Standing};
 use nutmegwheel_types::{DataCentreId, Incarnation, Priority, ProcessName, ServiceId, plain};
 
-use crate::{
-    directory::{BackendState, Member},
-    refusal::{Reason, Refusal},
-};
+use crate::refusal::{Reason, Refusal};
 
 /// When it is worth asking again where nothing serves.
 const NONE_READY_PAUSE: Duration = Duration::from_secs(1);
@@ -57,38 +55,35 @@
         }
     }
 
-    /// Takes over what a node says of its backend server.
-    pub(crate) fn learn(&self, now: Instant, member: &Member) {
+    /// Takes over what is known of a node and its backend server.
+    pub(crate) fn learn(&self, now: Instant, record: &Record) {
         let mut state = self.lock();
-        let Some(backend) = &member.backend else {
-            return state.forget(now, &member.name);
+        let announced = record.announcement.as_ref();
+        let Some(announced) = announced.filter(|_| record.health != Health::Dead) else {
+            return state.forget(now, &record.name);
         };
-        let known = state.nodes.get(&member.name);
-        if known.is_some_and(|known| known.service != backend.service) {
-            state.forget(now, &member.name);
+        let known = state.nodes.get(&record.name);
+        if known.is_some_and(|known| known.service != announced.service) {
+            state.forget(now, &record.name);
         }
         let node = Node {
-            service: backend.service.clone(),
-            link: member.link,
-            incarnation: member.incarnation,
+            service: announced.service.clone(),
+            link: record.link,
+            incarnation: record.incarnation,
         };
-        state.nodes.insert(member.name.clone(), node);
-        let table = state.tables.entry(backend.service.clone());
+        state.nodes.insert(record.name.clone(), node);
+        let table = state.tables.entry(announced.service.clone());
         let table =
             table.or_insert_with(|| Table::open(self.data_centre.clone(), Options::default()));
         let announcement = Announcement {
-            node: member.name.clone(),
-            data_centre: member.data_centre.clone(),
-            incarnation: backend.life,
-            slots: backend.slots.into(),
-            state: server_state(backend.state),
+            node: record.name.clone(),
+            data_centre: record.data_centre.clone(),
+            incarnation: record.incarnation,
+            slots: announced.slots.into(),
+            state: server_state(record.standing, announced.state),
         };
-        table.announce(now, announcement);
-    }
-
-    /// Gives a node nothing new from now on.
-    pub(crate) fn forget(&self, now: Instant, node: &str) {
-        self.lock().forget(now, node);
+        let key = table.announce(now, announcement);
+        table.set_silent(now, key, record.health == Health::Suspect);
     }
 }
 
@@ -165,10 +160,10 @@
     }
 }
 
-fn server_state(state: BackendState) -> ServerState {
-    match state {
-        BackendState::Starting => ServerState::Starting,
-        BackendState::Ready => ServerState::Ready,
-        BackendState::Leaving => ServerState::Leaving,
+fn server_state(standing: Standing, state: AnnouncementState) -> ServerState {
+    match (standing, state) {
+        (Standing::Leaving, _) | (_, AnnouncementState::Leaving) => ServerState::Leaving,
+        (_, AnnouncementState::Starting) => ServerState::Starting,
+        (_, AnnouncementState::Ready) => ServerState::Ready,
     }
 }
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -6,13 +6,14 @@
     admission::{self, Completion},
     routing::LoadReport,
 };
-use nutmegwheel_types::Priority;
+use nutmegwheel_spread::{Decision, Why};
+use nutmegwheel_types::{KeyHash, Priority};
 use nutmegwheel_wire::{self as wire, CallHead, ReplyHead, topic};
 use prost::Message as _;
 
 use crate::{
     call::{self, Answer, Call},
-    gossip,
+    members,
     refusal::{Outcome, Reason, Refusal},
     running::{Below, Parent},
     shared::Shared,
@@ -110,6 +111,25 @@
     Ok(())
 }
 
+/// Checks that a key may be served at this instant.
+pub(crate) fn may_serve(shared: &Shared, key: &KeyHash) -> Result<(), Refusal> {
+    if shared.spread.is_withdrawn(key) {
+        let detail = "the key is withdrawn";
+        return Err(Refusal::not_run(Reason::KeyWithdrawn, detail));
+    }
+    match shared.spread.decide() {
+        Decision::Serve => Ok(()),
+        Decision::Fenced(why) => {
+            let detail = match why {
+                Why::NoConfiguration => "this node has no configuration yet",
+                Why::NoMajority => "no majority of the data centre's seeds confirms this node",
+                Why::CutOff => "the data centre is cut off from the control VMs",
+            };
+            Err(Refusal::not_run(Reason::NotReady, detail))
+        }
+    }
+}
+
 /// Answers the other processes of the fleet.
 pub(crate) struct NodeService {
     pub(crate) shared: Arc<Shared>,
@@ -121,15 +141,17 @@
         Box::pin(async move {
             match req.topic {
                 topic::CALL => answer_call(&shared, req).await,
-                topic::FETCH_VIEW => fetch_view(&shared, &req.head),
                 _ => empty(),
             }
         })
     }
 
-    fn notice(&self, _peer: Peer, topic: Topic, body: Bytes) {
+    fn notice(&self, peer: Peer, topic: Topic, body: Bytes) {
         match topic {
-            topic::GOSSIP => gossip::hear(&self.shared, &body),
+            topic::GOSSIP => {
+                let events = self.shared.spread.receive(&peer, &body);
+                members::handle(&self.shared, events);
+            }
             topic::SUSPICIONS => suspects::hear(&self.shared, body),
             _ => {}
         }
@@ -208,20 +230,6 @@
     }
 }
 
-fn fetch_view(shared: &Shared, head: &[u8]) -> Reply {
-    let have = wire::FetchView::decode(head).map_or(0, |fetch| fetch.have);
-    let view = shared.views.current();
-    let body = if view.version > have {
-        view.encode().into()
-    } else {
-        Bytes::new()
-    };
-    Reply {
-        head: Bytes::new(),
-        body,
-    }
-}
-
 fn empty() -> Reply {
     Reply {
         head: Bytes::new(),
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -1,9 +1,9 @@
 use std::{
     sync::{
         Arc, Mutex, OnceLock, PoisonError,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use nutmegwheel_config::Settings;
@@ -14,27 +14,30 @@
     retry::{RatioOptions, Ratios},
     shed::{self, Levels},
 };
+use nutmegwheel_spread::Spread;
 use nutmegwheel_types::{EndpointId, Incarnation, Priority, ProcessName, ServiceId};
 use nutmegwheel_wire as wire;
 
 use crate::{
-    backend::Local,
-    directory::{BackendState, Directory, Member},
+    backend::{BackendState, Local},
     gate::Gate,
-    gossip,
+    members,
     routes::Routes,
     running::Running,
     suspects::Suspects,
     views::Views,
 };
 
+/// The time in which others learn that this node leaves, and idle callers go elsewhere.
+pub(crate) const LEAVE_TIME: Duration = Duration::from_secs(2);
+
 /// What the listeners and tasks of a node share.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
     pub(crate) incarnation: Incarnation,
     pub(crate) journal: Arc<Journal>,
     pub(crate) views: Views,
-    pub(crate) directory: Directory,
+    pub(crate) spread: Spread,
     pub(crate) local: Local,
     pub(crate) running: Running,
     pub(crate) routes: Routes,
@@ -45,8 +48,7 @@
     needs: Mutex<Needs>,
     pub(crate) in_flight: AtomicUsize,
     endpoint: OnceLock<Endpoint>,
-    leaving: AtomicBool,
-    beat: AtomicU64,
+    leaving: OnceLock<Instant>,
     lives: AtomicU64,
 }
 
@@ -65,17 +67,16 @@
             levels: Mutex::new(Levels::open(shed::Options::default())),
             ratios: Mutex::new(Ratios::open(now, RatioOptions::default())),
             needs: Mutex::default(),
+            spread: Spread::open(&settings, incarnation),
             settings,
             incarnation,
             views: Views::open(journal.clone()),
             journal,
-            directory: Directory::default(),
             local: Local::open(),
             running: Running::default(),
             in_flight: AtomicUsize::new(0),
             endpoint: OnceLock::new(),
-            leaving: AtomicBool::new(false),
-            beat: AtomicU64::new(0),
+            leaving: OnceLock::new(),
             lives: AtomicU64::new(incarnation),
         }
     }
@@ -87,11 +88,13 @@
 
     /// Sets the endpoint, which is opened after what it serves.
     pub(crate) fn connect(&self, endpoint: Endpoint) {
+        self.spread.connect(endpoint.clone());
         let _ = self.endpoint.set(endpoint);
     }
 
     pub(crate) fn leave(&self) {
-        self.leaving.store(true, Ordering::SeqCst);
+        let _ = self.leaving.set(Instant::now());
+        self.spread.leave();
     }
 }
 
@@ -102,20 +105,14 @@
     }
 
     pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::SeqCst)
-    }
-
-    /// What this node tells the fleet of itself.
-    pub(crate) fn own_member(&self) -> Member {
-        let backend = self.local.announced().map(|a| a.backend);
-        Member {
-            name: self.settings.name.clone(),
-            data_centre: self.settings.data_centre.clone(),
-            link: self.settings.listen.link,
-            incarnation: self.incarnation,
-            beat: self.beat.fetch_add(1, Ordering::SeqCst) + 1,
-            backend: backend.filter(|_| !self.is_leaving()),
-        }
+        self.leaving.get().is_some()
+    }
+
+    /// Whether the node left so long ago that everybody had the time to go elsewhere.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.leaving
+            .get()
+            .is_some_and(|at| at.elapsed() > LEAVE_TIME)
     }
 
     /// A reading of the clock, to travel with a message.
@@ -133,13 +130,6 @@
 
 /// Learning from other processes.
 impl Shared {
-    /// Takes over what a member says of itself.
-    pub(crate) fn learn(&self, member: &Member, now: Instant) {
-        if self.directory.learn(member.clone(), now) {
-            self.routes.learn(now, member);
-        }
-    }
-
     /// Tells the fleet at once that this node's backend server changed.
     pub(crate) fn backend_changed(self: &Arc<Self>) {
         let is_ready = self
@@ -149,7 +139,7 @@
         if !is_ready {
             self.gate.refuse_waiting(Instant::now());
         }
-        gossip::round(self);
+        members::announce(self);
     }
 
     pub(crate) fn hear(&self, stamp: wire::Stamp) {
--- a/crates/nutmegwheel-node/src/suspects.rs
+++ b/crates/nutmegwheel-node/src/suspects.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use nutmegwheel_events::Event;
 use nutmegwheel_policy::quarantine::{Death, Fingerprint, Options, Quarantine, Suspicion, Verdict};
+use nutmegwheel_spread::{Health, Role};
 use nutmegwheel_wire as wire;
 use prost::Message as _;
 use sha2::{Digest, Sha256};
@@ -195,8 +196,9 @@
         return;
     };
     let body = Bytes::from(to_wire(news).encode_to_vec());
-    for member in shared.directory.members() {
-        if member.name != shared.settings.name {
+    for member in shared.spread.members() {
+        let hears = member.role == Role::Node && member.health != Health::Dead;
+        if hears && member.name != shared.settings.name {
             endpoint.send(member.link, wire::topic::SUSPICIONS, body.clone());
         }
     }
--- a/crates/nutmegwheel-node/src/views.rs
+++ b/crates/nutmegwheel-node/src/views.rs
@@ -1,7 +1,8 @@
 use std::sync::{Arc, PoisonError, RwLock};
 
-use nutmegwheel_config::View;
+use nutmegwheel_config::{Delta, View, ViewError};
 use nutmegwheel_events::{Event, Journal};
+use nutmegwheel_spread::Change;
 use nutmegwheel_types::{ConfigVersion, KeyHash, WorkspaceId};
 
 use crate::refusal::{Reason, Refusal};
@@ -29,20 +30,28 @@
         self.current().version
     }
 
-    /// Takes in the bytes of a view when it is newer than the one held.
-    pub(crate) fn offer(&self, bytes: &[u8]) {
-        let view = match View::decode(bytes) {
-            Ok(view) => view,
-            Err(e) => return self.journal.emit(Event::ViewRefused, &[("error", &e)]),
+    /// Takes over a newer view, whole or as the step from the one held.
+    pub(crate) fn take(&self, change: &Change) -> Result<Arc<View>, ViewError> {
+        let view = if change.base == 0 {
+            View::decode(&change.bytes)?
+        } else {
+            let mut view = View::clone(&self.current());
+            view.advance(Delta::decode(&change.bytes)?);
+            view
         };
+        Ok(self.replace(view))
+    }
+
+    /// Puts a view in force unless the one held is as new, and returns the one in force.
+    fn replace(&self, view: View) -> Arc<View> {
         let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
         if view.version > current.version {
             let version = view.version;
             *current = Arc::new(view);
-            drop(current);
             self.journal
                 .emit(Event::ConfigurationInForce, &[("version", &version)]);
         }
+        current.clone()
     }
 }
 
--- /dev/null
+++ b/crates/nutmegwheel-spread/src/spread.rs
@@ -0,0 +1,211 @@
+use std::{
+    sync::{Mutex, MutexGuard, OnceLock, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use nutmegwheel_config::{Settings, View, WhenCutOff};
+use nutmegwheel_link::{Endpoint, Peer};
+use nutmegwheel_membership::{
+    Announcement, Configuration, CutOff, Event, Gossip, Options, Outgoing, Record, Role, Seed,
+    Stamp, WithdrawalState, freshness::Decision, wire,
+};
+use nutmegwheel_types::{Incarnation, KeyHash};
+use nutmegwheel_wire::topic;
+
+/// The time without a sign of the control VMs after which a data centre that is set to refuse
+/// does so.
+const REFUSE_AFTER: Duration = Duration::from_secs(5);
+
+/// The gossip of a process with the links that carry it.
+pub struct Spread {
+    gossip: Mutex<Gossip>,
+    endpoint: OnceLock<Endpoint>,
+}
+
+/// Lifecycle.
+impl Spread {
+    /// Opens the process's part in the gossip; nothing is sent before [`Spread::connect`].
+    #[must_use]
+    pub fn open(settings: &Settings, incarnation: Incarnation) -> Self {
+        Self {
+            gossip: Mutex::new(Gossip::open(options(settings, incarnation))),
+            endpoint: OnceLock::new(),
+        }
+    }
+
+    /// Sets the links, which are opened after what they serve.
+    pub fn connect(&self, endpoint: Endpoint) {
+        let _ = self.endpoint.set(endpoint);
+    }
+
+    /// Sends what is due; to be called every [`nutmegwheel_membership::TICK`].
+    pub fn tick(&self) -> Vec<Event> {
+        self.act(Gossip::tick)
+    }
+
+    /// Takes in a notice of the topic `GOSSIP`; one that is malformed is dropped.
+    pub fn receive(&self, peer: &Peer, body: &Bytes) -> Vec<Event> {
+        match wire::decode(peer.address, body) {
+            Ok(message) => self.act(|gossip, now| gossip.receive(now, peer.address, message)),
+            Err(e) => {
+                log::debug!("gossip of {}: {e}", peer.name);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Tells the others that this process takes nothing new.
+    pub fn leave(&self) {
+        self.act(Gossip::leave);
+    }
+
+    /// Tells the others that this process is gone; the last call before it exits.
+    pub fn stop(&self) {
+        self.act(Gossip::stop);
+    }
+}
+
+/// What this process says.
+impl Spread {
+    /// Announces the backend server beside this process, or that there is none.
+    pub fn announce(&self, announcement: Option<Announcement>) -> Vec<Event> {
+        self.act(|gossip, now| gossip.announce(now, announcement))
+    }
+
+    /// Holds a view that this process accepted and offers it to others. `change` is what turned
+    /// the version before into this one, where that is known.
+    pub fn hold(&self, view: &View, change: Option<&[u8]>) -> Vec<Event> {
+        let configuration = Configuration {
+            version: view.version,
+            snapshot: view.encode().into(),
+            change: change.map(Into::into),
+        };
+        let cut_off = match view.configuration.when_cut_off {
+            WhenCutOff::Serve => CutOff::Serve,
+            WhenCutOff::Refuse => CutOff::RefuseAfter(REFUSE_AFTER),
+        };
+        let withdrawn = view.withdrawn.clone();
+        self.act(|gossip, now| {
+            gossip.set_cut_off(cut_off);
+            let followed = withdrawn.iter().filter(|key| {
+                let state = gossip.withdrawal(key);
+                matches!(
+                    state,
+                    WithdrawalState::Pending {
+                        committed: false,
+                        ..
+                    }
+                )
+            });
+            let followed: Vec<KeyHash> = followed.copied().collect();
+            gossip.load_withdrawn(withdrawn);
+            let mut outgoing = gossip.hold(now, configuration);
+            for key in followed {
+                outgoing.extend(gossip.withdraw(now, key, true));
+            }
+            outgoing
+        })
+    }
+
+    /// Takes note that a fetched change could not be applied.
+    pub fn refuse(&self) {
+        self.lock().refuse(Instant::now());
+    }
+
+    /// Takes in a withdrawal and follows how far it comes.
+    pub fn withdraw(&self, key: KeyHash, committed: bool) -> Vec<Event> {
+        self.act(|gossip, now| gossip.withdraw(now, key, committed))
+    }
+
+    /// Issues a sign of life of the control quorum; for its leader.
+    pub fn issue_stamp(&self, stamp: Stamp) {
+        self.lock().issue_stamp(Instant::now(), stamp);
+    }
+
+    /// Vouches until `until` that this control VM holds all that was committed before the call.
+    pub fn authorise(&self, until: Instant) {
+        self.lock().authorise(until);
+    }
+}
+
+/// Access.
+impl Spread {
+    /// Whether this process may start keyed work at this instant.
+    #[must_use]
+    pub fn decide(&self) -> Decision {
+        let gossip = self.lock();
+        gossip.decide(Instant::now())
+    }
+
+    /// Whether a key is withdrawn, as far as this process knows.
+    #[must_use]
+    pub fn is_withdrawn(&self, key: &KeyHash) -> bool {
+        self.lock().is_withdrawn(key)
+    }
+
+    /// How far a withdrawal that was given to this process has come.
+    #[must_use]
+    pub fn withdrawal(&self, key: &KeyHash) -> WithdrawalState {
+        self.lock().withdrawal(key)
+    }
+
+    /// All that is known of the processes of the fleet.
+    #[must_use]
+    pub fn members(&self) -> Vec<Record> {
+        self.lock().members().cloned().collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Gossip> {
+        self.gossip.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Lets the gossip work, sends what follows and returns what was learnt.
+    fn act(&self, work: impl FnOnce(&mut Gossip, Instant) -> Vec<Outgoing>) -> Vec<Event> {
+        let mut gossip = self.lock();
+        let outgoing = work(&mut gossip, Instant::now());
+        let events = gossip.take_events();
+        drop(gossip);
+        if let Some(endpoint) = self.endpoint.get() {
+            for Outgoing { to, message } in outgoing {
+                endpoint.send(to, topic::GOSSIP, wire::encode(&message).into());
+            }
+        }
+        events
+    }
+}
+
+fn options(settings: &Settings, incarnation: Incarnation) -> Options {
+    let own = settings
+        .seeds
+        .iter()
+        .filter(|seed| seed.data_centre == settings.data_centre);
+    let seeds = own.map(|seed| Seed {
+        name: seed.name.clone(),
+        link: seed.link,
+    });
+    let mut data_centres: Vec<_> = settings
+        .seeds
+        .iter()
+        .map(|seed| seed.data_centre.clone())
+        .collect();
+    data_centres.sort();
+    data_centres.dedup();
+    Options {
+        name: settings.name.clone(),
+        data_centre: settings.data_centre.clone(),
+        role: match settings.role {
+            nutmegwheel_config::Role::Node => Role::Node,
+            nutmegwheel_config::Role::Control => Role::Control,
+        },
+        link: settings.listen.link,
+        callers: settings.listen.callers,
+        platform: Some(settings.listen.platform),
+        incarnation,
+        nonce: rand::random(),
+        seeds: seeds.collect(),
+        contacts: settings.seeds.iter().map(|seed| seed.link).collect(),
+        data_centres,
+        cut_off: CutOff::Serve,
+    }
+}
