feat(control): the replicated log under the operators' interface

Every control VM runs a replica of nutmegwheel-agreement on a thread of its own, since its syncs must not hold up the links; followers forward to the leader, and a command may be offered again since a number or a withdrawal takes effect once. A control VM vouches for its state only after a read index.

--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -9,7 +9,7 @@
 use nutmegwheel_types::Incarnation;
 
 use crate::{
-    log::{Log, SoleLog},
+    log::{self, ReplicatedLog},
     members::{Members, Offer},
     operators::Operators,
     service::ControlService,
@@ -19,8 +19,8 @@
 const BODY_LIMIT: usize = 1024 * 1024;
 /// The time in which an operator's request must have arrived.
 const PATIENCE: Duration = Duration::from_secs(10);
-/// The time between two signs of life of the control quorum.
-const STAMP_PAUSE: Duration = Duration::from_millis(300);
+/// The time between two questions whether this control VM holds all that is committed.
+const VOUCH_PAUSE: Duration = Duration::from_millis(300);
 /// How long answers that are being written may take when the process stops.
 const GRACE: Duration = Duration::from_millis(500);
 
@@ -31,6 +31,7 @@
     endpoint: Endpoint,
     web: nutmegwheel_web::Server,
     spread: Arc<Spread>,
+    log: Arc<ReplicatedLog>,
 }
 
 /// Starts the control role.
@@ -49,7 +50,10 @@
     let offer = Offer {
         spread: spread.clone(),
     };
-    let log: Arc<dyn Log> = Arc::new(SoleLog::open(offer));
+    let log = Arc::new(ReplicatedLog::open(
+        log_options(&settings, &journal)?,
+        offer,
+    )?);
     members.connect(log.clone());
     let opts = Options {
         name: settings.name.clone(),
@@ -61,14 +65,16 @@
     };
     let service = Arc::new(ControlService {
         members: members.clone(),
+        log: log.clone(),
     });
     let endpoint = Endpoint::bind(opts, service)
         .await
         .context("open listen.link")?;
     spread.connect(endpoint.clone());
-    spawn_tasks(&tree, &members);
+    log.connect(endpoint.clone());
+    spawn_tasks(&tree, &members, &log);
     let operators = Operators {
-        log,
+        log: log.clone(),
         members: members.clone(),
         journal: journal.clone(),
         secret: settings.operator_secret.as_str().into(),
@@ -84,19 +90,32 @@
         endpoint,
         web,
         spread,
+        log,
     })
 }
 
-fn spawn_tasks(tree: &Supervisor, members: &Arc<Members>) {
+fn log_options(settings: &Settings, journal: &Arc<Journal>) -> anyhow::Result<log::Options> {
+    let members = settings.control_vms();
+    let members = members.map(|seed| (seed.name.clone(), seed.link));
+    let data_folder = settings.data_folder.clone();
+    Ok(log::Options {
+        name: settings.name.clone(),
+        members: members.collect(),
+        data_folder: data_folder.context("data_folder is missing")?,
+        journal: journal.clone(),
+    })
+}
+
+fn spawn_tasks(tree: &Supervisor, members: &Arc<Members>, log: &Arc<ReplicatedLog>) {
     let cx = members.clone();
     tree.spawn_interval("gossip", TICK, move || {
         let cx = cx.clone();
         async move { cx.tick() }
     });
-    let cx = members.clone();
-    tree.spawn_interval("stamp", STAMP_PAUSE, move || {
-        let cx = cx.clone();
-        async move { cx.issue_stamp(0) }
+    let cx = (members.clone(), log.clone());
+    tree.spawn_interval("vouch", VOUCH_PAUSE, move || {
+        let (members, log) = cx.clone();
+        async move { members.vouch(&log).await }
     });
 }
 
@@ -120,6 +139,7 @@
         self.spread.stop();
         self.endpoint.shutdown().await;
         tokio::time::sleep(GRACE).await;
+        self.log.stop();
         self.tree.stop();
         self.tree.stopped().await;
         self.journal.emit(Event::ProcessStopped, &[]);
--- /dev/null
+++ b/crates/nutmegwheel-control/src/log/replicated.rs
@@ -0,0 +1,301 @@
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{Arc, OnceLock, PoisonError, RwLock, mpsc},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use nutmegwheel_agreement::{LogIndex, Message, ReplicaName, Status};
+use nutmegwheel_config::View;
+use nutmegwheel_events::Journal;
+use nutmegwheel_link::{Endpoint, Reply, Request, Topic};
+use nutmegwheel_types::ProcessName;
+use nutmegwheel_wire::topic;
+use serde_json::{Value, json};
+use tokio::sync::{oneshot, watch};
+
+use super::{
+    Log, LogError, Publisher, VerdictFuture,
+    replica_thread::{Job, Parts, Shown, Thread},
+};
+use crate::state::{ChangeNumber, Command, State, Verdict, Winner};
+
+/// The time in which a command must be committed before the operator is told to ask again.
+const COMMIT_LIMIT: Duration = Duration::from_secs(3);
+/// The time that the leader gets for one answer.
+const FORWARD_LIMIT: Duration = Duration::from_secs(1);
+/// The pause before a command is offered again, while a leader is elected.
+const PAUSE: Duration = Duration::from_millis(50);
+/// The time in which the state must have caught up with a read index.
+const CATCH_UP: Duration = Duration::from_millis(500);
+/// The folder of the log under the data folder.
+const FOLDER: &str = "log";
+
+/// How a replica of the log is opened.
+pub(crate) struct Options {
+    pub(crate) name: ProcessName,
+    /// All control VMs that the settings name, this one among them.
+    pub(crate) members: Vec<(ReplicaName, SocketAddr)>,
+    pub(crate) data_folder: PathBuf,
+    pub(crate) journal: Arc<Journal>,
+}
+
+/// The log, replicated over the control VMs.
+pub(crate) struct ReplicatedLog {
+    name: ReplicaName,
+    members: Arc<Vec<(ReplicaName, SocketAddr)>>,
+    jobs: mpsc::Sender<Job>,
+    shown: Arc<Shown>,
+    endpoint: Arc<OnceLock<Endpoint>>,
+}
+
+/// Lifecycle.
+impl ReplicatedLog {
+    /// Opens the replica's store and starts its thread.
+    pub(crate) fn open(opts: Options, publisher: impl Publisher) -> anyhow::Result<Self> {
+        let (jobs, received) = mpsc::channel();
+        let shown = Arc::new(Shown {
+            state: RwLock::new(State::default()),
+            applied: watch::Sender::new(0),
+            status: RwLock::default(),
+        });
+        let members = Arc::new(opts.members);
+        let endpoint = Arc::new(OnceLock::new());
+        let parts = Parts {
+            jobs: received,
+            shown: shown.clone(),
+            publisher: Box::new(publisher),
+            send: Box::new(sender(members.clone(), endpoint.clone())),
+            journal: opts.journal,
+        };
+        let settings = settings(&opts.name, &members);
+        let folder = opts.data_folder.join(FOLDER);
+        let runtime = tokio::runtime::Handle::current();
+        let thread = Thread::open(&folder, &settings, parts)?;
+        std::thread::Builder::new()
+            .name("agreement".into())
+            .spawn(move || {
+                let _runtime = runtime.enter();
+                thread.run();
+            })?;
+        Ok(Self {
+            name: opts.name,
+            members,
+            jobs,
+            shown,
+            endpoint,
+        })
+    }
+
+    /// Sets the links, which are opened after what they serve.
+    pub(crate) fn connect(&self, endpoint: Endpoint) {
+        let _ = self.endpoint.set(endpoint);
+    }
+
+    /// Ends the replica's thread.
+    pub(crate) fn stop(&self) {
+        let _ = self.jobs.send(Job::Stop);
+    }
+}
+
+/// Messages of other control VMs.
+impl ReplicatedLog {
+    pub(crate) fn receive(&self, body: &Bytes) {
+        if let Ok(message) = Message::decode(body) {
+            let _ = self.jobs.send(Job::Message(message));
+        }
+    }
+
+    /// Answers a request that another control VM forwards to this one as the leader.
+    pub(crate) async fn serve(&self, topic: Topic, body: Bytes) -> Reply {
+        let answer = match topic {
+            topic::COMMIT => serde_json::to_vec(&forwardable(self.propose(body).await)),
+            topic::READ_INDEX => serde_json::to_vec(&forwardable(self.leader_read_index().await)),
+            _ => Ok(Vec::new()),
+        };
+        Reply {
+            head: Bytes::new(),
+            body: answer.unwrap_or_default().into(),
+        }
+    }
+}
+
+/// Errors travel as text, since only the verdict itself is acted upon.
+fn forwardable<T>(result: Result<T, LogError>) -> Result<T, String> {
+    result.map_err(|e| e.to_string())
+}
+
+/// Committing and reading.
+impl ReplicatedLog {
+    /// Waits until this replica's state holds all that was committed before the call.
+    pub(crate) async fn catch_up(&self) -> Result<(), LogError> {
+        let index = match self.leader_read_index().await {
+            Err(LogError::NotLeader(Some(leader))) if leader != self.name => {
+                self.ask(&leader, topic::READ_INDEX, Bytes::new()).await?
+            }
+            result => result?,
+        };
+        let mut applied = self.shown.applied.subscribe();
+        let caught_up = applied.wait_for(|applied| *applied >= index);
+        match tokio::time::timeout(CATCH_UP, caught_up).await {
+            Ok(Ok(_)) => Ok(()),
+            _ => Err(LogError::Refused("the state lags behind".into())),
+        }
+    }
+
+    /// Whether this replica leads, and in which term.
+    pub(crate) fn leads(&self) -> Option<u64> {
+        let status = self.replica_status()?;
+        let leads = status.leader.as_ref() == Some(&status.id);
+        leads.then_some(status.term)
+    }
+
+    async fn commit_within(&self, command: Bytes, limit: Duration) -> Result<Verdict, LogError> {
+        let end = Instant::now() + limit;
+        loop {
+            let e = match self.try_commit(command.clone()).await {
+                Ok(verdict) => return Ok(verdict),
+                Err(e) => e,
+            };
+            if matches!(e, LogError::Stopped) || Instant::now() >= end {
+                return Err(e);
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Commands may be offered again: a number or a withdrawal takes effect once.
+    async fn try_commit(&self, command: Bytes) -> Result<Verdict, LogError> {
+        match self.propose(command.clone()).await {
+            Err(LogError::NotLeader(Some(leader))) if leader != self.name => {
+                self.ask(&leader, topic::COMMIT, command).await
+            }
+            result => result,
+        }
+    }
+
+    async fn propose(&self, command: Bytes) -> Result<Verdict, LogError> {
+        let (reply, verdict) = oneshot::channel();
+        let command = command.as_ref().into();
+        self.order(Job::Commit { command, reply })?;
+        verdict.await.map_err(|_| LogError::Stopped)?
+    }
+
+    async fn leader_read_index(&self) -> Result<LogIndex, LogError> {
+        let (reply, index) = oneshot::channel();
+        self.order(Job::ReadIndex { reply })?;
+        index.await.map_err(|_| LogError::Stopped)?
+    }
+
+    fn order(&self, job: Job) -> Result<(), LogError> {
+        self.jobs.send(job).map_err(|_| LogError::Stopped)
+    }
+
+    async fn ask<T: serde::de::DeserializeOwned>(
+        &self,
+        leader: &ReplicaName,
+        topic: Topic,
+        body: Bytes,
+    ) -> Result<T, LogError> {
+        let unreachable = |detail: String| LogError::Unreachable {
+            peer: leader.clone(),
+            step: "forward to the leader",
+            detail,
+        };
+        let member = self.members.iter().find(|(name, _)| name == leader);
+        let (_, address) = member.ok_or_else(|| unreachable("no address".into()))?;
+        let endpoint = self.endpoint.get();
+        let endpoint = endpoint.ok_or_else(|| unreachable("the links are not up".into()))?;
+        let req = Request {
+            topic,
+            head: Bytes::new(),
+            body,
+        };
+        let reply = endpoint.call(*address, req, Instant::now() + FORWARD_LIMIT);
+        let reply = reply.await.map_err(|e| unreachable(e.to_string()))?;
+        let answer: Result<T, String> =
+            serde_json::from_slice(&reply.body).map_err(|e| unreachable(e.to_string()))?;
+        answer.map_err(LogError::Refused)
+    }
+
+    fn replica_status(&self) -> Option<Status> {
+        let status = self.shown.status.read();
+        status.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn state<T>(&self, work: impl FnOnce(&State) -> T) -> T {
+        let state = self.shown.state.read();
+        work(&state.unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl Log for ReplicatedLog {
+    fn commit(&self, command: Command) -> VerdictFuture<'_> {
+        Box::pin(async move {
+            let command = serde_json::to_vec(&command).unwrap_or_default();
+            self.commit_within(command.into(), COMMIT_LIMIT).await
+        })
+    }
+
+    fn view(&self) -> View {
+        self.state(|state| state.view().clone())
+    }
+
+    fn last_change(&self) -> ChangeNumber {
+        self.state(State::last_change)
+    }
+
+    fn answer(&self, number: ChangeNumber) -> Option<Winner> {
+        self.state(|state| state.answer(number).cloned())
+    }
+
+    fn status(&self) -> Value {
+        let Some(status) = self.replica_status() else {
+            return Value::Null;
+        };
+        let names = |ids: &std::collections::BTreeSet<_>| -> Vec<String> {
+            ids.iter().map(ToString::to_string).collect()
+        };
+        json!({
+            "role": format!("{:?}", status.role),
+            "term": status.term,
+            "leader": status.leader.map(|id| id.name),
+            "voters": names(&status.membership.voters),
+            "learners": names(&status.membership.learners),
+            "commit": status.commit,
+            "snapshot": status.snapshot.index,
+            "log_bytes": status.log_bytes,
+            "storage_failed": status.storage_failed,
+        })
+    }
+}
+
+fn settings(
+    name: &ProcessName,
+    members: &[(ReplicaName, SocketAddr)],
+) -> nutmegwheel_agreement::Options {
+    let names = members.iter().map(|(name, _)| name.clone());
+    let mut settings = nutmegwheel_agreement::Options::new(name.clone());
+    settings.founding = names.collect();
+    settings.peers = settings
+        .founding
+        .iter()
+        .filter(|peer| *peer != name)
+        .cloned()
+        .collect();
+    settings
+}
+
+/// Sends the messages of a replica over the links; one that cannot be sent is lost.
+fn sender(
+    members: Arc<Vec<(ReplicaName, SocketAddr)>>,
+    endpoint: Arc<OnceLock<Endpoint>>,
+) -> impl Fn(Message) + Send {
+    move |message| {
+        let member = members.iter().find(|(name, _)| *name == message.to);
+        if let (Some((_, address)), Some(endpoint)) = (member, endpoint.get()) {
+            endpoint.send(*address, topic::AGREEMENT, message.encode().into());
+        }
+    }
+}
--- a/crates/nutmegwheel-control/src/members.rs
+++ b/crates/nutmegwheel-control/src/members.rs
@@ -17,7 +17,7 @@
 use nutmegwheel_types::{KeyHash, hex};
 
 use crate::{
-    log::{Log, Publisher},
+    log::{Log, Publisher, ReplicatedLog},
     state::Command,
 };
 
@@ -61,11 +61,19 @@
         self.handle(events);
     }
 
-    /// Tells the fleet that the control quorum lives; for its leader.
-    pub(crate) fn issue_stamp(&self, term: u64) {
-        let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
-        self.spread.issue_stamp(Stamp { term, sequence });
-        self.spread.authorise(Instant::now() + AUTHORITY);
+    /// Vouches for what this control VM holds once it has caught up with the log; the leader
+    /// also tells the fleet that the control quorum lives.
+    pub(crate) async fn vouch(&self, log: &ReplicatedLog) {
+        // The word counts from before the question, so that nothing committed later is missed.
+        let asked = Instant::now();
+        if log.catch_up().await.is_err() {
+            return;
+        }
+        self.spread.authorise(asked + AUTHORITY);
+        if let Some(term) = log.leads() {
+            let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+            self.spread.issue_stamp(Stamp { term, sequence });
+        }
     }
 
     /// Takes in a withdrawal by an operator and follows how far it comes.
--- a/crates/nutmegwheel-control/src/operators.rs
+++ b/crates/nutmegwheel-control/src/operators.rs
@@ -155,7 +155,11 @@
 impl Operators {
     fn status(&self) -> Response {
         let view = self.log.view();
-        let shown = value!({"version": view.version, "last_change": self.log.last_change()});
+        let shown = value!({
+            "version": view.version,
+            "last_change": self.log.last_change(),
+            "log": self.log.status(),
+        });
         json(StatusCode::OK, &shown)
     }
 
--- a/crates/nutmegwheel-control/src/service.rs
+++ b/crates/nutmegwheel-control/src/service.rs
@@ -1,29 +1,28 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use nutmegwheel_link::{Peer, Reply, Request, ServeFuture, Service, Topic};
+use nutmegwheel_link::{Peer, Request, ServeFuture, Service, Topic};
 use nutmegwheel_wire::topic;
 
-use crate::members::Members;
+use crate::{log::ReplicatedLog, members::Members};
 
 /// Answers the other processes of the fleet.
 pub(crate) struct ControlService {
     pub(crate) members: Arc<Members>,
+    pub(crate) log: Arc<ReplicatedLog>,
 }
 
 impl Service for ControlService {
-    fn serve(&self, _peer: Peer, _req: Request) -> ServeFuture {
-        Box::pin(async {
-            Reply {
-                head: Bytes::new(),
-                body: Bytes::new(),
-            }
-        })
+    fn serve(&self, _peer: Peer, req: Request) -> ServeFuture {
+        let log = self.log.clone();
+        Box::pin(async move { log.serve(req.topic, req.body).await })
     }
 
     fn notice(&self, peer: Peer, topic: Topic, body: Bytes) {
-        if topic == topic::GOSSIP {
-            self.members.receive(&peer, &body);
+        match topic {
+            topic::GOSSIP => self.members.receive(&peer, &body),
+            topic::AGREEMENT => self.log.receive(&body),
+            _ => {}
         }
     }
 }
