--- a/crates/nutmegwheel-link/tests/faults.rs
+++ b/crates/nutmegwheel-link/tests/faults.rs
@@ -129,6 +129,24 @@
     assert!(fleet.relay.accepted_connections() > 2);
 }
 
+#[tokio::test]
+async fn one_silent_link_does_not_stop_the_calls_of_the_other() {
+    let fleet = Fleet::new().await;
+    fleet.relay.silence_first(1);
+    // Two calls at a time go over different links, and the stuck one keeps the next ones away.
+    let echoes = async || {
+        fleet.echo().await?;
+        for _ in 0..100 {
+            fleet.echo().await.unwrap();
+        }
+        Ok(())
+    };
+    let (one, other) = tokio::join!(echoes(), echoes());
+    assert!(one.is_ok() != other.is_ok(), "{one:?}, {other:?}");
+    assert_lost(&one.and(other));
+    fleet.echo_again().await;
+}
+
 #[tokio::test]
 async fn a_call_to_a_peer_that_is_silent_altogether_fails() {
     let fleet = Fleet::new().await;
--- a/tests/support/src/relay.rs
+++ b/tests/support/src/relay.rs
@@ -116,6 +116,12 @@
         self.change(|plan| plan.silent_up_to = plan.accepted);
     }
 
+    /// Lets nothing through any more on the first `count` connections since the relay was bound,
+    /// which stay open; the others work.
+    pub fn silence_first(&self, count: u64) {
+        self.change(|plan| plan.silent_up_to = plan.silent_up_to.max(count));
+    }
+
     /// Lets nothing through, on new connections either, until [`Relay::pass`]; the connections of
     /// now stay silent for good.
     pub fn silence_all(&self) {
