test(claims): tables of faults for seeds, claims, fence and home

Cause: each fault case of docs/spec/CLAIMS.md needs a test that names it.

Conclusion: resends, restarts, full stores, late and doubled messages are answered as stated.

--- /dev/null
+++ b/crates/nutmegwheel-claims/tests/seed.rs
@@ -0,0 +1,268 @@
+//! A seed's claims and the door's side of them, fault by fault.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use nutmegwheel_claims::{
+    AttemptId, MAX_ANSWER, Phase, Target,
+    claim::{CLAIM_TIMEOUT, Claim, Options, Refusal, State},
+    home,
+    messages::{ClaimRequest, Update},
+    seed::{self, Bounds, MAX_ATTEMPTS, RETENTION, Seed},
+};
+
+fn attempt(number: u64) -> AttemptId {
+    AttemptId {
+        door: "d1".into(),
+        incarnation: 1,
+        number,
+    }
+}
+
+fn target() -> Target {
+    Target {
+        node: "x".into(),
+        incarnation: 1,
+    }
+}
+
+fn bounds(requests: usize, answer_bytes: usize) -> Bounds {
+    Bounds {
+        requests,
+        answer_bytes,
+        retention: RETENTION,
+    }
+}
+
+fn restarted(name: &str, incarnation: u64, bounds: Bounds, now: Instant) -> Seed {
+    let seeds = ["s1", "s2", "s3"].map(Into::into).to_vec();
+    let name = name.into();
+    Seed::open(seed::Options {
+        name,
+        incarnation,
+        seeds,
+        generation: 1,
+        bounds,
+        now,
+    })
+}
+
+fn fresh(name: &str, bounds: Bounds, now: Instant) -> Seed {
+    let mut seed = restarted(name, 1, bounds, now);
+    seed.first_start();
+    seed
+}
+
+fn open(id: u8, number: u64, now: Instant) -> (Claim, ClaimRequest) {
+    Claim::open(Options {
+        id: [id; 32],
+        attempt: attempt(number),
+        target: target(),
+        replaces: None,
+        seeds: ["s1", "s2", "s3"].map(Into::into).into(),
+        generation: 1,
+        now,
+    })
+}
+
+/// Claims at the named seeds, waits, and says what came of it.
+fn claim(seeds: &mut [(&str, Seed)], id: u8, number: u64, now: Instant) -> (Claim, State) {
+    let (mut claim, req) = open(id, number, now);
+    for (name, seed) in seeds {
+        claim.reply(&(*name).into(), seed.claim(&req, now), now);
+    }
+    let state = claim.tick(now + CLAIM_TIMEOUT).clone();
+    (claim, state)
+}
+
+fn tell(seeds: &mut [(&str, Seed)], update: &Update, now: Instant) {
+    for (_, seed) in seeds {
+        seed.update(update.clone(), now);
+    }
+}
+
+fn three(bounds: Bounds, now: Instant) -> Vec<(&'static str, Seed)> {
+    ["s1", "s2", "s3"]
+        .map(|name| (name, fresh(name, bounds, now)))
+        .into()
+}
+
+#[test]
+fn a_resend_is_answered_by_how_far_the_first_attempt_got() {
+    let now = Instant::now();
+    let answer = Bytes::from_static(b"crew 7");
+    let busy = State::Refused(Refusal::InProgress(attempt(1), target()));
+    let cases = [
+        (Phase::Running(target()), busy),
+        (
+            Phase::Done(Some(answer.clone())),
+            State::Refused(Refusal::Replay(answer)),
+        ),
+        (Phase::Done(None), State::Refused(Refusal::AlreadyRun)),
+        (Phase::Released, State::Held),
+    ];
+    for (phase, expected) in cases {
+        let mut seeds = three(Bounds::default(), now);
+        let (_, first) = claim(&mut seeds, 1, 1, now);
+        assert_eq!(first, State::Held);
+        let update = Update {
+            id: [1; 32],
+            attempt: attempt(1),
+            phase,
+        };
+        tell(&mut seeds, &update, now);
+        assert_eq!(claim(&mut seeds, 1, 2, now).1, expected, "{update:?}");
+    }
+}
+
+#[test]
+fn without_a_majority_a_claim_is_refused_as_not_run() {
+    let now = Instant::now();
+    let mut seeds = three(Bounds::default(), now);
+    assert_eq!(
+        claim(&mut seeds[..1], 1, 1, now).1,
+        State::Refused(Refusal::Unavailable)
+    );
+    let mut recovering = vec![
+        ("s1", restarted("s1", 2, Bounds::default(), now)),
+        seeds.remove(1),
+    ];
+    assert_eq!(
+        claim(&mut recovering, 2, 2, now).1,
+        State::Refused(Refusal::Unavailable)
+    );
+}
+
+#[test]
+fn a_late_majority_does_not_change_a_refusal() {
+    let now = Instant::now();
+    let mut seeds = three(Bounds::default(), now);
+    let (mut claim, req) = open(1, 1, now);
+    claim.tick(now + CLAIM_TIMEOUT);
+    for (name, seed) in &mut seeds {
+        claim.reply(&(*name).into(), seed.claim(&req, now), now);
+    }
+    assert_eq!(*claim.state(), State::Refused(Refusal::Unavailable));
+}
+
+#[test]
+fn a_full_seed_refuses_new_claims_and_forgets_none() {
+    let now = Instant::now();
+    let mut seeds = three(bounds(1, 0), now);
+    assert_eq!(claim(&mut seeds, 1, 1, now).1, State::Held);
+    assert_eq!(
+        claim(&mut seeds, 2, 2, now).1,
+        State::Refused(Refusal::Full)
+    );
+    let busy = State::Refused(Refusal::InProgress(attempt(1), target()));
+    assert_eq!(claim(&mut seeds, 1, 3, now).1, busy);
+    let later = now + RETENTION;
+    assert_eq!(claim(&mut seeds, 2, 4, later).1, State::Held);
+}
+
+#[test]
+fn answers_are_kept_within_the_bounds() {
+    let now = Instant::now();
+    let mut seeds = three(bounds(9, 100), now);
+    for (id, len, expected) in [(1, 60, 60), (2, 60, 60), (3, 40, 100)] {
+        let (claim, _) = claim(&mut seeds, id, u64::from(id), now);
+        tell(&mut seeds, &claim.done(Some(vec![0; len].into())), now);
+        assert_eq!(seeds[0].1.answer_bytes(), expected);
+    }
+    let (claim, _) = open(4, 4, now);
+    let large = Some(vec![0; MAX_ANSWER + 1].into());
+    assert_eq!(claim.done(large).phase, Phase::Done(None));
+    seeds[0].1.tick(now + RETENTION);
+    assert_eq!((seeds[0].1.requests(), seeds[0].1.answer_bytes()), (0, 0));
+}
+
+#[test]
+fn a_request_that_is_sent_again_and_again_takes_bounded_memory() {
+    let now = Instant::now();
+    let mut seeds = three(Bounds::default(), now);
+    assert_eq!(claim(&mut seeds, 1, 1, now).1, State::Held);
+    for number in 2..50 {
+        let (claim, _) = claim(&mut seeds, 1, number, now);
+        tell(&mut seeds, &claim.released(), now);
+    }
+    let mut other = restarted("s3", 2, Bounds::default(), now);
+    let requests = other.recover_requests();
+    let reply = seeds[0].1.recover(&requests[0].1, now).unwrap();
+    assert!(reply.claims[0].attempts.len() <= MAX_ATTEMPTS);
+    assert!(reply.claims[0].attempts.contains_key(&attempt(1)));
+    other.recovered(&"s1".into(), reply, now);
+    assert!(other.is_recovering(), "one seed is no majority");
+}
+
+#[test]
+fn a_restarted_seed_recovers_page_by_page_or_waits_out_the_retention() {
+    let now = Instant::now();
+    let mut seeds = three(Bounds::default(), now);
+    for id in 0..=255 {
+        for (high, number) in (0..3).zip(1..) {
+            let mut req = open(id, number, now).1;
+            req.id[0] = high;
+            seeds
+                .iter_mut()
+                .for_each(|(_, s)| assert_eq!(s.claim(&req, now).incarnation, 1));
+        }
+    }
+    let mut back = restarted("s1", 2, Bounds::default(), now);
+    let mut rounds = 0;
+    while back.is_recovering() {
+        rounds += 1;
+        for (name, req) in back.recover_requests() {
+            let other = seeds.iter_mut().find(|(n, _)| *n == &*name).unwrap();
+            let reply = other.1.recover(&req, now).unwrap();
+            back.recovered(&name, reply.clone(), now);
+            back.recovered(&name, reply, now);
+        }
+    }
+    assert_eq!((rounds, back.requests()), (2, seeds[1].1.requests()));
+
+    let mut alone = restarted("s1", 3, Bounds::default(), now);
+    alone.tick(now + RETENTION);
+    assert!(alone.is_recovering(), "clocks may differ");
+    alone.tick(now + RETENTION + RETENTION / 20);
+    assert!(!alone.is_recovering());
+}
+
+#[test]
+fn seeds_and_doors_of_different_lists_do_not_mix() {
+    let now = Instant::now();
+    let mut seeds = three(Bounds::default(), now);
+    seeds
+        .iter_mut()
+        .for_each(|(_, seed)| seed.set_generation(2));
+    assert_eq!(
+        claim(&mut seeds, 1, 1, now).1,
+        State::Refused(Refusal::Unavailable)
+    );
+    let back = restarted("s1", 2, Bounds::default(), now);
+    assert_eq!(seeds[1].1.recover(&back.recover_requests()[0].1, now), None);
+}
+
+#[test]
+fn the_home_is_the_named_data_centre_or_the_same_hash_for_all() {
+    let data_centres = ["riga1", "riga2", "riga3"].map(Into::into).into();
+    let home = |id: u8, key| {
+        home::choose(&home::Options {
+            id: &[id; 32],
+            key,
+            data_centres: &data_centres,
+        })
+        .unwrap()
+    };
+    assert_eq!(&*home(1, "riga2/order-7"), "riga2");
+    assert_eq!(home(1, "nowhere/order-7"), home(1, "order-7"));
+    let homes: std::collections::BTreeSet<_> = (0..50).map(|id| home(id, "order")).collect();
+    assert_eq!(homes.len(), 3);
+    let none = [].into();
+    let options = home::Options {
+        id: &[1; 32],
+        key: "riga2/x",
+        data_centres: &none,
+    };
+    assert_eq!(home::choose(&options), None);
+    assert!(CLAIM_TIMEOUT < Duration::from_secs(1));
+}
