test: the seeded storms count what they tried

Cause: a storm without lost disks or answered reads would pass and show nothing. Conclusion: each sum must be above zero now.

--- a/crates/nutmegwheel-agreement/tests/replica.rs
+++ b/crates/nutmegwheel-agreement/tests/replica.rs
@@ -209,8 +209,15 @@
     }
 }
 
+/// What happened in a seeded run.
+struct Storm {
+    committed: usize,
+    reads: usize,
+    disks: usize,
+}
+
 /// One seeded run with everything that fails, then healing and a whole state everywhere.
-fn storm(seed: u64, names: &[&str]) -> usize {
+fn storm(seed: u64, names: &[&str]) -> Storm {
     let mut sim = Sim::start_with(seed, names, HARSH, |options| {
         options.limits.snapshot_log_bytes = 4_000;
         options.limits.max_chunk_bytes = 300;
@@ -236,7 +243,11 @@
     for name in sim.names() {
         sim.assert_complete(&name);
     }
-    sim.committed.len()
+    Storm {
+        committed: sim.committed.len(),
+        reads: sim.reads_checked,
+        disks: sim.lost_disks,
+    }
 }
 
 fn disturb(sim: &mut Sim) {
@@ -271,6 +282,7 @@
 fn check_reads(sim: &mut Sim, reads: &mut Vec<(ReplicaName, (u64, u64))>) {
     reads.retain(|(name, (id, floor))| match sim.vm(name).reads.remove(id) {
         Some(index) => {
+            sim.reads_checked += 1;
             assert!(
                 index >= *floor,
                 "a read of {name} at {index} misses {floor}"
@@ -281,14 +293,21 @@
     });
 }
 
+fn storms(seeds: std::ops::Range<u64>, names: &[&str]) {
+    let runs: Vec<Storm> = seeds.map(|seed| storm(seed, names)).collect();
+    let sum = |of: fn(&Storm) -> usize| runs.iter().map(of).sum::<usize>();
+    let [committed, reads, disks] = [sum(|s| s.committed), sum(|s| s.reads), sum(|s| s.disks)];
+    let count = runs.len();
+    println!("{count} runs: {committed} commits, {reads} reads, {disks} lost disks");
+    assert!(committed > 0 && reads > 0 && disks > 0);
+}
+
 #[test]
 fn seeded_storms_of_three_lose_nothing() {
-    let committed: usize = (0..12).map(|seed| storm(seed, &THREE)).sum();
-    println!("12 runs of three replicas, {committed} commands committed");
+    storms(0..12, &THREE);
 }
 
 #[test]
 fn seeded_storms_of_five_lose_nothing() {
-    let committed: usize = (100..108).map(|seed| storm(seed, &FIVE)).sum();
-    println!("8 runs of five replicas, {committed} commands committed");
+    storms(100..108, &FIVE);
 }
--- a/crates/nutmegwheel-agreement/tests/sim/mod.rs
+++ b/crates/nutmegwheel-agreement/tests/sim/mod.rs
@@ -66,6 +66,9 @@
     pub(crate) committed: BTreeMap<LogIndex, Vec<u8>>,
     /// The one leader that each term may have.
     pub(crate) leaders: BTreeMap<Term, ReplicaName>,
+    /// How often a disk was lost and a read was answered, to show that a run meant something.
+    pub(crate) lost_disks: usize,
+    pub(crate) reads_checked: usize,
     /// The highest index acknowledged to a proposer.
     pub(crate) acknowledged: LogIndex,
     in_flight: Vec<(Duration, Message)>,
@@ -99,6 +102,8 @@
             options,
             committed: BTreeMap::new(),
             leaders: BTreeMap::new(),
+            lost_disks: 0,
+            reads_checked: 0,
             acknowledged: 0,
             in_flight: Vec::new(),
             epoch: Instant::now(),
@@ -155,6 +160,7 @@
     pub(crate) fn lose_disk(&mut self, name: &ReplicaName) {
         self.stop(name);
         self.vm(name).disk.wipe();
+        self.lost_disks += 1;
     }
 }
 
