--- a/xtask/src/lib.rs
+++ b/xtask/src/lib.rs
@@ -14,12 +14,17 @@
 }
 
 /// Every schema of the project; a new one is added here.
-const SCHEMAS: [Schema; 2] = [
+const SCHEMAS: [Schema; 3] = [
     Schema {
         file: "link.proto",
         package: "nutmegwheel.link",
         out_dir: "crates/nutmegwheel-link/src/generated",
     },
+    Schema {
+        file: "agreement.proto",
+        package: "nutmegwheel.agreement.v1",
+        out_dir: "crates/nutmegwheel-agreement/src/generated",
+    },
     Schema {
         file: "fleet.proto",
         package: "nutmegwheel.fleet",
