--- a/crates/nutmegwheel-claims/tests/seed.rs
+++ b/crates/nutmegwheel-claims/tests/seed.rs
@@ -202,7 +202,7 @@
         for (high, number) in (0..3).zip(1..) {
             let mut req = open(id, number, now).1;
             req.id[0] = high;
-            for seed in seeds.values_mut() {
+            for (_, seed) in &mut seeds {
                 assert_eq!(seed.claim(&req, now).incarnation, 1);
             }
         }
@@ -231,7 +231,7 @@
 fn seeds_and_doors_of_different_lists_do_not_mix() {
     let now = Instant::now();
     let mut seeds = three(Bounds::default(), now);
-    for seed in seeds.values_mut() {
+    for (_, seed) in &mut seeds {
         seed.set_generation(2);
     }
     assert_eq!(
