fix: raise the latency baseline only when a step down did not help

Cause: a baseline that follows the latency upward took the queueing inside the backend server for its normal state; the limit climbed back to the announced slots. Found by the test that saturates 15 workers behind 60 slots for 60 s. Ruled out: one longer step down (helped, yet the drift undid it).

--- a/crates/nutmegwheel-policy/src/concurrency/gradient.rs
+++ b/crates/nutmegwheel-policy/src/concurrency/gradient.rs
@@ -5,9 +5,6 @@
     window::{Summary, Window},
 };
 
-/// The weight of a new, higher latency below the queueing mark in the baseline, 1 in this many.
-const BASELINE_DRIFT: u32 = 16;
-
 /// What the limiter is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -15,8 +12,13 @@
     SlowStart,
     /// Probing upward in small steps.
     Search,
-    /// Waiting to see whether a step down from `limit` lowers the latency below `latency`.
-    SteppedDown { from: u32, latency: Duration },
+    /// Waiting to see whether a step down from a limit lowers the latency. A probe goes on
+    /// stepping down until that no longer helps, which finds the latency without queueing.
+    SteppedDown {
+        from: u32,
+        latency: Duration,
+        is_probe: bool,
+    },
 }
 
 /// Compares the mean latency with a baseline and steps down while that lowers the latency.
@@ -32,7 +34,7 @@
     phase: Phase,
     baseline: Option<Duration>,
     window: Window,
-    probed_at: Instant,
+    probed_at: Option<Instant>,
 }
 
 /// Lifecycle
@@ -48,7 +50,7 @@
             phase: Phase::Search,
             baseline: None,
             window: Window::new(now),
-            probed_at: now,
+            probed_at: None,
         }
     }
 }
@@ -83,39 +85,47 @@
         if let Phase::SteppedDown {
             from,
             latency: before,
+            is_probe,
         } = self.phase
         {
-            self.judge_step(latency, from, before);
+            let helped = self.judge_step(latency, from, before);
+            if helped && is_probe {
+                self.step_down(latency, true);
+                return;
+            }
         }
         let is_used_up = seen.most_running >= self.limit;
         if self.is_queueing(latency) {
-            self.step_down(latency);
+            self.step_down(latency, false);
         } else if is_used_up && self.is_probe_due(now) {
-            self.probed_at = now;
-            self.step_down(latency);
+            self.probed_at = Some(now);
+            self.step_down(latency, true);
         } else {
             self.learn_baseline(latency);
             self.grow(is_used_up);
         }
     }
 
-    /// Decides whether the last step down lowered the latency.
-    fn judge_step(&mut self, latency: Duration, from: u32, before: Duration) {
+    /// Decides whether the last step down lowered the latency, and takes it back if not.
+    fn judge_step(&mut self, latency: Duration, from: u32, before: Duration) -> bool {
         self.phase = Phase::Search;
-        if latency * 100 > before * self.options.helped_percent {
+        let helped = latency * 100 <= before * self.options.helped_percent;
+        if helped {
+            self.baseline = Some(self.baseline.map_or(latency, |known| known.min(latency)));
+        } else {
             self.baseline = Some(latency);
             self.limit = from.min(self.slots);
-        } else {
-            self.baseline = Some(self.baseline.map_or(latency, |known| known.min(latency)));
         }
+        helped
     }
 
-    fn step_down(&mut self, latency: Duration) {
+    fn step_down(&mut self, latency: Duration, is_probe: bool) {
         let lower = percent(self.limit, self.options.step_down_percent).max(self.floor());
         if lower < self.limit {
             self.phase = Phase::SteppedDown {
                 from: self.limit,
                 latency,
+                is_probe,
             };
             self.limit = lower;
         } else {
@@ -142,18 +152,18 @@
         }
     }
 
+    /// Lowers the baseline only; it rises when a step down did not help, for one that follows
+    /// the latency upward would take its own queueing for the normal state.
     fn learn_baseline(&mut self, latency: Duration) {
         self.baseline = Some(match self.baseline {
-            Some(known) if latency > known => {
-                (known * (BASELINE_DRIFT - 1) + latency) / BASELINE_DRIFT
-            }
-            Some(known) => (known + latency) / 2,
+            Some(known) => known.min((known + latency) / 2),
             None => latency,
         });
     }
 
     fn is_probe_due(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.probed_at) >= self.options.probe_interval
+        self.probed_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= self.options.probe_interval)
     }
 }
 
@@ -187,7 +197,7 @@
         self.phase = Phase::SlowStart;
         self.baseline = None;
         self.window = Window::new(now);
-        self.probed_at = now;
+        self.probed_at = Some(now);
     }
 }
 
--- /dev/null
+++ b/crates/nutmegwheel-policy/tests/concurrency.rs
@@ -0,0 +1,160 @@
+//! The concurrency limit against a model of a backend server.
+
+use std::time::{Duration, Instant};
+
+use nutmegwheel_policy::concurrency::{Gradient, Limiter, Options, Outcome, Sample};
+
+const SLOTS: u32 = 60;
+const ALONE: Duration = Duration::from_millis(20);
+
+/// Keeps the backend server at its limit for `time`, with latency as `latency` gives it.
+fn saturate(
+    limiter: &mut Gradient,
+    now: &mut Instant,
+    time: Duration,
+    outcome: Outcome,
+    latency: impl Fn(u32) -> Duration,
+) {
+    let end = *now + time;
+    while *now < end {
+        let running = limiter.limit();
+        let latency = latency(running);
+        *now += latency / running;
+        limiter.observe(
+            *now,
+            Sample {
+                latency,
+                running,
+                outcome,
+            },
+        );
+    }
+}
+
+/// A backend server with this many workers: further requests queue inside.
+fn workers(workers: u32) -> impl Fn(u32) -> Duration {
+    move |running| ALONE * running.max(workers) / workers
+}
+
+fn open(now: Instant) -> Gradient {
+    Gradient::open(now, SLOTS, Options::default())
+}
+
+#[test]
+fn it_starts_at_the_announced_slots_and_stays_there_when_they_are_true() {
+    let mut now = Instant::now();
+    let mut limiter = open(now);
+    assert_eq!(limiter.limit(), SLOTS);
+    saturate(
+        &mut limiter,
+        &mut now,
+        Duration::from_secs(9),
+        Outcome::Answered,
+        workers(SLOTS),
+    );
+    assert_eq!(limiter.limit(), SLOTS);
+}
+
+#[test]
+fn it_finds_a_capacity_far_below_the_slots() {
+    let mut now = Instant::now();
+    let mut limiter = open(now);
+    saturate(
+        &mut limiter,
+        &mut now,
+        Duration::from_mins(1),
+        Outcome::Answered,
+        workers(15),
+    );
+    let limit = limiter.limit();
+    println!("15 workers behind {SLOTS} slots: limit {limit}");
+    assert!((11..=25).contains(&limit), "{limit}");
+}
+
+#[test]
+fn a_slow_downstream_service_does_not_starve_it() {
+    let mut now = Instant::now();
+    let mut limiter = open(now);
+    saturate(
+        &mut limiter,
+        &mut now,
+        Duration::from_secs(5),
+        Outcome::Answered,
+        workers(SLOTS),
+    );
+    let slow = |_| ALONE * 10;
+    saturate(
+        &mut limiter,
+        &mut now,
+        Duration::from_secs(5),
+        Outcome::Answered,
+        slow,
+    );
+    assert!(limiter.limit() >= SLOTS * 3 / 4, "{}", limiter.limit());
+    let cut_off = |_| ALONE * 20;
+    saturate(
+        &mut limiter,
+        &mut now,
+        Duration::from_secs(10),
+        Outcome::TimedOut,
+        cut_off,
+    );
+    assert!(limiter.limit() >= SLOTS * 3 / 4, "{}", limiter.limit());
+}
+
+#[test]
+fn refusals_lower_it_to_the_floor_and_answers_raise_it_again() {
+    let mut now = Instant::now();
+    let mut limiter = open(now);
+    saturate(
+        &mut limiter,
+        &mut now,
+        Duration::from_secs(5),
+        Outcome::Refused,
+        workers(SLOTS),
+    );
+    assert_eq!(limiter.limit(), SLOTS / 10);
+    saturate(
+        &mut limiter,
+        &mut now,
+        Duration::from_secs(5),
+        Outcome::Answered,
+        workers(SLOTS),
+    );
+    assert_eq!(limiter.limit(), SLOTS);
+}
+
+#[test]
+fn fast_failures_teach_nothing() {
+    let mut now = Instant::now();
+    let mut limiter = open(now);
+    let fast = |_| Duration::from_micros(10);
+    saturate(
+        &mut limiter,
+        &mut now,
+        Duration::from_secs(1),
+        Outcome::Uninformative,
+        fast,
+    );
+    assert_eq!((limiter.limit(), limiter.baseline()), (SLOTS, None));
+}
+
+#[test]
+fn a_cold_start_is_slow_and_slots_are_the_ceiling() {
+    let mut now = Instant::now();
+    let mut limiter = open(now);
+    limiter.cold_start(now);
+    assert_eq!(limiter.limit(), SLOTS / 10);
+    saturate(
+        &mut limiter,
+        &mut now,
+        Duration::from_secs(3),
+        Outcome::Answered,
+        workers(SLOTS),
+    );
+    assert_eq!(limiter.limit(), SLOTS);
+    limiter.set_slots(7);
+    assert_eq!(limiter.limit(), 7);
+    limiter.set_slots(0);
+    assert_eq!(limiter.limit(), 1);
+}
--- /dev/null
+++ b/crates/nutmegwheel-policy/tests/retry.rs
@@ -0,0 +1,275 @@
+//! The retry budget of a chain, the ratio of a workspace and the decision to retry.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use nutmegwheel_policy::retry::{
+    Attempt, Budgets, Chain, Decision, End, Error, Options, Proof, RatioOptions, Ratios, Reason,
+    decide,
+};
+use nutmegwheel_types::WorkspaceId;
+use proptest::{prelude::*, test_runner::RngSeed};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const CALL: u128 = 7;
+
+fn attempt() -> Attempt {
+    Attempt {
+        proof: Proof::NotRun,
+        tries: 1,
+        is_non_idempotent: false,
+        unspent: Some(0),
+        remaining: Duration::from_millis(500),
+        needs: Duration::from_millis(50),
+        not_before: Duration::ZERO,
+    }
+}
+
+#[test]
+fn decisions() {
+    use Reason::{ChainSpent, DoNotResend, NotIdempotent, OutOfTime, RatioSpent};
+    let may = Proof::MayHaveRun;
+    let short = Duration::from_millis(40);
+    let late = Duration::from_millis(460);
+    let cases = [
+        ("not run", attempt(), 3, 1, None),
+        (
+            "not run, non-idempotent",
+            Attempt {
+                is_non_idempotent: true,
+                ..attempt()
+            },
+            3,
+            1,
+            None,
+        ),
+        (
+            "idempotent",
+            Attempt {
+                proof: may,
+                ..attempt()
+            },
+            3,
+            1,
+            None,
+        ),
+        (
+            "may have run",
+            Attempt {
+                proof: may,
+                is_non_idempotent: true,
+                ..attempt()
+            },
+            3,
+            1,
+            Some(NotIdempotent),
+        ),
+        (
+            "forbidden",
+            Attempt {
+                proof: Proof::DoNotResend,
+                ..attempt()
+            },
+            3,
+            1,
+            Some(DoNotResend),
+        ),
+        (
+            "too late",
+            Attempt {
+                remaining: short,
+                ..attempt()
+            },
+            3,
+            1,
+            Some(OutOfTime),
+        ),
+        (
+            "not before too late",
+            Attempt {
+                not_before: late,
+                ..attempt()
+            },
+            3,
+            1,
+            Some(OutOfTime),
+        ),
+        ("chain spent", attempt(), 0, 1, Some(ChainSpent)),
+        (
+            "lost answer keeps the loan",
+            Attempt {
+                unspent: None,
+                ..attempt()
+            },
+            1,
+            1,
+            Some(ChainSpent),
+        ),
+        ("ratio spent", attempt(), 3, 0, Some(RatioSpent)),
+    ];
+    for (name, attempt, tokens, floor, expected) in cases {
+        check_decision(name, &attempt, tokens, floor, expected);
+    }
+}
+
+fn check_decision(
+    name: &str,
+    attempt: &Attempt,
+    tokens: u32,
+    floor: u32,
+    expected: Option<Reason>,
+) {
+    let now = Instant::now();
+    let mut ratios = Ratios::open(
+        now,
+        RatioOptions {
+            floor,
+            ..RatioOptions::default()
+        },
+    );
+    let mut chain = Chain::open(tokens);
+    let child = chain.begin(CALL).unwrap().child;
+    let before = chain.left();
+    let budgets = Budgets {
+        chain: &mut chain,
+        ratios: &mut ratios,
+        workspace: None,
+    };
+    let mut rng = StdRng::seed_from_u64(1);
+    match decide(now, &Options::default(), budgets, child, attempt, &mut rng) {
+        Decision::Retry { backoff, .. } => {
+            assert_eq!(expected, None, "{name}");
+            assert!(backoff + attempt.needs <= attempt.remaining, "{name}");
+        }
+        Decision::GiveUp(reason) => {
+            assert_eq!(expected, Some(reason), "{name}");
+            assert_eq!(chain.left(), before, "{name}: nothing is debited");
+        }
+    }
+}
+
+#[test]
+fn children_split_the_tokens_and_give_them_back() {
+    let mut chain = Chain::open(3);
+    let (first, second) = (chain.begin(1).unwrap(), chain.begin(2).unwrap());
+    assert_eq!((first.tokens, second.tokens, chain.left()), (2, 1, 0));
+    chain.settle(first.child, End::Answered, Some(9));
+    assert_eq!(chain.left(), 2, "no more comes back than was lent");
+    chain.settle(first.child, End::Answered, Some(2));
+    assert_eq!(chain.left(), 2, "a second end is ignored");
+    chain.settle(second.child, End::Failed, None);
+    assert_eq!(chain.close(), 2, "a lost answer takes its tokens along");
+}
+
+#[test]
+fn repeats_by_the_parent_are_debited() {
+    let mut chain = Chain::open(1);
+    let first = chain.begin(CALL).unwrap();
+    chain.settle(first.child, End::Failed, Some(first.tokens));
+    let repeat = chain.begin(CALL).unwrap();
+    assert!(repeat.is_repeat);
+    chain.settle(repeat.child, End::Failed, Some(repeat.tokens));
+    assert_eq!(chain.begin(CALL), Err(Error::Spent));
+    let other = chain.begin(CALL + 1).unwrap();
+    assert!(!other.is_repeat);
+    chain.settle(other.child, End::Answered, Some(0));
+    assert!(
+        !chain.begin(CALL + 1).unwrap().is_repeat,
+        "an answered call may come again"
+    );
+}
+
+#[test]
+fn calls_under_way_and_failures_are_bounded() {
+    let mut chain = Chain::open(0);
+    let begun: Vec<_> = (0..256).map(|call| chain.begin(call).unwrap()).collect();
+    assert_eq!(
+        chain.begin(256),
+        Err(Error::TooManyCalls { under_way: 256 })
+    );
+    for call in begun {
+        chain.settle(call.child, End::Failed, None);
+    }
+    assert_eq!(
+        chain.begin(999),
+        Err(Error::Spent),
+        "past the bound each call is a repeat"
+    );
+}
+
+#[test]
+fn the_ratio_bounds_retries_of_each_workspace() {
+    let start = Instant::now();
+    let mut ratios = Ratios::open(
+        start,
+        RatioOptions {
+            floor: 2,
+            ..RatioOptions::default()
+        },
+    );
+    let (calm, wild): (WorkspaceId, WorkspaceId) = (Arc::from("calm"), Arc::from("wild"));
+    for _ in 0..100 {
+        ratios.count_first_try(start, Some(&wild));
+    }
+    let taken = (0..100).filter(|_| ratios.take(start, Some(&wild))).count();
+    assert_eq!(taken, 12, "10 % of 100 and the floor of 2");
+    assert!(
+        ratios.take(start, Some(&calm)),
+        "another workspace is not touched"
+    );
+    let later = start + Duration::from_secs(11);
+    assert!(ratios.take(later, Some(&wild)), "the window has moved on");
+}
+
+/// Runs a random call tree whose answers are lost and whose backend servers repeat, and gives
+/// the retries of the whole tree and the tokens returned.
+fn run_tree(tokens: u32, depth: u8, rng: &mut StdRng) -> (u32, u32) {
+    let mut chain = Chain::open(tokens);
+    let mut retries = 0;
+    for call in 0..rng.random_range(0..3_u128) {
+        let mut repeats = 0;
+        while repeats < 4 && rng.random_bool(0.5) {
+            repeats += 1;
+            retries += run_call(&mut chain, call, depth, rng);
+        }
+    }
+    (retries, chain.close())
+}
+
+fn run_call(chain: &mut Chain, call: u128, depth: u8, rng: &mut StdRng) -> u32 {
+    let Ok(begun) = chain.begin(call) else {
+        return 0;
+    };
+    let mut retries = u32::from(begun.is_repeat);
+    let mut tokens = begun.tokens;
+    loop {
+        let (below, back) = if depth == 0 {
+            (0, tokens)
+        } else {
+            run_tree(tokens, depth - 1, rng)
+        };
+        retries += below;
+        let unspent = rng.random_bool(0.7).then_some(back);
+        if rng.random_bool(0.4) {
+            chain.settle(begun.child, End::Answered, unspent);
+            return retries;
+        }
+        let Ok(loan) = chain.retry(begun.child, unspent) else {
+            chain.settle(begun.child, End::Failed, unspent);
+            return retries;
+        };
+        (tokens, retries) = (loan, retries + 1);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(11), failure_persistence: None, cases: 256, ..ProptestConfig::default() })]
+
+    #[test]
+    fn retries_of_a_tree_never_pass_its_budget(seed: u64, tokens in 0..=16_u32, depth in 0..=11_u8) {
+        let (retries, back) = run_tree(tokens, depth, &mut StdRng::seed_from_u64(seed));
+        prop_assert!(retries + back <= tokens);
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-policy/tests/routing.rs
@@ -0,0 +1,251 @@
+//! Which backend server is chosen, in tables of faults and in random runs.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use nutmegwheel_policy::routing::{
+    Announcement, BackendKey, Error, LoadReport, Options, Outcome, Request, ServerState, Table,
+};
+use nutmegwheel_types::Priority;
+use proptest::{prelude::*, test_runner::RngSeed};
+use rand::{SeedableRng, rngs::StdRng};
+
+const SLOTS: u32 = 10;
+const TOP: Priority = Priority {
+    rank: 0,
+    over_share: 0,
+    root_hash: 0,
+};
+
+fn announcement(node: &str, data_centre: &str, state: ServerState) -> Announcement {
+    Announcement {
+        node: Arc::from(node),
+        data_centre: Arc::from(data_centre),
+        incarnation: 1,
+        slots: SLOTS,
+        state,
+    }
+}
+
+fn table(now: Instant, near: usize, far: usize) -> (Table, Vec<BackendKey>) {
+    let mut table = Table::open(Arc::from("riga1"), Options::default());
+    let keys = (0..near + far)
+        .map(|n| {
+            let data_centre = if n < near { "riga1" } else { "riga2" };
+            table.announce(
+                now,
+                announcement(&format!("n{n}"), data_centre, ServerState::Ready),
+            )
+        })
+        .collect();
+    (table, keys)
+}
+
+fn choose(
+    table: &mut Table,
+    now: Instant,
+    tried: &[BackendKey],
+    seed: u64,
+) -> Result<BackendKey, Error> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    table.choose(
+        now,
+        &Request {
+            priority: TOP,
+            tried,
+        },
+        &mut rng,
+    )
+}
+
+fn fail(table: &mut Table, now: Instant, key: BackendKey, times: u32) {
+    for _ in 0..times {
+        table.finish(now, key, Outcome::Failed, None);
+    }
+}
+
+#[test]
+fn those_that_take_nothing_new_are_never_chosen() {
+    let now = Instant::now();
+    for (name, state, silent) in [
+        ("leaving", ServerState::Leaving, false),
+        ("starting", ServerState::Starting, false),
+        ("silent", ServerState::Ready, true),
+    ] {
+        let (mut table, keys) = table(now, 3, 0);
+        table.announce(now, announcement("n0", "riga1", state));
+        table.set_silent(now, keys[0], silent);
+        for seed in 0..200 {
+            assert_ne!(choose(&mut table, now, &[], seed), Ok(keys[0]), "{name}");
+        }
+    }
+}
+
+#[test]
+fn choices_that_fail() {
+    let now = Instant::now();
+    let (mut none, _) = table(now, 0, 0);
+    assert!(matches!(
+        choose(&mut none, now, &[], 1),
+        Err(Error::NoneReady { known: 0, .. })
+    ));
+    let (mut two, keys) = table(now, 1, 1);
+    assert_eq!(
+        choose(&mut two, now, &keys[..1], 1),
+        Ok(keys[1]),
+        "the other is still untried"
+    );
+    assert!(matches!(
+        choose(&mut two, now, &keys, 1),
+        Err(Error::AllTried { tried: 2, .. })
+    ));
+}
+
+#[test]
+fn work_stays_near_until_headroom_ends() {
+    let now = Instant::now();
+    let (mut table, keys) = table(now, 2, 2);
+    let chosen: Vec<_> = (0..40)
+        .map(|seed| choose(&mut table, now, &[], seed).unwrap())
+        .collect();
+    let near = |key: &BackendKey| keys[..2].contains(key);
+    assert!(
+        chosen[..16].iter().all(near),
+        "the first 16 fit into 90 % of 20 slots"
+    );
+    assert!(!chosen.iter().all(near), "40 do not");
+    assert!(keys.iter().all(|key| table.outstanding(*key) <= SLOTS + 3));
+}
+
+#[test]
+fn reports_steer_away_and_age() {
+    let now = Instant::now();
+    let (mut table, keys) = table(now, 2, 0);
+    let report = LoadReport {
+        running: 9,
+        waiting: 9,
+        limit: SLOTS,
+        shed_level: None,
+    };
+    table.finish(now, keys[0], Outcome::Answered, Some(report));
+    assert_eq!(choose(&mut table, now, &[], 1), Ok(keys[1]));
+    assert_eq!(choose(&mut table, now, &[], 2), Ok(keys[1]));
+    let later = now + Options::default().report_lifetime;
+    assert_eq!(
+        choose(&mut table, later, &[], 3),
+        Ok(keys[0]),
+        "the report no longer counts"
+    );
+}
+
+#[test]
+fn refusals_and_shed_levels_steer_away() {
+    let now = Instant::now();
+    let level = Priority {
+        rank: 0,
+        over_share: 0,
+        root_hash: 10,
+    };
+    let shedding = LoadReport {
+        running: 0,
+        waiting: 0,
+        limit: SLOTS,
+        shed_level: Some(level),
+    };
+    for (outcome, report) in [
+        (Outcome::Refused, None),
+        (Outcome::Answered, Some(shedding)),
+    ] {
+        let (mut table, keys) = table(now, 2, 0);
+        table.finish(now, keys[0], outcome, report);
+        let mut rng = StdRng::seed_from_u64(1);
+        let low = Priority { rank: 1, ..TOP };
+        let req = Request {
+            priority: low,
+            tried: &[],
+        };
+        for _ in 0..5 {
+            assert_eq!(table.choose(now, &req, &mut rng), Ok(keys[1]));
+        }
+    }
+}
+
+#[test]
+fn ejections_grow_and_end() {
+    let mut now = Instant::now();
+    let (mut table, keys) = table(now, 3, 0);
+    let options = Options::default();
+    for expected in [1, 2, 4] {
+        fail(&mut table, now, keys[0], options.failures_to_eject);
+        let time = options.first_ejection * expected;
+        assert!(table.is_ejected(now + time.mul_f64(0.99), keys[0]));
+        assert!(!table.is_ejected(now + time, keys[0]));
+        now += time;
+    }
+}
+
+#[test]
+fn one_of_one_is_never_ejected_and_a_last_resort_serves() {
+    let now = Instant::now();
+    let (mut one, keys) = table(now, 1, 0);
+    fail(&mut one, now, keys[0], 50);
+    assert!(!one.is_ejected(now, keys[0]));
+    let (mut two, keys) = table(now, 2, 0);
+    fail(&mut two, now, keys[0], 50);
+    assert!(two.is_ejected(now, keys[0]));
+    assert_eq!(choose(&mut two, now, &keys[1..], 1), Ok(keys[0]));
+    two.remove(now, keys[1]);
+    assert!(!two.is_ejected(now, keys[0]), "it is the only one left");
+}
+
+#[test]
+fn a_new_one_starts_slowly() {
+    let now = Instant::now();
+    let (mut table, _) = table(now, 1, 0);
+    let new = table.announce(now, announcement("new", "riga1", ServerState::Starting));
+    table.announce(now, announcement("new", "riga1", ServerState::Ready));
+    for seed in 0..10 {
+        choose(&mut table, now, &[], seed).unwrap();
+    }
+    assert!(table.outstanding(new) <= 1, "a tenth of its slots at first");
+}
+
+#[test]
+fn a_new_life_gets_a_new_key_and_old_news_is_ignored() {
+    let now = Instant::now();
+    let (mut table, keys) = table(now, 2, 0);
+    let next = Announcement {
+        incarnation: 2,
+        ..announcement("n0", "riga1", ServerState::Ready)
+    };
+    let new = table.announce(now, next);
+    assert_ne!(new, keys[0]);
+    fail(&mut table, now, keys[0], 50);
+    assert!(!table.is_ejected(now, new));
+    let old = announcement("n0", "riga1", ServerState::Leaving);
+    assert_eq!(table.announce(now, old), new);
+    assert_eq!(table.announcement(new).unwrap().state, ServerState::Ready);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn ejected_part_is_bounded(steps in prop::collection::vec((0..20_usize, 0..5_u8, 0..2000_u64), 1..200)) {
+        let mut now = Instant::now();
+        let (mut table, keys) = table(now, 12, 8);
+        for (n, kind, millis) in steps {
+            now += Duration::from_millis(millis / 4);
+            match kind {
+                0 | 1 => fail(&mut table, now, keys[n], 5),
+                2 => table.set_silent(now, keys[n], millis % 2 == 0),
+                3 => table.remove(now, keys[n]),
+                _ => drop(choose(&mut table, now, &[], millis)),
+            }
+            prop_assert!(table.ejected(now) <= table.max_ejected());
+            prop_assert!(table.available() == 0 || table.ejected(now) < table.available());
+        }
+    }
+}
