feat: non-idempotent requests run at most once, by claims, started records and fences

Seeds (nodes and control VMs) hold claims in memory; a target goes on with a claimed run when its caller leaves and tells the seeds the answer; a lost try is fenced on a new link before it is called not run. A seed that never served asks the control log for the word that lets it grant at once. Found by the racing test before it landed: two runs of one request. Cause: after fencing another attempt the claim was held for a new attempt while the old one was sent, so that a fence of the held one was answered with 'not run'. The attempt that holds the claim is now the one that is sent. Found too: an idle backend server in its cold start (limit 1) counted as full, so that work spilled to another data centre; spilling now looks at the load without the request to be placed.

--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -4,6 +4,7 @@
 use nutmegwheel_config::Settings;
 use nutmegwheel_events::{Event, Journal};
 use nutmegwheel_link::{Endpoint, Limits, Options};
+use nutmegwheel_seeds::Duty;
 use nutmegwheel_spread::{Spread, TICK};
 use nutmegwheel_supervisor::Supervisor;
 use nutmegwheel_types::Incarnation;
@@ -21,6 +22,8 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 /// The time between two questions whether this control VM holds all that is committed.
 const VOUCH_PAUSE: Duration = Duration::from_millis(300);
+/// The time between two steps of a restarted seed's recovery.
+const RECOVER_PAUSE: Duration = Duration::from_millis(200);
 /// How long answers that are being written may take when the process stops.
 const GRACE: Duration = Duration::from_millis(500);
 
@@ -46,6 +49,7 @@
 ) -> anyhow::Result<Control> {
     let tree = Supervisor::open(journal.clone());
     let spread = Arc::new(Spread::open(&settings, incarnation));
+    let duty = Duty::open(&settings, incarnation).map(Arc::new);
     let members = Arc::new(Members::open(spread.clone(), journal.clone()));
     let offer = Offer {
         spread: spread.clone(),
@@ -66,6 +70,7 @@
     let service = Arc::new(ControlService {
         members: members.clone(),
         log: log.clone(),
+        duty: duty.clone(),
     });
     let endpoint = Endpoint::bind(opts, service)
         .await
@@ -73,6 +78,9 @@
     spread.connect(endpoint.clone());
     log.connect(endpoint.clone());
     spawn_tasks(&tree, &members, &log);
+    if let Some(duty) = duty {
+        spawn_duty(&tree, &duty, &endpoint);
+    }
     let operators = Operators {
         log: log.clone(),
         members: members.clone(),
@@ -106,6 +114,14 @@
     })
 }
 
+fn spawn_duty(tree: &Supervisor, duty: &Arc<Duty>, endpoint: &Endpoint) {
+    let cx = (duty.clone(), endpoint.clone());
+    tree.spawn_interval("seed", RECOVER_PAUSE, move || {
+        let (duty, endpoint) = cx.clone();
+        async move { duty.recover(&endpoint).await }
+    });
+}
+
 fn spawn_tasks(tree: &Supervisor, members: &Arc<Members>, log: &Arc<ReplicatedLog>) {
     let cx = members.clone();
     tree.spawn_interval("gossip", TICK, move || {
--- a/crates/nutmegwheel-control/src/service.rs
+++ b/crates/nutmegwheel-control/src/service.rs
@@ -1,21 +1,34 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use nutmegwheel_link::{Peer, Request, ServeFuture, Service, Topic};
-use nutmegwheel_wire::topic;
+use nutmegwheel_link::{Peer, Reply, Request, ServeFuture, Service, Topic};
+use nutmegwheel_seeds::Duty;
+use nutmegwheel_wire::{FirstStart, topic};
+use prost::Message as _;
 
-use crate::{log::ReplicatedLog, members::Members};
+use crate::{
+    log::{Log as _, ReplicatedLog},
+    members::Members,
+    state::{Command, Verdict},
+};
 
 /// Answers the other processes of the fleet.
 pub(crate) struct ControlService {
     pub(crate) members: Arc<Members>,
     pub(crate) log: Arc<ReplicatedLog>,
+    pub(crate) duty: Option<Arc<Duty>>,
 }
 
 impl Service for ControlService {
     fn serve(&self, _peer: Peer, req: Request) -> ServeFuture {
-        let log = self.log.clone();
-        Box::pin(async move { log.serve(req.topic, req.body).await })
+        let (log, duty) = (self.log.clone(), self.duty.clone());
+        Box::pin(async move {
+            match req.topic {
+                topic::COMMIT | topic::READ_INDEX => log.serve(req.topic, req.body).await,
+                topic::FIRST_START => reply(first_start(&log, req.head).await),
+                topic => reply(duty.map(|duty| duty.serve(topic, req.head))),
+            }
+        })
     }
 
     fn notice(&self, peer: Peer, topic: Topic, body: Bytes) {
@@ -26,3 +39,23 @@
         }
     }
 }
+
+/// Whether a seed starts for the first time; no answer where the log cannot tell.
+async fn first_start(log: &ReplicatedLog, head: Bytes) -> Option<Bytes> {
+    let asked = FirstStart::decode(head).ok()?;
+    let command = Command::FirstStart {
+        seed: asked.seed,
+        incarnation: asked.incarnation,
+    };
+    match log.commit(command).await {
+        Ok(Verdict::FirstStart { granted }) => Some(vec![u8::from(granted)].into()),
+        _ => None,
+    }
+}
+
+fn reply(body: Option<Bytes>) -> Reply {
+    Reply {
+        head: Bytes::new(),
+        body: body.unwrap_or_default(),
+    }
+}
--- a/crates/nutmegwheel-control/src/state.rs
+++ b/crates/nutmegwheel-control/src/state.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use nutmegwheel_config::{Change, CheckError, Delta, View};
-use nutmegwheel_types::{ConfigVersion, KeyHash, WorkspaceId, hex, plain};
+use nutmegwheel_types::{ConfigVersion, Incarnation, KeyHash, WorkspaceId, hex, plain};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
@@ -29,6 +29,13 @@
         /// The key's hash in hex digits.
         hash: String,
     },
+    /// A seed asks whether one of its name ever served before.
+    FirstStart {
+        /// The seed.
+        seed: String,
+        /// Its life.
+        incarnation: Incarnation,
+    },
 }
 
 plain! {
@@ -53,6 +60,11 @@
             /// The last committed number.
             last_change: ChangeNumber,
         },
+        /// The answer to a seed that asked whether it starts for the first time.
+        FirstStart {
+            /// Whether it does; never true for two lives of one name.
+            granted: bool,
+        },
         /// The key belongs to another workspace already.
         KeyTaken,
         /// The key is withdrawn for good.
@@ -84,6 +96,8 @@
     view: View,
     last_change: ChangeNumber,
     answers: BTreeMap<ChangeNumber, Winner>,
+    /// The life in which each seed served first.
+    first_starts: BTreeMap<String, Incarnation>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -91,6 +105,7 @@
     view: Box<serde_json::value::RawValue>,
     last_change: ChangeNumber,
     answers: BTreeMap<ChangeNumber, Winner>,
+    first_starts: BTreeMap<String, Incarnation>,
 }
 
 /// Access.
@@ -124,6 +139,7 @@
             view: serde_json::value::RawValue::from_string(view).unwrap_or_default(),
             last_change: self.last_change,
             answers: self.answers.clone(),
+            first_starts: self.first_starts.clone(),
         };
         serde_json::to_vec(&snapshot).unwrap_or_default()
     }
@@ -139,6 +155,7 @@
             view: View::decode(snapshot.view.get().as_bytes())?,
             last_change: snapshot.last_change,
             answers: snapshot.answers,
+            first_starts: snapshot.first_starts,
         })
     }
 }
@@ -150,9 +167,16 @@
         match command {
             Command::Change { number, content } => self.apply_change(*number, content),
             Command::Withdraw { hash } => self.apply_withdrawal(hash),
+            Command::FirstStart { seed, incarnation } => self.apply_first_start(seed, *incarnation),
         }
     }
 
+    fn apply_first_start(&mut self, seed: &str, incarnation: Incarnation) -> Verdict {
+        let first = self.first_starts.entry(seed.to_owned());
+        let granted = *first.or_insert(incarnation) == incarnation;
+        Verdict::FirstStart { granted }
+    }
+
     fn apply_change(&mut self, number: ChangeNumber, content: &str) -> Verdict {
         let digest = hex::encode(&Sha256::digest(content.as_bytes()));
         if let Some(winner) = self.answers.get(&number) {
@@ -243,6 +267,7 @@
         match self {
             Self::Change { content, .. } => Change::parse(content).ok().map(Delta::Change),
             Self::Withdraw { hash } => hex::decode(hash).map(Delta::Withdraw),
+            Self::FirstStart { .. } => None,
         }
     }
 }
--- a/crates/nutmegwheel-node/src/call.rs
+++ b/crates/nutmegwheel-node/src/call.rs
@@ -2,10 +2,13 @@
 
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Method, StatusCode};
+use nutmegwheel_seeds::{AttemptId, attempt_from_wire, attempt_to_wire};
 use nutmegwheel_types::{Context, EndpointId, KeyHash, ServiceId, plain};
 use nutmegwheel_wire as wire;
 use nutmegwheel_wire::Malformed;
 
+use crate::once::Name;
+
 plain! {
     /// A request on its way through the system.
     pub(crate) struct Call {
@@ -21,6 +24,10 @@
         /// The hash of the key that came with the root request.
         pub(crate) key: Option<KeyHash>,
         pub(crate) deadline: Instant,
+        /// The name that the caller gave the request, where it may run at most once.
+        pub(crate) name: Option<Name>,
+        /// The try, where the call may run at most once.
+        pub(crate) attempt: Option<AttemptId>,
     }
 
     /// A backend server's whole answer.
@@ -44,8 +51,12 @@
             method: self.method.to_string(),
             path_and_query: self.path.clone(),
             fields: fields_to_wire(&self.fields),
-            attempt: Bytes::new(),
+            attempt: self.attempt.as_ref().map(attempt_to_wire),
             target_incarnation,
+            claim: self.name.as_ref().map(|name| wire::Claim {
+                id: Bytes::copy_from_slice(&name.id),
+                home: name.home.to_string(),
+            }),
         }
     }
 
@@ -68,10 +79,20 @@
             deadline: now + context.remaining,
             context,
             key,
+            name: head.claim.map(name_from_wire).transpose()?,
+            attempt: head.attempt.map(attempt_from_wire),
         })
     }
 }
 
+fn name_from_wire(claim: wire::Claim) -> Result<Name, Malformed> {
+    let id = claim.id.as_ref().try_into();
+    Ok(Name {
+        id: id.map_err(|_| Malformed { field: "claim" })?,
+        home: claim.home.into(),
+    })
+}
+
 pub(crate) fn fields_to_wire(fields: &[(HeaderName, HeaderValue)]) -> Vec<wire::Field> {
     let fields = fields.iter();
     fields
--- a/crates/nutmegwheel-node/src/door.rs
+++ b/crates/nutmegwheel-node/src/door.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     call::{Answer, Call},
-    forward, headers,
+    forward, headers, once,
     refusal::{Reason, Refusal},
     running::Parent,
     serve,
@@ -42,7 +42,9 @@
         return Err(Refusal::not_run(Reason::Leaving, detail));
     }
     let view = shared.views.current();
-    let call = admit(&view, req, root, now)?;
+    let id = headers::idempotency_key(&req.head.headers)?.map(str::to_owned);
+    let mut call = admit(&view, req, root, now)?;
+    call.name = name(shared, &call, id.as_deref())?;
     if let Some(key) = &call.key {
         serve::may_serve(shared, key)?;
     }
@@ -70,7 +72,6 @@
         (Some(views::workspace_of(view, key.as_ref())?), key)
     };
     let headers = &req.head.headers;
-    headers::idempotency_key(headers)?;
     let non_idempotent = headers::non_idempotent(headers)? || route.non_idempotent;
     let context = context(view, route, workspace, root, non_idempotent)?;
     let time = headers::deadline(headers)?.unwrap_or(context.remaining);
@@ -84,9 +85,21 @@
         deadline: now + time,
         context,
         key,
+        name: None,
+        attempt: None,
     })
 }
 
+/// The name of a request that may run at most once, where its sender gave it one.
+pub(crate) fn name(
+    shared: &Shared,
+    call: &Call,
+    id: Option<&str>,
+) -> Result<Option<once::Name>, Refusal> {
+    let id = id.filter(|_| call.context.non_idempotent);
+    id.map(|id| once::name(shared, call, id)).transpose()
+}
+
 fn context(
     view: &View,
     route: &Route,
--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -12,12 +12,14 @@
     routing::{BackendKey, LoadReport, Outcome as Ended},
     shed,
 };
+use nutmegwheel_seeds::AttemptId;
 use nutmegwheel_wire::{ReplyHead, topic};
 use prost::Message as _;
 use sha2::{Digest, Sha256};
 
 use crate::{
     call::{self, Answer, Call},
+    once::{self, Begun},
     refusal::{Outcome, Reason, Refusal},
     routes::Target,
     running::{Below, Parent},
@@ -97,6 +99,7 @@
     settled: &mut Settled<'_>,
 ) -> Result<Answer, Refusal> {
     let mut tried = Vec::new();
+    let mut replaces = None;
     loop {
         let target = match choose(shared, call, &tried) {
             Ok(target) => target,
@@ -106,7 +109,7 @@
         };
         let began = Instant::now();
         settled.unspent = None;
-        let served = attempt(shared, call, &target).await;
+        let served = attempt(shared, call, &target, &mut replaces).await;
         settled.unspent = served.unspent;
         parent.note(served.below);
         let refusal = match served.result {
@@ -182,6 +185,7 @@
         Reason::KeyWithdrawn
             | Reason::BadRequest
             | Reason::AnswerTooLarge
+            | Reason::ClaimUnavailable
             | Reason::Quarantined
             | Reason::Deadline
     );
@@ -243,19 +247,30 @@
 }
 
 /// One try at one backend server.
-async fn attempt(shared: &Arc<Shared>, call: &Call, target: &Target) -> Served {
+async fn attempt(
+    shared: &Arc<Shared>,
+    call: &mut Call,
+    target: &Target,
+    replaces: &mut Option<AttemptId>,
+) -> Served {
+    let service = call.service.clone();
     let mut outstanding = Outstanding {
         shared,
-        service: &call.service,
+        service: &service,
         key: target.key,
         ended: Ended::Cancelled,
         report: None,
     };
+    let guard = match once::begin(shared, call, target, replaces).await {
+        Begun::Go(guard) => guard,
+        Begun::Over(result) => return Served::unsent(result, call.context.retry_tokens),
+    };
     let served = if target.node == shared.settings.name {
         serve::serve(shared, call.clone()).await
     } else {
         send(shared, call, target).await
     };
+    let served = once::end(shared, guard, target, replaces, served).await;
     outstanding.report = served.report;
     outstanding.ended = ended(&served);
     if let Some(report) = served.report {
--- a/crates/nutmegwheel-node/src/headers.rs
+++ b/crates/nutmegwheel-node/src/headers.rs
@@ -12,6 +12,7 @@
 pub(crate) const DEADLINE: HeaderName = HeaderName::from_static("nutmegwheel-deadline-ms");
 pub(crate) const NON_IDEMPOTENT: HeaderName = HeaderName::from_static("nutmegwheel-non-idempotent");
 pub(crate) const OUTCOME: HeaderName = HeaderName::from_static("nutmegwheel-outcome");
+pub(crate) const REPLAYED: HeaderName = HeaderName::from_static("nutmegwheel-replayed");
 pub(crate) const REQUEST: HeaderName = HeaderName::from_static("nutmegwheel-request");
 pub(crate) const WORKSPACE: HeaderName = HeaderName::from_static("nutmegwheel-workspace");
 pub(crate) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -15,6 +15,7 @@
 mod local;
 mod members;
 mod node;
+mod once;
 mod platform;
 mod refusal;
 mod routes;
--- a/crates/nutmegwheel-node/src/local.rs
+++ b/crates/nutmegwheel-node/src/local.rs
@@ -132,7 +132,9 @@
     parent: &Parent,
 ) -> Result<Answer, Refusal> {
     let name = headers::single(&req.head.headers, &headers::CALL)?.map(str::to_owned);
-    let call = child(shared, req, parent)?;
+    let given = headers::idempotency_key(&req.head.headers)?.map(str::to_owned);
+    let mut call = child(shared, req, parent)?;
+    call.name = door::name(shared, &call, given.as_deref())?;
     let id = forward::call_id(&call, name.as_deref());
     forward::forward(shared, parent, call, id).await
 }
@@ -159,5 +161,7 @@
         deadline: parent.deadline,
         context,
         key: parent.key,
+        name: None,
+        attempt: None,
     })
 }
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -28,6 +28,8 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 /// The time between two looks for a lapsed announcement.
 const LAPSE_PAUSE: Duration = Duration::from_millis(100);
+/// The time between two steps of a restarted seed's recovery.
+const RECOVER_PAUSE: Duration = Duration::from_millis(200);
 /// The time between two rounds of forgetting what is too old.
 const EXPIRY_PAUSE: Duration = Duration::from_secs(1);
 /// The longest time that a planned stop waits for requests in flight.
@@ -136,6 +138,15 @@
         async move { cx.expire(Instant::now()) }
     });
     let cx = shared.clone();
+    tree.spawn_interval("seed", RECOVER_PAUSE, move || {
+        let cx = cx.clone();
+        async move {
+            if let (Some(duty), Some(endpoint)) = (&cx.duty, cx.endpoint()) {
+                duty.recover(endpoint).await;
+            }
+        }
+    });
+    let cx = shared.clone();
     tree.spawn("gate", move || {
         let cx = cx.clone();
         async move { cx.gate.keep_time().await }
--- /dev/null
+++ b/crates/nutmegwheel-node/src/once.rs
@@ -0,0 +1,306 @@
+//! Non-idempotent calls run at most once; docs/spec/CLAIMS.md.
+
+use std::{
+    sync::{Arc, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use nutmegwheel_seeds::{
+    Arrival, AttemptId, Claims, Fence, Held, Options, Reason as Unrun, Refusal as Unclaimed,
+    Target, attempt_from_wire, attempt_to_wire,
+};
+use nutmegwheel_types::{DataCentreId, RequestId, plain};
+use nutmegwheel_wire::{self as wire, topic};
+use prost::Message as _;
+use sha2::{Digest, Sha256};
+
+use crate::{
+    call::{self, Answer, Call},
+    headers,
+    refusal::{Outcome, Reason, Refusal},
+    routes,
+    serve::Served,
+    shared::Shared,
+};
+
+/// The time that a target gets to answer a fence.
+const FENCE_LIMIT: Duration = Duration::from_secs(1);
+/// How often a claim is made again after another attempt was fenced.
+const CLAIM_TRIES: u32 = 2;
+
+plain! {
+    /// The name of a request over all its resends, and the data centre that decides on it.
+    pub(crate) struct Name {
+        pub(crate) id: RequestId,
+        pub(crate) home: DataCentreId,
+    }
+}
+
+/// What guards one try of a non-idempotent call.
+pub(crate) struct Guard {
+    attempt: AttemptId,
+    held: Option<Box<(Claims, Held)>>,
+}
+
+/// Whether a try may be sent.
+pub(crate) enum Begun {
+    /// It may.
+    Go(Option<Guard>),
+    /// The call is over without it.
+    Over(Result<Answer, Refusal>),
+}
+
+/// The name that a caller's idempotency key gives a request.
+pub(crate) fn name(shared: &Shared, call: &Call, key: &str) -> Result<Name, Refusal> {
+    let mut hash = Sha256::new();
+    let workspace = call.context.workspace.as_deref().unwrap_or_default();
+    for part in [workspace, &call.service, &call.endpoint, key] {
+        hash.update((part.len() as u64).to_be_bytes());
+        hash.update(part);
+    }
+    let id = hash.finalize().into();
+    match shared.seeds.home(&id, key) {
+        Some(home) => Ok(Name { id, home }),
+        None => Err(unavailable("the fleet has no seeds")),
+    }
+}
+
+/// Sees to it that a try of a non-idempotent call may run nowhere else.
+pub(crate) async fn begin(
+    shared: &Arc<Shared>,
+    call: &mut Call,
+    target: &routes::Target,
+    replaces: &mut Option<AttemptId>,
+) -> Begun {
+    if !call.context.non_idempotent {
+        return Begun::Go(None);
+    }
+    let attempt = shared.next_attempt();
+    call.attempt = Some(attempt.clone());
+    let Some(name) = call.name.clone() else {
+        let held = None;
+        return Begun::Go(Some(Guard { attempt, held }));
+    };
+    let Some(claims) = shared.claims() else {
+        return Begun::Over(Err(unavailable("the links are not up")));
+    };
+    let opts = Options {
+        id: name.id,
+        home: name.home,
+        attempt: attempt.clone(),
+        target: Target {
+            node: target.node.clone(),
+            incarnation: target.incarnation,
+        },
+        replaces: replaces.take(),
+    };
+    match claim(shared, &claims, opts).await {
+        Ok((held, attempt)) => {
+            claims.running(&held);
+            call.attempt = Some(attempt.clone());
+            let held = Some(Box::new((claims, held)));
+            Begun::Go(Some(Guard { attempt, held }))
+        }
+        Err(unclaimed) => Begun::Over(over(unclaimed)),
+    }
+}
+
+/// Claims the request, and once more when the attempt that holds it is proved not to have run.
+/// Returns the attempt that holds the claim, which is the one to be sent.
+async fn claim(
+    shared: &Arc<Shared>,
+    claims: &Claims,
+    mut opts: Options,
+) -> Result<(Held, AttemptId), Unclaimed> {
+    let mut tries = CLAIM_TRIES;
+    loop {
+        tries -= 1;
+        let unclaimed = match claims.claim(opts.clone()).await {
+            Ok(held) => return Ok((held, opts.attempt)),
+            Err(unclaimed) => unclaimed,
+        };
+        let Unclaimed::InProgress(attempt, target) = &unclaimed else {
+            return Err(unclaimed);
+        };
+        if tries == 0 || !is_fenced(shared, attempt, target).await {
+            return Err(unclaimed);
+        }
+        claims.release_other(&opts.home, opts.id, attempt.clone());
+        opts.replaces = Some(attempt.clone());
+        opts.attempt = shared.next_attempt();
+    }
+}
+
+/// Ends a try: a lost one is fenced, and the seeds learn what is proved.
+pub(crate) async fn end(
+    shared: &Arc<Shared>,
+    guard: Option<Guard>,
+    target: &routes::Target,
+    replaces: &mut Option<AttemptId>,
+    mut served: Served,
+) -> Served {
+    let Some(guard) = guard else {
+        return served;
+    };
+    let is_lost = served.unspent.is_none();
+    if let Err(refusal) = &mut served.result
+        && is_lost
+        && refusal.outcome == Outcome::MayHaveRun
+    {
+        let target = Target {
+            node: target.node.clone(),
+            incarnation: target.incarnation,
+        };
+        if is_fenced(shared, &guard.attempt, &target).await {
+            refusal.outcome = Outcome::NotRun;
+        }
+    }
+    let is_unrun = matches!(&served.result, Err(refusal) if refusal.outcome == Outcome::NotRun);
+    if is_unrun && let Some(holder) = &guard.held {
+        let (claims, held) = &**holder;
+        claims.released(held);
+        *replaces = Some(guard.attempt);
+    }
+    served
+}
+
+fn over(unclaimed: Unclaimed) -> Result<Answer, Refusal> {
+    match unclaimed {
+        Unclaimed::Replay(answer) => replay(answer),
+        Unclaimed::AlreadyRun => {
+            let detail = "the request ran before, and its answer is not kept";
+            Err(Refusal::new(
+                Reason::AlreadyRun,
+                Outcome::DoNotResend,
+                detail,
+            ))
+        }
+        Unclaimed::InProgress(..) => {
+            let detail = "another send of this request has begun and its end is not known";
+            Err(Refusal::may_have_run(Reason::InProgress, detail))
+        }
+        Unclaimed::Unavailable => Err(unavailable(
+            "a majority of the home's seeds is out of reach",
+        )),
+        Unclaimed::Full => Err(unavailable(
+            "the home's seeds have no room for another claim",
+        )),
+    }
+}
+
+fn unavailable(detail: &str) -> Refusal {
+    Refusal::not_run(Reason::ClaimUnavailable, detail)
+}
+
+/// Asks the target of an attempt to see to it that it does not run.
+async fn is_fenced(shared: &Arc<Shared>, attempt: &AttemptId, target: &Target) -> bool {
+    if target.node == shared.settings.name {
+        return fence(shared, attempt, target.incarnation) == Fence::NotRun;
+    }
+    let members = shared.spread.members();
+    let member = members.iter().find(|member| member.name == target.node);
+    let (Some(member), Some(endpoint)) = (member, shared.endpoint()) else {
+        return false;
+    };
+    let head = wire::FenceRequest {
+        attempt: Some(attempt_to_wire(attempt)),
+        incarnation: target.incarnation,
+    };
+    let req = nutmegwheel_link::Request {
+        topic: topic::FENCE,
+        head: head.encode_to_vec().into(),
+        body: Bytes::new(),
+    };
+    let reply = endpoint.call(member.link, req, Instant::now() + FENCE_LIMIT);
+    let Ok(reply) = reply.await else {
+        return false;
+    };
+    let reply = wire::FenceReply::decode(reply.body);
+    reply.is_ok_and(|reply| reply.fenced() == wire::Fenced::NotRun)
+}
+
+/// At the target: answers a fence.
+pub(crate) fn answer_fence(shared: &Shared, head: Bytes) -> Bytes {
+    let Ok(req) = wire::FenceRequest::decode(head) else {
+        return Bytes::new();
+    };
+    let Some(attempt) = req.attempt.map(attempt_from_wire) else {
+        return Bytes::new();
+    };
+    let fenced = match fence(shared, &attempt, req.incarnation) {
+        Fence::NotRun => wire::Fenced::NotRun,
+        Fence::Started => wire::Fenced::Started,
+        Fence::Unknown => wire::Fenced::Unspecified,
+    };
+    let reply = wire::FenceReply {
+        fenced: fenced.into(),
+    };
+    reply.encode_to_vec().into()
+}
+
+fn fence(shared: &Shared, attempt: &AttemptId, incarnation: u64) -> Fence {
+    let mut started = shared
+        .started
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    started.fence(attempt, incarnation, Instant::now())
+}
+
+/// At the target: records that an attempt begins, or tells why it must not.
+pub(crate) fn arrive(shared: &Shared, call: &Call) -> Result<(), Refusal> {
+    let Some(attempt) = &call.attempt else {
+        return Ok(());
+    };
+    let mut started = shared
+        .started
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    let refuse = |detail| Err(Refusal::not_run(Reason::LinkLost, detail));
+    match started.arrive(attempt, shared.incarnation, Instant::now()) {
+        Arrival::Run => Ok(()),
+        Arrival::Refused(Unrun::Doubled) => {
+            let detail = "this try of the request was begun before";
+            Err(Refusal::may_have_run(Reason::InProgress, detail))
+        }
+        Arrival::Refused(Unrun::Fenced) => refuse("this try of the request was fenced"),
+        Arrival::Refused(Unrun::OtherIncarnation) => refuse("this try was for an earlier life"),
+        Arrival::Refused(Unrun::TooOld) => refuse("this try of the request is too old"),
+        Arrival::Refused(Unrun::Full) => {
+            let detail = "the node remembers as many requests as it can";
+            Err(Refusal::not_run(Reason::Overloaded, detail))
+        }
+    }
+}
+
+/// At the target: tells the home's seeds that a claimed request ran.
+pub(crate) fn ran(shared: &Shared, call: &Call, answer: &Answer) {
+    if let (Some(name), Some(attempt), Some(claims)) = (&call.name, &call.attempt, shared.claims())
+    {
+        let stored = wire::StoredAnswer {
+            status: answer.status.as_u16().into(),
+            fields: call::fields_to_wire(&answer.fields),
+            body: answer.body.clone(),
+        };
+        let stored = stored.encode_to_vec().into();
+        claims.done(&name.home, name.id, attempt.clone(), stored);
+    }
+}
+
+/// The answer of the first run, for a resend.
+fn replay(stored: Bytes) -> Result<Answer, Refusal> {
+    let lost = || {
+        let detail = "the request ran before, and its answer cannot be read";
+        Refusal::new(Reason::AlreadyRun, Outcome::DoNotResend, detail)
+    };
+    let stored = wire::StoredAnswer::decode(stored).map_err(|_| lost())?;
+    let status = u16::try_from(stored.status).ok();
+    let status = status.and_then(|status| http::StatusCode::from_u16(status).ok());
+    let mut fields = call::fields_from_wire(stored.fields).map_err(|_| lost())?;
+    fields.push((headers::REPLAYED, http::HeaderValue::from_static("true")));
+    Ok(Answer {
+        status: status.ok_or_else(lost)?,
+        fields,
+        body: stored.body,
+    })
+}
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     call::{self, Answer, Call},
-    members,
+    members, once,
     refusal::{Outcome, Reason, Refusal},
     running::{Below, Parent},
     shared::Shared,
@@ -32,6 +32,16 @@
 }
 
 impl Served {
+    /// A call that was over before it was sent, with all its retries.
+    pub(crate) fn unsent(result: Result<Answer, Refusal>, tokens: u32) -> Self {
+        Self {
+            result,
+            unspent: Some(tokens),
+            report: None,
+            below: Vec::new(),
+        }
+    }
+
     /// A call whose answer did not come back.
     pub(crate) fn lost(refusal: Refusal) -> Self {
         Self {
@@ -44,11 +54,31 @@
 }
 
 /// Runs a call on this node's own backend server.
+///
+/// A claimed call goes on when its caller leaves, so that a resend gets its answer.
 pub(crate) async fn serve(shared: &Arc<Shared>, call: Call) -> Served {
+    if call.name.is_none() {
+        return serve_here(shared, &call).await;
+    }
+    let shared = shared.clone();
+    let running = tokio::spawn(async move {
+        let served = serve_here(&shared, &call).await;
+        if let Ok(answer) = &served.result {
+            once::ran(&shared, &call, answer);
+        }
+        served
+    });
+    running.await.unwrap_or_else(|e| {
+        let detail = format!("the run broke off: {e}");
+        Served::lost(Refusal::may_have_run(Reason::BackendLost, detail))
+    })
+}
+
+async fn serve_here(shared: &Arc<Shared>, call: &Call) -> Served {
     let _in_flight = shared.enter();
     let parent = Parent::open(call.context.clone(), call.key, call.deadline);
     let parent = Arc::new(parent);
-    let result = run(shared, &call, &parent).await;
+    let result = run(shared, call, &parent).await;
     Served {
         result,
         unspent: Some(parent.chain(|chain| chain.left())),
@@ -68,6 +98,7 @@
     let address = shared.local.ready(&call.service)?;
     let fingerprint = suspects::fingerprint(call);
     let watched = shared.suspects.begin(Instant::now(), fingerprint)?;
+    once::arrive(shared, call)?;
     let entry = shared.running.enter(parent.clone());
     let result = shared.local.run(address, call, entry.token).await;
     pass.complete(completion(&result));
@@ -141,7 +172,11 @@
         Box::pin(async move {
             match req.topic {
                 topic::CALL => answer_call(&shared, req).await,
-                _ => empty(),
+                topic::FENCE => reply(once::answer_fence(&shared, req.head)),
+                topic => match &shared.duty {
+                    Some(duty) => reply(duty.serve(topic, req.head)),
+                    None => reply(Bytes::new()),
+                },
             }
         })
     }
@@ -230,9 +265,9 @@
     }
 }
 
-fn empty() -> Reply {
+fn reply(body: Bytes) -> Reply {
     Reply {
         head: Bytes::new(),
-        body: Bytes::new(),
+        body,
     }
 }
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -14,6 +14,7 @@
     retry::{RatioOptions, Ratios},
     shed::{self, Levels},
 };
+use nutmegwheel_seeds::{AttemptId, Claims, Duty, SeedLists, Started, started};
 use nutmegwheel_spread::Spread;
 use nutmegwheel_types::{EndpointId, Incarnation, Priority, ProcessName, ServiceId};
 use nutmegwheel_wire as wire;
@@ -47,6 +48,11 @@
     pub(crate) ratios: Mutex<Ratios>,
     needs: Mutex<Needs>,
     pub(crate) in_flight: AtomicUsize,
+    pub(crate) seeds: Arc<SeedLists>,
+    pub(crate) duty: Option<Arc<Duty>>,
+    pub(crate) started: Mutex<Started>,
+    claims: OnceLock<Claims>,
+    attempts: AtomicU64,
     endpoint: OnceLock<Endpoint>,
     leaving: OnceLock<Instant>,
     lives: AtomicU64,
@@ -67,6 +73,15 @@
             levels: Mutex::new(Levels::open(shed::Options::default())),
             ratios: Mutex::new(Ratios::open(now, RatioOptions::default())),
             needs: Mutex::default(),
+            seeds: Arc::new(SeedLists::open(&settings)),
+            duty: Duty::open(&settings, incarnation).map(Arc::new),
+            started: Mutex::new(Started::open(started::Options {
+                incarnation,
+                capacity: started::CAPACITY,
+                retention: started::RETENTION,
+            })),
+            claims: OnceLock::new(),
+            attempts: AtomicU64::new(0),
             spread: Spread::open(&settings, incarnation),
             settings,
             incarnation,
@@ -86,9 +101,25 @@
         self.lives.fetch_add(1, Ordering::SeqCst) + 1
     }
 
+    /// The number of the next try of a non-idempotent call.
+    pub(crate) fn next_attempt(&self) -> AttemptId {
+        AttemptId {
+            door: self.settings.name.clone(),
+            incarnation: self.incarnation,
+            number: self.attempts.fetch_add(1, Ordering::SeqCst) + 1,
+        }
+    }
+
     /// Sets the endpoint, which is opened after what it serves.
     pub(crate) fn connect(&self, endpoint: Endpoint) {
         self.spread.connect(endpoint.clone());
+        let claims = Claims::open(
+            self.settings.name.clone(),
+            endpoint.clone(),
+            self.duty.clone(),
+            self.seeds.clone(),
+        );
+        let _ = self.claims.set(claims);
         let _ = self.endpoint.set(endpoint);
     }
 
@@ -104,6 +135,10 @@
         self.endpoint.get()
     }
 
+    pub(crate) fn claims(&self) -> Option<Claims> {
+        self.claims.get().cloned()
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving.get().is_some()
     }
--- a/crates/nutmegwheel-policy/src/routing/choose.rs
+++ b/crates/nutmegwheel-policy/src/routing/choose.rs
@@ -11,6 +11,9 @@
 struct Candidate {
     key: BackendKey,
     load: f64,
+    /// The load without the request that is to be placed, by which work spills over: an idle
+    /// backend server with a low limit is not full.
+    busy: f64,
 }
 
 impl Table {
@@ -48,7 +51,7 @@
     ) -> Option<Candidate> {
         let near = self.better_of_two(now, &self.near, req, ejected, rng);
         let spill = f64::from(self.options.spill_percent) / 100.0;
-        if near.is_some_and(|near| near.load < spill) {
+        if near.is_some_and(|near| near.busy < spill) {
             return near;
         }
         let far = self.better_of_two(now, &self.far, req, ejected, rng);
@@ -82,6 +85,7 @@
             .map(|key| Candidate {
                 key,
                 load: self.servers[key].load(now, req.priority, &self.options),
+                busy: self.servers[key].busy(now, req.priority, &self.options),
             })
             .min_by(|a, b| a.load.total_cmp(&b.load))
     }
--- a/crates/nutmegwheel-policy/src/routing/server.rs
+++ b/crates/nutmegwheel-policy/src/routing/server.rs
@@ -109,9 +109,18 @@
 
     /// The expected load after one more request, 1 being the limit.
     pub(crate) fn load(&self, now: Instant, priority: Priority, options: &Options) -> f64 {
-        let work = f64::from(self.outstanding) + 1.0 + self.foreign_work(now, options);
-        let limit = f64::from(self.limit(now, options).max(1)) * self.warmth(now, options);
-        work / limit + self.penalty(now, priority, options)
+        let one_more = 1.0 / self.capacity(now, options);
+        self.busy(now, priority, options) + one_more
+    }
+
+    /// The load now, 1 being the limit.
+    pub(crate) fn busy(&self, now: Instant, priority: Priority, options: &Options) -> f64 {
+        let work = f64::from(self.outstanding) + self.foreign_work(now, options);
+        work / self.capacity(now, options) + self.penalty(now, priority, options)
+    }
+
+    fn capacity(&self, now: Instant, options: &Options) -> f64 {
+        f64::from(self.limit(now, options).max(1)) * self.warmth(now, options)
     }
 
     fn fresh_report(&self, now: Instant, options: &Options) -> Option<(f64, &LoadReport, u32)> {
--- /dev/null
+++ b/crates/nutmegwheel-seeds/src/claims.rs
@@ -0,0 +1,205 @@
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use futures_util::{StreamExt as _, stream::FuturesUnordered};
+use nutmegwheel_claims::{
+    AttemptId, Target,
+    claim::{self, Claim, Refusal, State},
+    messages::Update,
+};
+use nutmegwheel_link::Endpoint;
+use nutmegwheel_types::{DataCentreId, ProcessName, RequestId, plain};
+use nutmegwheel_wire::{ClaimReply, topic};
+use prost::Message as _;
+
+use crate::{
+    Duty, SeedList, SeedLists, duty,
+    wire::{reply_from_wire, request_to_wire, update_to_wire},
+};
+
+/// How often news of an attempt is offered to a seed that does not answer.
+const UPDATE_TRIES: u32 = 5;
+/// The pause between two of these tries.
+const UPDATE_PAUSE: Duration = Duration::from_millis(300);
+
+plain! {
+    /// What to claim.
+    pub struct Options {
+        /// The request.
+        pub id: RequestId,
+        /// The data centre whose seeds decide.
+        pub home: DataCentreId,
+        /// The attempt.
+        pub attempt: AttemptId,
+        /// Where it would run.
+        pub target: Target,
+        /// An earlier attempt that is proved not to have run.
+        pub replaces: Option<AttemptId>,
+    }
+}
+
+/// The side of those who ask seeds for claims.
+#[derive(Clone)]
+pub struct Claims {
+    endpoint: Endpoint,
+    own: Option<Arc<Duty>>,
+    name: ProcessName,
+    lists: Arc<SeedLists>,
+}
+
+/// A claim that a majority of the home's seeds holds.
+pub struct Held {
+    claim: Claim,
+    home: DataCentreId,
+}
+
+/// Lifecycle.
+impl Claims {
+    /// Opens the side of the process `name`, which may be a seed itself.
+    #[must_use]
+    pub fn open(
+        name: ProcessName,
+        endpoint: Endpoint,
+        own: Option<Arc<Duty>>,
+        lists: Arc<SeedLists>,
+    ) -> Self {
+        Self {
+            endpoint,
+            own,
+            name,
+            lists,
+        }
+    }
+}
+
+/// Claiming.
+impl Claims {
+    /// Asks the seeds of the home to hold a claim, and waits for their decision.
+    ///
+    /// # Errors
+    ///
+    /// Tells why the attempt must not run.
+    pub async fn claim(&self, opts: Options) -> Result<Held, Refusal> {
+        let list = self.lists.of(&opts.home);
+        let list = list.ok_or(Refusal::Unavailable)?;
+        let (mut claim, req) = Claim::open(claim::Options {
+            id: opts.id,
+            attempt: opts.attempt,
+            target: opts.target,
+            replaces: opts.replaces,
+            seeds: list.seeds.keys().cloned().collect(),
+            generation: list.generation,
+            now: Instant::now(),
+        });
+        let req = Bytes::from(request_to_wire(&req).encode_to_vec());
+        self.gather(list, req, &mut claim).await;
+        let state = claim.state().clone();
+        let held = Held {
+            claim,
+            home: opts.home,
+        };
+        match state {
+            State::Held => Ok(held),
+            State::Refused(refusal) => {
+                // A minority may hold it, which would keep the request from running elsewhere.
+                self.tell(&held.home, &held.claim.released());
+                Err(refusal)
+            }
+            State::Pending => Err(Refusal::Unavailable),
+        }
+    }
+
+    async fn gather(&self, list: &SeedList, head: Bytes, claim: &mut Claim) {
+        let asked = list.seeds.iter().map(|(name, address)| {
+            let head = head.clone();
+            async move { (name, self.ask(name, *address, head).await) }
+        });
+        let mut replies: FuturesUnordered<_> = asked.collect();
+        while *claim.state() == State::Pending {
+            tokio::select! {
+                answered = replies.next() => match answered {
+                    Some((name, Some(reply))) => {
+                        claim.reply(name, reply, Instant::now());
+                    }
+                    Some((_, None)) => {}
+                    None => tokio::time::sleep_until(claim.deadline().into()).await,
+                },
+                () = tokio::time::sleep_until(claim.deadline().into()) => {}
+            }
+            claim.tick(Instant::now());
+        }
+    }
+
+    async fn ask(
+        &self,
+        name: &ProcessName,
+        address: SocketAddr,
+        head: Bytes,
+    ) -> Option<nutmegwheel_claims::messages::ClaimReply> {
+        let answer = match &self.own {
+            Some(own) if *name == self.name => own.serve(topic::CLAIM, head),
+            _ => duty::call(&self.endpoint, address, topic::CLAIM, head).await?,
+        };
+        reply_from_wire(ClaimReply::decode(answer).ok()?).ok()
+    }
+}
+
+/// News of attempts.
+impl Claims {
+    /// Tells the seeds that the attempt is on its way to its target.
+    pub fn running(&self, held: &Held) {
+        self.tell(&held.home, &held.claim.running());
+    }
+
+    /// Tells the seeds that it is proved that the attempt did not run and never will.
+    pub fn released(&self, held: &Held) {
+        self.tell(&held.home, &held.claim.released());
+    }
+
+    /// Tells the seeds that an attempt of another process is proved not to have run.
+    pub fn release_other(&self, home: &DataCentreId, id: RequestId, attempt: AttemptId) {
+        let phase = nutmegwheel_claims::Phase::Released;
+        self.tell(home, &Update { id, attempt, phase });
+    }
+
+    /// Tells the seeds that the attempt ran, with its answer where that is small enough.
+    pub fn done(&self, home: &DataCentreId, id: RequestId, attempt: AttemptId, answer: Bytes) {
+        let kept = (answer.len() <= nutmegwheel_claims::MAX_ANSWER).then_some(answer);
+        let phase = nutmegwheel_claims::Phase::Done(kept);
+        self.tell(home, &Update { id, attempt, phase });
+    }
+
+    fn tell(&self, home: &DataCentreId, update: &Update) {
+        let Some(list) = self.lists.of(home) else {
+            return;
+        };
+        let head = Bytes::from(update_to_wire(update).encode_to_vec());
+        for (name, address) in &list.seeds {
+            match &self.own {
+                Some(own) if *name == self.name => {
+                    let _ = own.serve(topic::CLAIM_UPDATE, head.clone());
+                }
+                _ => {
+                    let endpoint = self.endpoint.clone();
+                    tokio::spawn(offer(endpoint, *address, head.clone()));
+                }
+            }
+        }
+    }
+}
+
+/// Offers news to a seed until it takes it. News that gets lost costs a resend its answer, but
+/// never lets a request run twice.
+async fn offer(endpoint: Endpoint, to: SocketAddr, head: Bytes) {
+    for _ in 0..UPDATE_TRIES {
+        let taken = duty::call(&endpoint, to, topic::CLAIM_UPDATE, head.clone()).await;
+        if taken.is_some() {
+            return;
+        }
+        tokio::time::sleep(UPDATE_PAUSE).await;
+    }
+}
--- a/crates/nutmegwheel-wire/src/topic.rs
+++ b/crates/nutmegwheel-wire/src/topic.rs
@@ -14,3 +14,13 @@
 pub const COMMIT: Topic = Topic(6);
 /// A request to the leading control VM for the index that a read must include.
 pub const READ_INDEX: Topic = Topic(7);
+/// A request to a seed to hold a claim: [`crate::ClaimRequest`] and [`crate::ClaimReply`].
+pub const CLAIM: Topic = Topic(8);
+/// A request that tells a seed how a try went on: [`crate::ClaimUpdate`].
+pub const CLAIM_UPDATE: Topic = Topic(9);
+/// A request of a restarted seed: [`crate::RecoverRequest`] and [`crate::RecoverReply`].
+pub const RECOVER: Topic = Topic(10);
+/// A request to the target of a try: [`crate::FenceRequest`] and [`crate::FenceReply`].
+pub const FENCE: Topic = Topic(11);
+/// A request of a seed to a control VM: [`crate::FirstStart`], answered by one byte, 1 for yes.
+pub const FIRST_START: Topic = Topic(12);
