test(limits): shares under decrease, expiry, small bursts and random runs

Cause: the sum of what data centres may be using must never grow past the configured limit.

Conclusion: decreases are confirmed or expired before the matching increase.

--- a/crates/nutmegwheel-limits/src/lease/holder.rs
+++ b/crates/nutmegwheel-limits/src/lease/holder.rs
@@ -12,6 +12,7 @@
 
 plain! {
     /// How a candidate begins.
+    #[derive(Hash)]
     pub struct Options {
         /// This life of the process.
         pub candidate: Candidate,
@@ -22,6 +23,7 @@
     }
 
     /// The candidate's side of the lease.
+    #[derive(Hash)]
     pub struct Holder {
         candidate: Candidate,
         majority: usize,
--- a/crates/nutmegwheel-limits/src/lease/mod.rs
+++ b/crates/nutmegwheel-limits/src/lease/mod.rs
@@ -34,6 +34,7 @@
     }
 
     /// Asks a seed for a lease or its renewal.
+    #[derive(Hash)]
     pub struct LeaseRequest {
         /// Who asks.
         pub candidate: Candidate,
@@ -44,6 +45,7 @@
     }
 
     /// Gives back what one round got, because it came to nothing or the steward stops.
+    #[derive(Hash)]
     pub struct LeaseRelease {
         /// Who gives back.
         pub candidate: Candidate,
@@ -52,6 +54,7 @@
     }
 
     /// A seed's answer.
+    #[derive(Hash)]
     pub struct LeaseReply {
         /// The round answered.
         pub round: Round,
@@ -60,6 +63,7 @@
     }
 
     /// What a seed decided on a request.
+    #[derive(Hash)]
     pub enum Vote {
         /// The lease is the candidate's for [`LEASE_TERM`].
         Granted,
--- a/crates/nutmegwheel-limits/src/lease/seed.rs
+++ b/crates/nutmegwheel-limits/src/lease/seed.rs
@@ -10,6 +10,7 @@
 
 plain! {
     /// How a seed begins its life.
+    #[derive(Hash)]
     pub struct Options {
         /// The number of seeds of the data centre, this one included.
         pub seeds: usize,
@@ -21,6 +22,7 @@
     ///
     /// A new life grants nothing before the longest lease it may have forgotten is over, and before it
     /// knows the newest shares that its data centre may have confirmed with its help.
+    #[derive(Hash)]
     pub struct Seed {
         majority: usize,
         silent_until: Instant,
@@ -30,6 +32,7 @@
         knows_shares: bool,
     }
 
+    #[derive(Hash)]
     struct Grant {
         candidate: Candidate,
         round: Round,
--- a/crates/nutmegwheel-limits/src/messages.rs
+++ b/crates/nutmegwheel-limits/src/messages.rs
@@ -18,6 +18,7 @@
     }
 
     /// What a door sends to the steward: reports on its batches and asks for more.
+    #[derive(Hash)]
     pub struct Ask {
         /// The door that asks.
         pub door: DoorId,
@@ -28,6 +29,7 @@
     }
 
     /// The part of an [`Ask`] for one workspace.
+    #[derive(Hash)]
     pub struct AskItem {
         /// The workspace whose tokens are meant.
         pub workspace: WorkspaceId,
@@ -42,6 +44,7 @@
     }
 
     /// What became of a batch; repeating it changes nothing.
+    #[derive(Hash)]
     pub struct Report {
         /// The batch.
         pub batch: AskSeq,
@@ -52,6 +55,7 @@
     }
 
     /// The steward's answer to an [`Ask`].
+    #[derive(Hash)]
     pub struct Grant {
         /// The number of the message answered.
         pub seq: AskSeq,
@@ -60,6 +64,7 @@
     }
 
     /// The part of a [`Grant`] for one workspace.
+    #[derive(Hash)]
     pub struct GrantItem {
         /// The workspace whose tokens are meant.
         pub workspace: WorkspaceId,
--- a/crates/nutmegwheel-limits/src/meter.rs
+++ b/crates/nutmegwheel-limits/src/meter.rs
@@ -11,6 +11,7 @@
 
 plain! {
     /// An exponentially weighted average of arrivals per second.
+    #[derive(Hash)]
     pub(crate) struct Meter {
         count: u64,
         since: Instant,
--- a/crates/nutmegwheel-limits/src/share/held.rs
+++ b/crates/nutmegwheel-limits/src/share/held.rs
@@ -10,6 +10,7 @@
     ///
     /// Every process that may become the steward renews for itself, so that a new steward of a data
     /// centre that is cut off knows by its own clock how long the whole share lasts.
+    #[derive(Hash)]
     pub struct Held {
         data_centre: DataCentreId,
         version: ShareVersion,
--- a/crates/nutmegwheel-limits/src/steward/book.rs
+++ b/crates/nutmegwheel-limits/src/steward/book.rs
@@ -21,6 +21,7 @@
 
 plain! {
     /// What a steward has handed out for one workspace.
+    #[derive(Hash)]
     pub(super) struct Book {
         bucket: Bucket,
         batches: BTreeMap<BatchKey, Batch>,
@@ -29,12 +30,13 @@
         short: Meter,
     }
 
-    #[derive(PartialOrd, Ord)]
+    #[derive(PartialOrd, Ord, Hash)]
     struct BatchKey {
         door: DoorId,
         seq: AskSeq,
     }
 
+    #[derive(Hash)]
     struct Batch {
         tokens: u32,
         spent: u32,
--- a/crates/nutmegwheel-limits/src/steward/mod.rs
+++ b/crates/nutmegwheel-limits/src/steward/mod.rs
@@ -28,6 +28,7 @@
 
 plain! {
     /// How a possible steward begins.
+    #[derive(Hash)]
     pub struct Options {
         /// This life of the process.
         pub candidate: Candidate,
@@ -40,6 +41,7 @@
     }
 
     /// A process that is the steward or may become it.
+    #[derive(Hash)]
     pub struct Steward {
         holder: Holder,
         held: Held,
--- /dev/null
+++ b/crates/nutmegwheel-limits/tests/share.rs
@@ -0,0 +1,240 @@
+//! Shares: sums, decrease before increase, expiry, floors, small bursts, and random runs.
+
+mod support;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use nutmegwheel_limits::{
+    Limit, MicroTokens, TOKEN,
+    share::{Change, ChangeSet, EXTRA_TERM, Held, Options, Renewals, Table, rebalance},
+};
+use nutmegwheel_types::{DataCentreId, WorkspaceId};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use support::limit;
+
+const NAMES: [&str; 3] = ["riga1", "riga2", "riga3"];
+
+struct Fleet {
+    table: Table,
+    workspace: WorkspaceId,
+    data_centres: BTreeSet<DataCentreId>,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let data_centres = NAMES.map(Into::into).into();
+        Fleet {
+            table: Table::default(),
+            workspace: "w".into(),
+            data_centres,
+        }
+    }
+
+    fn rebalance(&mut self, configured: Limit, demand: [MicroTokens; 3]) -> bool {
+        let demand = NAMES.map(Into::into).into_iter().zip(demand).collect();
+        let outcome = rebalance(&Options {
+            table: &self.table,
+            workspace: &self.workspace,
+            configured,
+            data_centres: &self.data_centres,
+            demand: &demand,
+        });
+        outcome
+            .change
+            .is_some_and(|change| self.table.apply(&change).is_ok())
+    }
+
+    fn confirm(&mut self, index: usize) {
+        let data_centre = NAMES[index].into();
+        self.apply(Change::Confirmed {
+            data_centre,
+            version: self.table.version(),
+        });
+    }
+
+    fn apply(&mut self, change: Change) {
+        let based_on = self.table.version();
+        self.table
+            .apply(&ChangeSet {
+                based_on,
+                changes: vec![change],
+            })
+            .unwrap();
+    }
+
+    fn whole(&self, index: usize) -> Limit {
+        let entry = self.table.entry(&self.workspace, &NAMES[index].into());
+        entry.map_or(Limit::ZERO, |e| e.share.whole)
+    }
+}
+
+#[test]
+fn the_first_shares_add_up_to_the_whole() {
+    let mut fleet = Fleet::new();
+    assert!(fleet.rebalance(limit(120.0, 240), [0; 3]));
+    assert_eq!(fleet.table.bound(&fleet.workspace), limit(120.0, 240));
+    assert!(
+        !fleet.rebalance(limit(120.0, 240), [0; 3]),
+        "nothing is left to change"
+    );
+}
+
+#[test]
+fn an_increase_waits_for_the_matching_decrease() {
+    let (mut fleet, configured) = (Fleet::new(), limit(120.0, 240));
+    fleet.rebalance(configured, [0; 3]);
+    let before = fleet.whole(0);
+    let demand = [100 * TOKEN, TOKEN, TOKEN];
+    assert!(fleet.rebalance(configured, demand));
+    assert_eq!(fleet.whole(0), before, "no increase yet");
+    assert!(fleet.whole(1).rate < before.rate);
+    fleet.confirm(1);
+    assert!(fleet.rebalance(configured, demand));
+    assert!(fleet.whole(0).rate > before.rate);
+    assert!(fleet.table.bound(&fleet.workspace).fits_in(configured));
+    assert!(
+        fleet.whole(1).rate >= configured.rate / 6,
+        "the floor stays"
+    );
+}
+
+#[test]
+fn a_lower_configured_rate_obeys_the_same_rule() {
+    let mut fleet = Fleet::new();
+    fleet.rebalance(limit(120.0, 240), [0; 3]);
+    (0..3).for_each(|i| fleet.confirm(i));
+    fleet.rebalance(limit(12.0, 24), [0; 3]);
+    let told = (0..3).fold(Limit::ZERO, |sum, i| sum.plus(fleet.whole(i)));
+    assert!(told.fits_in(limit(12.0, 24)));
+    assert_eq!(fleet.table.bound(&fleet.workspace), limit(120.0, 240));
+    (0..3).for_each(|i| fleet.confirm(i));
+    assert!(fleet.table.bound(&fleet.workspace).fits_in(limit(12.0, 24)));
+}
+
+#[test]
+fn a_burst_of_one_token_stays_whole_and_others_ask_there() {
+    let (mut fleet, configured) = (Fleet::new(), limit(0.5, 1));
+    fleet.rebalance(configured, [0, TOKEN, 0]);
+    assert_eq!(fleet.whole(1), configured);
+    let order = fleet.table.ask_order(&fleet.workspace, &"riga3".into());
+    assert_eq!(order, ["riga2".into()]);
+}
+
+#[test]
+fn a_removed_workspace_leaves_no_entry_once_confirmed() {
+    let mut fleet = Fleet::new();
+    fleet.rebalance(limit(120.0, 240), [0; 3]);
+    fleet.rebalance(Limit::ZERO, [0; 3]);
+    (0..3).for_each(|i| fleet.confirm(i));
+    assert_eq!(fleet.table.workspaces().count(), 0);
+}
+
+#[test]
+fn a_command_computed_from_an_older_table_changes_nothing() {
+    let mut fleet = Fleet::new();
+    fleet.rebalance(limit(120.0, 240), [0; 3]);
+    let share = support::whole(limit(1.0, 1));
+    let (workspace, data_centre) = (fleet.workspace.clone(), NAMES[0].into());
+    let changes = vec![Change::Told {
+        workspace,
+        data_centre,
+        share,
+    }];
+    assert!(
+        fleet
+            .table
+            .apply(&ChangeSet {
+                based_on: 0,
+                changes
+            })
+            .is_err()
+    );
+}
+
+#[test]
+fn what_is_above_the_floor_ends_at_the_data_centre_before_the_leader_gives_it_away() {
+    let (mut fleet, now) = (Fleet::new(), Instant::now());
+    fleet.rebalance(limit(120.0, 240), [0; 3]);
+    let mut held = Held::open(NAMES[0].into());
+    let mut leader = Renewals::open(now);
+    let req = held.begin_renewal(0, BTreeMap::new(), now);
+    let renewal = leader.answer(&fleet.table, &req, now).unwrap();
+    assert!(held.renewed(&renewal) && !held.renewed(&renewal));
+    let end = held.whole_until().unwrap();
+    assert!(end < now + EXTRA_TERM);
+    assert_eq!(held.limit(&fleet.workspace, now), fleet.whole(0));
+    let floor = held.limit(&fleet.workspace, end);
+    assert!(floor.rate > 0 && floor.rate < fleet.whole(0).rate);
+    let early = now + EXTRA_TERM.checked_sub(Duration::from_nanos(1)).unwrap();
+    assert_eq!(leader.expire(&fleet.table, early), None);
+    let set = leader.expire(&fleet.table, now + EXTRA_TERM).unwrap();
+    assert_eq!(leader.answer(&fleet.table, &req, now + EXTRA_TERM), None);
+    fleet.table.apply(&set).unwrap();
+    leader.expired(&set);
+    assert_eq!(fleet.whole(0), floor);
+    assert!(
+        leader
+            .answer(&fleet.table, &req, now + EXTRA_TERM)
+            .is_some()
+    );
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Rebalance([u64; 3]),
+    Configure(u32, u32),
+    Confirm(usize),
+    Expire(usize),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        4 => prop::array::uniform3(0..200 * TOKEN).prop_map(Event::Rebalance),
+        1 => (1..500_u32, 1..60_u32).prop_map(|(r, b)| Event::Configure(r, b)),
+        3 => (0..3_usize).prop_map(Event::Confirm),
+        1 => (0..3_usize).prop_map(Event::Expire),
+    ]
+}
+
+/// The sum of what data centres may use never grows past the configured limit, whatever is confirmed
+/// or expires in what order.
+#[test]
+fn bounds_never_add_up_to_more_in_random_runs() {
+    let config = Config {
+        cases: 300,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let runs = prop::collection::vec(event(), 1..60);
+    runner
+        .run(&runs, |events| {
+            let (mut fleet, mut configured) = (Fleet::new(), limit(100.0, 20));
+            for event in events {
+                let before = fleet.table.bound(&fleet.workspace);
+                match event {
+                    Event::Rebalance(demand) => drop(fleet.rebalance(configured, demand)),
+                    Event::Configure(rate, burst) => configured = limit(f64::from(rate), burst),
+                    Event::Confirm(i) => fleet.confirm(i),
+                    Event::Expire(i) => fleet.apply(Change::Expired {
+                        data_centre: NAMES[i].into(),
+                    }),
+                }
+                let after = fleet.table.bound(&fleet.workspace);
+                prop_assert!(after.rate <= before.rate.max(configured.rate), "{event:?}");
+                prop_assert!(
+                    after.burst <= before.burst.max(configured.burst),
+                    "{event:?}"
+                );
+            }
+            Ok(())
+        })
+        .unwrap();
+}
