--- a/crates/nutmegwheel-claims/tests/seed.rs
+++ b/crates/nutmegwheel-claims/tests/seed.rs
@@ -202,9 +202,9 @@
         for (high, number) in (0..3).zip(1..) {
             let mut req = open(id, number, now).1;
             req.id[0] = high;
-            seeds
-                .iter_mut()
-                .for_each(|(_, s)| assert_eq!(s.claim(&req, now).incarnation, 1));
+            for (_, seed) in &mut seeds {
+                assert_eq!(seed.claim(&req, now).incarnation, 1);
+            }
         }
     }
     let mut back = restarted("s1", 2, Bounds::default(), now);
@@ -231,9 +231,9 @@
 fn seeds_and_doors_of_different_lists_do_not_mix() {
     let now = Instant::now();
     let mut seeds = three(Bounds::default(), now);
-    seeds
-        .iter_mut()
-        .for_each(|(_, seed)| seed.set_generation(2));
+    for (_, seed) in &mut seeds {
+        seed.set_generation(2);
+    }
     assert_eq!(
         claim(&mut seeds, 1, 1, now).1,
         State::Refused(Refusal::Unavailable)
--- /dev/null
+++ b/crates/nutmegwheel-limits/tests/lease.rs
@@ -0,0 +1,147 @@
+//! The steward's lease, fault by fault.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use nutmegwheel_limits::{
+    lease::{Holder, HolderOptions, LEASE_TERM, LeaseReply, RoundOutcome, Vote},
+    shorten_for_drift,
+};
+use support::{candidate, ms, seed};
+
+fn holder(name: &str, now: Instant) -> Holder {
+    Holder::open(HolderOptions {
+        candidate: candidate(name, 1),
+        seeds: 3,
+        now,
+    })
+}
+
+#[test]
+fn a_lease_counts_from_the_request_and_ends_before_the_seeds_grants() {
+    let now = Instant::now();
+    let mut holder = holder("a", now);
+    let req = holder.begin_round(1, now);
+    let granted = LeaseReply {
+        round: req.round,
+        vote: Vote::Granted,
+    };
+    let later = now + ms(100);
+    assert_eq!(
+        holder.reply(&"s1".into(), &granted, later),
+        RoundOutcome::Pending
+    );
+    assert_eq!(
+        holder.reply(&"s1".into(), &granted, later),
+        RoundOutcome::Pending,
+        "a copy"
+    );
+    assert_eq!(
+        holder.reply(&"s2".into(), &granted, later),
+        RoundOutcome::Acquired
+    );
+    let end = now + shorten_for_drift(LEASE_TERM);
+    assert!(holder.is_valid(end.checked_sub(ms(1)).unwrap()) && !holder.is_valid(end));
+    let req = holder.begin_round(1, later);
+    let granted = LeaseReply {
+        round: req.round,
+        vote: Vote::Granted,
+    };
+    holder.reply(&"s1".into(), &granted, later);
+    assert_eq!(
+        holder.reply(&"s3".into(), &granted, later),
+        RoundOutcome::Renewed
+    );
+    let late = LeaseReply {
+        round: req.round - 1,
+        vote: Vote::Granted,
+    };
+    holder.release();
+    assert_eq!(
+        holder.reply(&"s2".into(), &late, later),
+        RoundOutcome::Pending
+    );
+    assert!(!holder.is_valid(later));
+}
+
+#[test]
+fn a_majority_that_comes_after_the_term_is_no_lease() {
+    let now = Instant::now();
+    let mut holder = holder("a", now);
+    let round = holder.begin_round(1, now).round;
+    let granted = LeaseReply {
+        round,
+        vote: Vote::Granted,
+    };
+    for seed in ["s1", "s2", "s3"] {
+        let outcome = holder.reply(&seed.into(), &granted, now + LEASE_TERM);
+        assert_eq!(outcome, RoundOutcome::Pending);
+    }
+}
+
+#[test]
+fn a_seed_grants_to_one_candidate_at_a_time() {
+    let start = Instant::now();
+    let mut seed = seed(start);
+    seed.learn_from_control(1);
+    let now = start + LEASE_TERM;
+    let (mut a, mut b) = (holder("a", now), holder("b", now));
+    let first = a.begin_round(1, now);
+    assert_eq!(seed.request(&first, now).vote, Vote::Granted);
+    let other = b.begin_round(1, now);
+    assert_eq!(
+        seed.request(&other, now + ms(1)).vote,
+        Vote::Held(LEASE_TERM.saturating_sub(ms(1)))
+    );
+    let renewal = a.begin_round(1, now);
+    assert_eq!(seed.request(&renewal, now + ms(2)).vote, Vote::Granted);
+    assert_eq!(
+        seed.request(&first, now + ms(3)).vote,
+        Vote::Held(Duration::ZERO),
+        "an old round"
+    );
+    assert_eq!(
+        seed.request(&other, now + ms(2) + LEASE_TERM).vote,
+        Vote::Granted
+    );
+}
+
+#[test]
+fn a_release_frees_only_the_rounds_that_it_names() {
+    let start = Instant::now();
+    let mut seed = seed(start);
+    seed.learn_from_control(1);
+    let now = start + LEASE_TERM;
+    let mut a = holder("a", now);
+    seed.request(&a.begin_round(1, now), now);
+    let release = a.release();
+    seed.request(&a.begin_round(1, now), now);
+    seed.release(&release);
+    assert!(seed.holder(now).is_some(), "a late release");
+    seed.release(&a.release());
+    assert_eq!(seed.holder(now), None);
+}
+
+#[test]
+fn a_restarted_seed_waits_and_learns_before_it_grants() {
+    let start = Instant::now();
+    let mut seed = seed(start);
+    let mut a = holder("a", start);
+    let mut ask = |seed: &mut nutmegwheel_limits::lease::Seed, shares, at| {
+        seed.request(&a.begin_round(shares, at), at).vote
+    };
+    assert_eq!(ask(&mut seed, 9, start), Vote::Recovering(LEASE_TERM));
+    seed.learn_from_seed(&"s2".into(), 4);
+    seed.learn_from_seed(&"s2".into(), 4);
+    assert_eq!(
+        ask(&mut seed, 9, start + LEASE_TERM),
+        Vote::Recovering(Duration::ZERO)
+    );
+    assert_eq!(seed.known_shares(), None);
+    seed.learn_from_seed(&"s3".into(), 7);
+    assert_eq!(ask(&mut seed, 6, start + LEASE_TERM), Vote::StaleShares(7));
+    assert_eq!(ask(&mut seed, 7, start + LEASE_TERM), Vote::Granted);
+    seed.learn_from_control(99);
+    assert_eq!(seed.known_shares(), Some(7));
+}
--- /dev/null
+++ b/crates/nutmegwheel-limits/tests/model_shares.rs
@@ -0,0 +1,391 @@
+//! Exhaustive check of docs/spec/SHARES.md with the real decision code: two possible stewards, three
+//! seeds of which one restarts, a door, a clock, and messages that are lost, late or doubled.
+
+mod support;
+
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use nutmegwheel_limits::{
+    Limit, TOKEN,
+    lease::{LEASE_TERM, LeaseReply, Seed},
+    messages::{Ask, Grant},
+    purse::{Purse, Spend},
+    share::Renewal,
+    steward::{Output, Steward},
+};
+use nutmegwheel_types::WorkspaceId;
+use pathfinding::prelude::{bfs, bfs_reach};
+
+/// A batch lasts one step of the clock, a holder's lease two and a seed's grant three.
+const TICK: Duration = Duration::from_secs(1);
+const TICKS: u8 = 4;
+/// The rounds of the lease, and the messages of the doors.
+const ROUNDS: u8 = 3;
+const ASKS: u8 = 2;
+/// The bucket fills within one step of the clock.
+const LIMIT: Limit = Limit {
+    rate: TOKEN,
+    burst: TOKEN,
+};
+
+/// What the check should find fault with.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    /// A restarted seed does not wait out the lease that it forgot.
+    NoSilence,
+    /// Doors keep batches for twice their term.
+    LongBatches,
+}
+
+/// What stands for a part of a state: two hashes of it under different seeds.
+type Key = (u64, u64);
+
+/// A part of a state that many states share, with its key worked out once.
+#[derive(Clone)]
+struct Shared<T> {
+    key: Key,
+    value: Rc<T>,
+}
+
+/// A purse is no more than what it prints, since its maps cannot be hashed.
+trait Part: Clone {
+    fn key(&self) -> Key;
+}
+impl Part for Seed {
+    fn key(&self) -> Key {
+        key(self)
+    }
+}
+impl Part for Steward {
+    fn key(&self) -> Key {
+        key(self)
+    }
+}
+impl Part for Purse {
+    fn key(&self) -> Key {
+        key(&format!("{self:?}"))
+    }
+}
+
+fn key(part: &impl Hash) -> Key {
+    let of = |salt: u64| {
+        let mut hasher = DefaultHasher::new();
+        (salt, part).hash(&mut hasher);
+        hasher.finish()
+    };
+    (of(1), of(2))
+}
+
+impl<T: Part> Shared<T> {
+    fn new(value: T) -> Self {
+        Shared {
+            key: value.key(),
+            value: Rc::new(value),
+        }
+    }
+
+    fn change<R>(&mut self, change: impl FnOnce(&mut T) -> R) -> R {
+        let mut value = T::clone(&self.value);
+        let result = change(&mut value);
+        *self = Shared::new(value);
+        result
+    }
+}
+
+#[derive(Clone)]
+struct World {
+    tick: u8,
+    seeds: [Shared<Seed>; 3],
+    stewards: [Shared<Steward>; 2],
+    door: Shared<Purse>,
+    grants: Vec<Grant>,
+    spent: Vec<u8>,
+    restarts: u8,
+    asks: u8,
+    rounds: u8,
+}
+
+#[derive(Clone)]
+struct Node {
+    world: World,
+    key: Key,
+    step: String,
+    depth: usize,
+}
+
+impl PartialEq for Node {
+    fn eq(&self, other: &Self) -> bool {
+        self.key == other.key
+    }
+}
+impl Eq for Node {}
+impl Hash for Node {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.key.hash(state);
+    }
+}
+
+struct Check {
+    start: Instant,
+    fault: Fault,
+}
+
+/// Setting up.
+impl Check {
+    fn new(fault: Fault) -> Self {
+        Check {
+            start: Instant::now() + Duration::from_hours(1),
+            fault,
+        }
+    }
+
+    fn now(&self, world: &World) -> Instant {
+        self.start + TICK * u32::from(world.tick)
+    }
+
+    fn seed(started: Instant) -> Shared<Seed> {
+        let mut seed = support::seed(started);
+        seed.learn_from_control(1);
+        Shared::new(seed)
+    }
+
+    fn first(&self) -> Node {
+        let seed = Self::seed(self.start.checked_sub(LEASE_TERM).unwrap());
+        let stewards = ["a", "b"].map(|name| Shared::new(self.steward(name)));
+        let door = Shared::new(Purse::open(support::door(0)));
+        let world = World {
+            tick: 0,
+            seeds: [seed.clone(), seed.clone(), seed],
+            stewards,
+            door,
+            grants: Vec::new(),
+            spent: Vec::new(),
+            restarts: 1,
+            asks: ASKS,
+            rounds: ROUNDS,
+        };
+        node(world, "start".into(), 0)
+    }
+
+    fn steward(&self, name: &str) -> Steward {
+        let mut steward = support::steward(name, self.start);
+        for output in steward.poll(self.start, Duration::ZERO) {
+            if let Output::Renewal(req) = output {
+                let shares = [(workspace(), support::whole(LIMIT))].into();
+                let renewal = Renewal {
+                    number: req.number,
+                    version: 1,
+                    shares,
+                };
+                assert!(steward.renewal(&renewal, self.start));
+            }
+        }
+        steward
+    }
+}
+
+/// Steps.
+impl Check {
+    fn next(&self, node_: &Node) -> Vec<Node> {
+        let world = &node_.world;
+        let mut next = Vec::new();
+        if !is_within(&world.spent) {
+            return Vec::new();
+        }
+        if world.tick < TICKS {
+            let mut to = world.clone();
+            to.tick += 1;
+            next.push((to, "the clock goes on".into()));
+        }
+        if world.restarts > 0 && world.seeds[0].value.holder(self.now(world)).is_some() {
+            next.push((self.restart(world), "seed s1 restarts".into()));
+        }
+        (0..2).for_each(|i| self.lease(world, i, &mut next));
+        self.door(world, &mut next);
+        (0..world.grants.len()).for_each(|i| next.push(self.late_grant(world, i)));
+        let depth = node_.depth + 1;
+        next.into_iter()
+            .map(|(world, step)| node(world, step, depth))
+            .collect()
+    }
+
+    fn restart(&self, world: &World) -> World {
+        let mut to = world.clone();
+        to.restarts -= 1;
+        let now = self.now(world);
+        let is_silent = self.fault != Fault::NoSilence;
+        let started = if is_silent {
+            now
+        } else {
+            now.checked_sub(LEASE_TERM).unwrap()
+        };
+        to.seeds[0] = Self::seed(started);
+        to
+    }
+
+    /// A candidate or holder sends a round, of which one seed gets nothing.
+    fn lease(&self, world: &World, index: usize, next: &mut Vec<(World, String)>) {
+        // Stewards, and the seeds that do not restart, are alike until the first round.
+        let is_first = world.rounds == ROUNDS;
+        if world.rounds == 0 || is_first && index == 1 {
+            return;
+        }
+        let now = self.now(world);
+        let mut to = world.clone();
+        to.rounds -= 1;
+        let outputs = to.stewards[index].change(|s| s.poll(now, Duration::ZERO));
+        let is_request = |o: &Output| matches!(o, Output::Lease(_));
+        let Some(Output::Lease(req)) = outputs.into_iter().find(is_request) else {
+            return;
+        };
+        for left_out in (0..3).filter(|s| !is_first || *s != 1) {
+            let mut to = to.clone();
+            let asked: Vec<_> = (0..3).filter(|s| *s != left_out).collect();
+            let replies: Vec<_> = asked
+                .iter()
+                .map(|s| (*s, to.seeds[*s].change(|x| x.request(&req, now))))
+                .collect();
+            self.vote(&mut to, index, &replies[0]);
+            self.vote(&mut to, index, &replies[1]);
+            next.push((to, format!("steward {index} asks all seeds but {left_out}")));
+        }
+    }
+
+    fn vote(&self, to: &mut World, index: usize, (seed, reply): &(usize, LeaseReply)) {
+        let now = self.now(to);
+        let seed = support::SEEDS[*seed].into();
+        to.stewards[index].change(|s| s.lease_reply(&seed, reply, now));
+    }
+
+    /// The door spends a token that it holds, or asks for one that nobody waits for any more.
+    fn door(&self, world: &World, next: &mut Vec<(World, String)>) {
+        let now = self.now(world);
+        let mut to = world.clone();
+        let (spend, ask) = to.door.change(|door| {
+            let key = door.account(&workspace(), now);
+            let spend = door.spend(key, 1, now);
+            let ask = if spend == Spend::Waiting {
+                door.poll(now).ask
+            } else {
+                None
+            };
+            door.cancel(key, 1);
+            (spend, ask)
+        });
+        if spend == Spend::Spent {
+            to.spent.push(world.tick);
+            next.push((to, "the door spends".into()));
+        } else if let (Some(ask), 1..) = (ask, world.asks) {
+            to.asks -= 1;
+            (0..2).for_each(|steward| self.ask(&to, &ask, steward, next));
+        }
+    }
+
+    /// A steward answers, in time or late, once or twice.
+    fn ask(&self, world: &World, ask: &Ask, steward: usize, next: &mut Vec<(World, String)>) {
+        let now = self.now(world);
+        let mut to = world.clone();
+        let Ok(grant) = to.stewards[steward].change(|s| s.ask(ask, now)) else {
+            return;
+        };
+        let mut late = to.clone();
+        late.grants.push(grant.clone());
+        next.push((late, format!("steward {steward} answers the door late")));
+        self.take(&mut to, grant);
+        let mut doubled = to.clone();
+        let copy = doubled.stewards[steward]
+            .change(|s| s.ask(ask, now))
+            .unwrap();
+        self.take(&mut doubled, copy);
+        next.push((doubled, format!("steward {steward} answers the door twice")));
+        next.push((to, format!("steward {steward} answers the door")));
+    }
+
+    fn take(&self, to: &mut World, mut grant: Grant) {
+        let now = self.now(to);
+        if self.fault == Fault::LongBatches {
+            grant.items.iter_mut().for_each(|item| item.term *= 2);
+        }
+        to.door.change(|d| d.granted(&grant, now));
+    }
+
+    fn late_grant(&self, world: &World, i: usize) -> (World, String) {
+        let mut to = world.clone();
+        let grant = to.grants.remove(i);
+        self.take(&mut to, grant);
+        (to, "the door gets a late answer".into())
+    }
+}
+
+fn workspace() -> WorkspaceId {
+    "w".into()
+}
+
+fn node(world: World, step: String, depth: usize) -> Node {
+    let w = &world;
+    let seeds = w.seeds.each_ref().map(|s| s.key);
+    let stewards = w.stewards.each_ref().map(|s| s.key);
+    let messages = &w.grants;
+    let counts = (w.tick, &w.spent, w.restarts, w.asks, w.rounds);
+    let key = key(&(seeds, stewards, w.door.key, messages, counts));
+    Node {
+        world,
+        key,
+        step,
+        depth,
+    }
+}
+
+/// Whether every stretch of time has seen no more than one token and one for each step of the clock.
+fn is_within(spent: &[u8]) -> bool {
+    let stretches = (0..spent.len()).flat_map(|from| (from..spent.len()).map(move |to| (from, to)));
+    stretches
+        .into_iter()
+        .all(|(from, to)| to - from <= usize::from(spent[to] - spent[from]))
+}
+
+#[test]
+fn tokens_never_pass_rate_and_burst() {
+    let check = Check::new(Fault::None);
+    let (mut states, mut depth) = (0, 0);
+    for node in bfs_reach(check.first(), |n| check.next(n)) {
+        assert!(
+            is_within(&node.world.spent),
+            "depth {}: {}",
+            node.depth,
+            node.step
+        );
+        states += 1;
+        depth = depth.max(node.depth);
+    }
+    println!("shares: {states} states, depth {depth}");
+}
+
+fn shortest_trace(fault: Fault, steps: usize) {
+    let check = Check::new(fault);
+    let trace = bfs(
+        &check.first(),
+        |n| check.next(n),
+        |n| !is_within(&n.world.spent),
+    );
+    let trace = trace.expect("the fault is found");
+    for node in &trace {
+        println!("{:2} {} s {}", node.depth, node.world.tick, node.step);
+    }
+    assert_eq!(trace.len() - 1, steps);
+}
+
+#[test]
+fn a_seed_that_forgets_a_lease_is_caught() {
+    shortest_trace(Fault::NoSilence, 8);
+}
+
+#[test]
+fn a_batch_kept_too_long_is_caught() {
+    shortest_trace(Fault::LongBatches, 10);
+}
