--- a/crates/nutmegwheel-limits/examples/embed.rs
+++ b/crates/nutmegwheel-limits/examples/embed.rs
@@ -8,49 +8,31 @@
 use nutmegwheel_limits::{Limit, messages::DoorId, purse::Purse};
 
 fn main() {
-    let start = Instant::now();
-    let (name, incarnation) = ("n1", 1);
-    let mut seed = Seed::open(&SeedOptions {
-        seeds: 1,
-        now: start,
-    });
+    let mut now = Instant::now();
+    let mut seed = Seed::open(&SeedOptions { seeds: 1, now });
     seed.learn_from_control(1);
-    let candidate = Candidate {
-        name: name.into(),
-        incarnation,
-    };
+    // A restarted seed grants no lease before the longest one that it may have forgotten is over.
+    now += LEASE_TERM;
+    let candidate = Candidate::new("n1", 1);
     let data_centre = "riga1".into();
     let mut steward = Steward::open(Options {
         candidate,
         data_centre,
         seeds: 1,
-        now: start,
-    });
-    let mut purse = Purse::open(DoorId {
-        name: name.into(),
-        incarnation,
+        now,
     });
-
-    // A restarted seed grants no lease before the longest one that it may have forgotten is over.
-    let mut now = start + LEASE_TERM;
+    let mut purse = Purse::open(DoorId::new("n1", 1));
     for request in 0..400 {
         now += Duration::from_millis(25);
         for output in steward.poll(now, Duration::ZERO) {
             answer(output, &mut seed, &mut steward, now);
         }
         let account = purse.account(&"vidzeme".into(), now);
-        println!(
-            "request {request}: {:?}",
-            purse.spend(account, request, now)
-        );
-        let Some(ask) = purse.poll(now).ask else {
-            continue;
-        };
-        let Ok(grant) = steward.ask(&ask, now) else {
-            continue;
-        };
-        for decision in purse.granted(&grant, now) {
-            println!("request {}: {:?}", decision.waiter, decision.spend);
+        println!("{request}: {:?}", purse.spend(account, request, now));
+        if let Some(ask) = purse.poll(now).ask
+            && let Ok(grant) = steward.ask(&ask, now)
+        {
+            println!("{:?}", purse.granted(&grant, now));
         }
     }
 }
@@ -61,18 +43,11 @@
         Output::Lease(req) => steward.lease_reply(&"n1".into(), &seed.request(&req, now), now),
         Output::Release(release) => seed.release(&release),
         Output::Renewal(req) => {
-            let limit = Limit::from_config(50.0, 20);
-            let shares = [(
-                "vidzeme".into(),
-                Share {
-                    whole: limit,
-                    floor: limit,
-                },
-            )]
-            .into();
+            let share = Share::lasting(Limit::from_config(50.0, 20));
+            let (number, shares) = (req.number, [("vidzeme".into(), share)].into());
             steward.renewal(
                 &Renewal {
-                    number: req.number,
+                    number,
                     version: 1,
                     shares,
                 },
--- a/crates/nutmegwheel-limits/src/lease/mod.rs
+++ b/crates/nutmegwheel-limits/src/lease/mod.rs
@@ -75,3 +75,13 @@
         Recovering(Duration),
     }
 }
+
+impl Candidate {
+    /// Names one life of a process that may be the steward.
+    pub fn new(name: impl Into<ProcessName>, incarnation: Incarnation) -> Self {
+        Candidate {
+            name: name.into(),
+            incarnation,
+        }
+    }
+}
--- a/crates/nutmegwheel-limits/src/messages.rs
+++ b/crates/nutmegwheel-limits/src/messages.rs
@@ -80,3 +80,13 @@
         pub retry_after: Duration,
     }
 }
+
+impl DoorId {
+    /// Names one life of a door.
+    pub fn new(name: impl Into<ProcessName>, incarnation: Incarnation) -> Self {
+        DoorId {
+            name: name.into(),
+            incarnation,
+        }
+    }
+}
--- a/crates/nutmegwheel-limits/src/share/types.rs
+++ b/crates/nutmegwheel-limits/src/share/types.rs
@@ -39,6 +39,15 @@
         floor: Limit::ZERO,
     };
 
+    /// A share that never expires, such as that of a fleet with one data centre.
+    #[must_use]
+    pub fn lasting(limit: Limit) -> Self {
+        Share {
+            whole: limit,
+            floor: limit,
+        }
+    }
+
     pub(crate) fn max(self, other: Self) -> Self {
         Share {
             whole: self.whole.max(other.whole),
