--- a/crates/nutmegwheel-membership/src/gossip/budget.rs
+++ b/crates/nutmegwheel-membership/src/gossip/budget.rs
@@ -7,6 +7,9 @@
 /// What it may send at once after a quiet time, in bytes.
 const BURST_BYTES: i64 = 128 * 1024;
 
+/// How far urgent news may overdraw the allowance, in bytes; a second or two of the allowance.
+const DEBT_BYTES: i64 = 8 * 1024;
+
 plain_copy! {
     /// The allowance of bytes for records; urgent ones may overdraw it and hold back the others.
     pub(crate) struct Budget {
@@ -44,6 +47,6 @@
 
     pub(crate) fn spend(&mut self, bytes: usize) {
         let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
-        self.left = self.left.saturating_sub(bytes).max(-BURST_BYTES);
+        self.left = self.left.saturating_sub(bytes).max(-DEBT_BYTES);
     }
 }
--- a/crates/nutmegwheel-membership/src/gossip/dissemination.rs
+++ b/crates/nutmegwheel-membership/src/gossip/dissemination.rs
@@ -37,7 +37,7 @@
         from: Option<LinkAddress>,
     ) {
         for record in records {
-            self.rumours.record(&record.name);
+            self.rumours.urgent_record(&record.name);
         }
         for key in withdrawn {
             self.rumours.withdrawn(*key);
--- a/crates/nutmegwheel-membership/src/gossip/tick.rs
+++ b/crates/nutmegwheel-membership/src/gossip/tick.rs
@@ -90,7 +90,7 @@
 
     fn join(&mut self, now: Instant) {
         const AGAIN: Duration = Duration::from_secs(1);
-        const AT_ONCE: usize = 2;
+        const AT_ONCE: usize = 1;
         if self.timers.is_joined || !is_due(&mut self.timers.joined_at, now, AGAIN) {
             return;
         }
--- a/crates/nutmegwheel-membership/src/rumours.rs
+++ b/crates/nutmegwheel-membership/src/rumours.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Starts to pass a record on that cannot wait for the comparing of tables.
+    pub(crate) fn urgent_record(&mut self, name: &ProcessName) {
+        self.records.insert(name.clone(), 0);
+    }
+
     /// Starts to pass a withdrawn key on.
     pub(crate) fn withdrawn(&mut self, key: KeyHash) {
         self.withdrawn.insert(key, 0);
