--- /dev/null
+++ b/crates/nutmegwheel-membership/tests/gossip.rs
@@ -0,0 +1,67 @@
+//! A small fleet on a virtual clock: the spread, a cut, an older version.
+
+mod sim;
+
+use std::time::Duration;
+
+use nutmegwheel_membership::WithdrawalState;
+use sim::{Shape, Sim, configuration};
+
+const SHAPE: Shape = Shape {
+    members: 24,
+    data_centres: 3,
+    control: 3,
+    seed: 7,
+};
+
+fn settled() -> Sim {
+    let mut sim = Sim::open(SHAPE);
+    sim.run_for(Duration::from_secs(20));
+    assert!(sim.all_know_all());
+    sim
+}
+
+#[test]
+fn news_is_everywhere_in_time() {
+    let mut sim = settled();
+    sim.publish(0, 2);
+    let limit = Duration::from_secs(5);
+    assert!(sim.run_until(limit, |sim| sim.all_hold(2)).is_some());
+    sim.leave(20);
+    let limit = Duration::from_secs(3);
+    assert!(
+        sim.run_until(limit, |sim| sim.all_see_leaving(20))
+            .is_some()
+    );
+}
+
+#[test]
+fn a_version_never_goes_down() {
+    let mut sim = settled();
+    sim.publish(0, 5);
+    sim.run_for(Duration::from_secs(5));
+    let now = sim.instant();
+    sim.processes[9].gossip.hold(now, configuration(4));
+    assert_eq!(sim.processes[9].gossip.freshness(now).version, 5);
+}
+
+#[test]
+fn a_withdrawal_waits_for_a_data_centre_that_is_cut_off() {
+    let mut sim = settled();
+    let key = [9; 32];
+    sim.cut(2);
+    sim.withdraw(0, key, true);
+    sim.run_for(Duration::from_secs(10));
+    let waiting_for = vec!["dc2".into()];
+    let pending = WithdrawalState::Pending {
+        committed: true,
+        waiting_for,
+    };
+    assert_eq!(sim.processes[0].gossip.withdrawal(&key), pending);
+    assert_eq!(sim.serving(2), (8, 8));
+    assert_eq!(sim.counts.false_deaths, 0);
+    sim.heal();
+    sim.run_for(Duration::from_secs(15));
+    let state = sim.processes[0].gossip.withdrawal(&key);
+    assert_eq!(state, WithdrawalState::InForce);
+}
