--- a/crates/nutmegwheel-membership/tests/freshness.rs
+++ b/crates/nutmegwheel-membership/tests/freshness.rs
@@ -1,9 +1,9 @@
-//! Exhaustive check of withdrawal and freshness with three seeds and one node.
+//! Model check of withdrawal and freshness with three seeds and one node.
 //!
 //! The real [`Lease`], [`SeedDuty`] and [`WithdrawnSet`] decide; docs/spec/SPREAD.md, "Model", says
-//! what the model leaves out. A request arrives at once or never, an answer at any later moment or
-//! never, which covers loss, delay, reordering and cuts; a process that takes no step while time goes
-//! on is a frozen one.
+//! what the model leaves out. A request arrives at once or never, the one answer in flight at any
+//! later moment or never, which covers loss, delay and cuts; a process that takes no step while time
+//! goes on is a frozen one.
 
 use std::collections::BTreeSet;
 use std::hash::{Hash, Hasher};
