feat: rates and bursts over the whole fleet by stewards, leases and shares

Each seed may become its data centre's steward by a quorum lease; doors hold purses of expiring batches; the control leader moves shares in the log. A burst with fewer tokens than data centres stays with some of them (share::placement), the same at every process. Found before it landed: requests hung, since a decision could come before its waiter was registered; both now happen under one lock.

--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -14,6 +14,7 @@
     members::{Members, Offer},
     operators::Operators,
     service::ControlService,
+    shares::Shares,
 };
 
 /// The largest body of an operator's request, in bytes.
@@ -24,6 +25,10 @@
 const VOUCH_PAUSE: Duration = Duration::from_millis(300);
 /// The time between two steps of a restarted seed's recovery.
 const RECOVER_PAUSE: Duration = Duration::from_millis(200);
+/// The time between two steps of a possible steward.
+const STEWARD_PAUSE: Duration = Duration::from_millis(100);
+/// The time between two looks whether shares should move.
+const SHARES_PAUSE: Duration = Duration::from_millis(500);
 /// How long answers that are being written may take when the process stops.
 const GRACE: Duration = Duration::from_millis(500);
 
@@ -67,10 +72,12 @@
         fleet_secret: settings.fleet_secret.clone().into_bytes(),
         limits: Limits::default(),
     };
+    let shares = Arc::new(Shares::open(&settings, log.clone(), journal.clone()));
     let service = Arc::new(ControlService {
         members: members.clone(),
         log: log.clone(),
         duty: duty.clone(),
+        shares: shares.clone(),
     });
     let endpoint = Endpoint::bind(opts, service)
         .await
@@ -78,6 +85,11 @@
     spread.connect(endpoint.clone());
     log.connect(endpoint.clone());
     spawn_tasks(&tree, &members, &log);
+    let cx = shares.clone();
+    tree.spawn_interval("shares", SHARES_PAUSE, move || {
+        let cx = cx.clone();
+        async move { cx.step().await }
+    });
     if let Some(duty) = duty {
         spawn_duty(&tree, &duty, &endpoint);
     }
@@ -120,6 +132,11 @@
         let (duty, endpoint) = cx.clone();
         async move { duty.recover(&endpoint).await }
     });
+    let cx = (duty.clone(), endpoint.clone());
+    tree.spawn_interval("steward", STEWARD_PAUSE, move || {
+        let (duty, endpoint) = cx.clone();
+        async move { duty.step(&endpoint) }
+    });
 }
 
 fn spawn_tasks(tree: &Supervisor, members: &Arc<Members>, log: &Arc<ReplicatedLog>) {
--- a/crates/nutmegwheel-control/src/lib.rs
+++ b/crates/nutmegwheel-control/src/lib.rs
@@ -9,6 +9,7 @@
 mod members;
 mod operators;
 mod service;
+mod shares;
 /// What the replicated log makes of the operators' changes.
 pub mod state;
 
--- a/crates/nutmegwheel-control/src/log/replicated.rs
+++ b/crates/nutmegwheel-control/src/log/replicated.rs
@@ -9,6 +9,7 @@
 use nutmegwheel_agreement::{LogIndex, Message, ReplicaName, Status};
 use nutmegwheel_config::View;
 use nutmegwheel_events::Journal;
+use nutmegwheel_limits::share::Table;
 use nutmegwheel_link::{Endpoint, Reply, Request, Topic};
 use nutmegwheel_types::ProcessName;
 use nutmegwheel_wire::topic;
@@ -144,6 +145,11 @@
         }
     }
 
+    /// The shares that this replica has applied.
+    pub(crate) fn shares(&self) -> Table {
+        self.state(|state| state.shares().clone())
+    }
+
     /// Whether this replica leads, and in which term.
     pub(crate) fn leads(&self) -> Option<u64> {
         let status = self.replica_status()?;
--- a/crates/nutmegwheel-control/src/operators.rs
+++ b/crates/nutmegwheel-control/src/operators.rs
@@ -246,7 +246,7 @@
             "number-too-low".into(),
             value!({"number": number, "last_change": last_change}),
         ),
-        Verdict::FirstStart { .. } => Err(unknown_route()),
+        Verdict::FirstStart { .. } | Verdict::Shares { .. } => Err(unknown_route()),
         Verdict::KeyTaken => conflict("key-taken".into(), value!({"number": number})),
         Verdict::KeyWithdrawn => conflict("key-withdrawn".into(), value!({"number": number})),
         Verdict::Refused { field, detail } => Err(bad_configuration(&field, detail)),
--- a/crates/nutmegwheel-control/src/service.rs
+++ b/crates/nutmegwheel-control/src/service.rs
@@ -9,6 +9,7 @@
 use crate::{
     log::{Log as _, ReplicatedLog},
     members::Members,
+    shares::Shares,
     state::{Command, Verdict},
 };
 
@@ -17,15 +18,18 @@
     pub(crate) members: Arc<Members>,
     pub(crate) log: Arc<ReplicatedLog>,
     pub(crate) duty: Option<Arc<Duty>>,
+    pub(crate) shares: Arc<Shares>,
 }
 
 impl Service for ControlService {
     fn serve(&self, _peer: Peer, req: Request) -> ServeFuture {
         let (log, duty) = (self.log.clone(), self.duty.clone());
+        let shares = self.shares.clone();
         Box::pin(async move {
             match req.topic {
                 topic::COMMIT | topic::READ_INDEX => log.serve(req.topic, req.body).await,
                 topic::FIRST_START => reply(first_start(&log, req.head).await),
+                topic::RENEWAL => reply(shares.renew(req.head).await),
                 topic => reply(duty.map(|duty| duty.serve(topic, req.head))),
             }
         })
--- /dev/null
+++ b/crates/nutmegwheel-control/src/shares.rs
@@ -0,0 +1,190 @@
+//! The control leader's part in rates: it moves the data centres' shares by demand and answers their
+//! renewals; docs/spec/SHARES.md.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
+
+use bytes::Bytes;
+use nutmegwheel_config::{Settings, View};
+use nutmegwheel_events::{Event, Journal};
+use nutmegwheel_limits::{
+    Limit, MicroTokens,
+    share::{self, ChangeSet, Options, Renewals, Table},
+};
+use nutmegwheel_seeds::{renewal_request_from_wire, renewal_to_wire};
+use nutmegwheel_types::{DataCentreId, WorkspaceId};
+use nutmegwheel_wire::RenewalRequest;
+use prost::Message as _;
+
+use crate::{
+    log::{Log as _, ReplicatedLog},
+    state::Command,
+};
+
+/// Moves shares while this control VM leads.
+pub(crate) struct Shares {
+    log: Arc<ReplicatedLog>,
+    journal: Arc<Journal>,
+    data_centres: BTreeSet<DataCentreId>,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    /// The memory of this leader, and the term in which it began.
+    office: Option<(u64, Renewals)>,
+    demand: BTreeMap<WorkspaceId, BTreeMap<DataCentreId, MicroTokens>>,
+}
+
+/// Lifecycle.
+impl Shares {
+    pub(crate) fn open(
+        settings: &Settings,
+        log: Arc<ReplicatedLog>,
+        journal: Arc<Journal>,
+    ) -> Self {
+        let seeds = settings.seeds.iter();
+        Self {
+            log,
+            journal,
+            data_centres: seeds.map(|seed| seed.data_centre.clone()).collect(),
+            state: Mutex::default(),
+        }
+    }
+
+    /// Moves shares where that is due; to be called every second or so.
+    pub(crate) async fn step(&self) {
+        if !self.is_in_office().await {
+            return;
+        }
+        let (view, table) = (self.log.view(), self.log.shares());
+        let expired = self.expire(&table);
+        if let Some(set) = expired {
+            self.commit(set.clone()).await;
+            self.renewals(|renewals| renewals.expired(&set));
+        }
+        for workspace in workspaces(&view, &table) {
+            // Each move is computed from the table as it is after the one before.
+            let table = self.log.shares();
+            if let Some(set) = self.rebalance(&view, &table, &workspace) {
+                self.commit(set).await;
+            }
+        }
+    }
+
+    /// Whether this control VM leads and has applied what earlier leaders committed.
+    async fn is_in_office(&self) -> bool {
+        let Some(term) = self.log.leads() else {
+            self.state().office = None;
+            return false;
+        };
+        if self.log.catch_up().await.is_err() {
+            return false;
+        }
+        let mut state = self.state();
+        let is_new = state
+            .office
+            .as_ref()
+            .is_none_or(|(since, _)| *since != term);
+        if is_new {
+            state.office = Some((term, Renewals::open(Instant::now())));
+            state.demand.clear();
+        }
+        true
+    }
+
+    fn expire(&self, table: &Table) -> Option<ChangeSet> {
+        let mut state = self.state();
+        let (_, renewals) = state.office.as_mut()?;
+        renewals.expire(table, Instant::now())
+    }
+
+    fn rebalance(&self, view: &View, table: &Table, workspace: &WorkspaceId) -> Option<ChangeSet> {
+        let configured = view.configuration.workspaces.get(workspace);
+        let (limit, burst) = configured.map_or((Limit::ZERO, u64::MAX), |configured| {
+            let burst = whole(configured.burst);
+            (Limit::from_config(configured.rate, burst), burst.into())
+        });
+        let data_centres = share::placement(workspace, burst, &self.data_centres);
+        let none = BTreeMap::new();
+        let state = self.state();
+        let outcome = share::rebalance(&Options {
+            table,
+            workspace,
+            configured: limit,
+            data_centres: &data_centres.into_iter().collect(),
+            demand: state.demand.get(workspace).unwrap_or(&none),
+        });
+        outcome.change
+    }
+
+    async fn commit(&self, set: ChangeSet) {
+        let moved = format!("{:?}", set.changes);
+        if self.log.commit(Command::Shares(set)).await.is_ok() {
+            self.journal.emit(Event::ShareMoved, &[("changes", &moved)]);
+        }
+    }
+}
+
+/// Renewals.
+impl Shares {
+    /// Answers a possible steward, or returns nothing where this control VM does not lead.
+    pub(crate) async fn renew(&self, head: Bytes) -> Option<Bytes> {
+        let req = renewal_request_from_wire(RenewalRequest::decode(head).ok()?);
+        if !self.is_in_office().await {
+            return None;
+        }
+        self.learn(&req);
+        let confirmation = self.confirmation(&req);
+        if let Some(set) = confirmation {
+            self.log.commit(Command::Shares(set)).await.ok()?;
+        }
+        // The answer counts from a moment at which this control VM certainly leads.
+        let table = self.log.shares();
+        self.log.catch_up().await.ok()?;
+        self.log.leads()?;
+        let mut state = self.state();
+        let (_, renewals) = state.office.as_mut()?;
+        let renewal = renewals.answer(&table, &req, Instant::now())?;
+        Some(renewal_to_wire(&renewal).encode_to_vec().into())
+    }
+
+    fn learn(&self, req: &share::RenewalRequest) {
+        let mut state = self.state();
+        for (workspace, rate) in &req.demand {
+            let demand = state.demand.entry(workspace.clone()).or_default();
+            demand.insert(req.data_centre.clone(), *rate);
+        }
+    }
+
+    fn confirmation(&self, req: &share::RenewalRequest) -> Option<ChangeSet> {
+        let table = self.log.shares();
+        let state = self.state();
+        let (_, renewals) = state.office.as_ref()?;
+        renewals.confirmation(&table, req)
+    }
+
+    fn renewals(&self, work: impl FnOnce(&mut Renewals)) {
+        if let Some((_, renewals)) = &mut self.state().office {
+            work(renewals);
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn workspaces(view: &View, table: &Table) -> BTreeSet<WorkspaceId> {
+    let configured = view.configuration.workspaces.keys();
+    configured.chain(table.workspaces()).cloned().collect()
+}
+
+/// A burst of the configuration in whole tokens.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole(burst: f64) -> u32 {
+    burst.clamp(1.0, f64::from(u32::MAX)) as u32
+}
--- a/crates/nutmegwheel-control/src/state.rs
+++ b/crates/nutmegwheel-control/src/state.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 
 use nutmegwheel_config::{Change, CheckError, Delta, View};
+use nutmegwheel_limits::share::{ChangeSet, Table};
 use nutmegwheel_types::{ConfigVersion, Incarnation, KeyHash, WorkspaceId, hex, plain};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -36,6 +37,8 @@
         /// Its life.
         incarnation: Incarnation,
     },
+    /// Shares of the data centres in workspaces' rates move.
+    Shares(ChangeSet),
 }
 
 plain! {
@@ -60,6 +63,11 @@
             /// The last committed number.
             last_change: ChangeNumber,
         },
+        /// The shares moved, or did not because others moved first.
+        Shares {
+            /// Whether they moved.
+            moved: bool,
+        },
         /// The answer to a seed that asked whether it starts for the first time.
         FirstStart {
             /// Whether it does; never true for two lives of one name.
@@ -98,6 +106,7 @@
     answers: BTreeMap<ChangeNumber, Winner>,
     /// The life in which each seed served first.
     first_starts: BTreeMap<String, Incarnation>,
+    shares: Table,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -106,10 +115,17 @@
     last_change: ChangeNumber,
     answers: BTreeMap<ChangeNumber, Winner>,
     first_starts: BTreeMap<String, Incarnation>,
+    shares: Table,
 }
 
 /// Access.
 impl State {
+    /// The data centres' shares in the workspaces' rates.
+    #[must_use]
+    pub fn shares(&self) -> &Table {
+        &self.shares
+    }
+
     /// What the processes of the fleet hold.
     #[must_use]
     pub fn view(&self) -> &View {
@@ -140,6 +156,7 @@
             last_change: self.last_change,
             answers: self.answers.clone(),
             first_starts: self.first_starts.clone(),
+            shares: self.shares.clone(),
         };
         serde_json::to_vec(&snapshot).unwrap_or_default()
     }
@@ -156,6 +173,7 @@
             last_change: snapshot.last_change,
             answers: snapshot.answers,
             first_starts: snapshot.first_starts,
+            shares: snapshot.shares,
         })
     }
 }
@@ -168,6 +186,9 @@
             Command::Change { number, content } => self.apply_change(*number, content),
             Command::Withdraw { hash } => self.apply_withdrawal(hash),
             Command::FirstStart { seed, incarnation } => self.apply_first_start(seed, *incarnation),
+            Command::Shares(set) => Verdict::Shares {
+                moved: self.shares.apply(set).is_ok(),
+            },
         }
     }
 
@@ -267,7 +288,7 @@
         match self {
             Self::Change { content, .. } => Change::parse(content).ok().map(Delta::Change),
             Self::Withdraw { hash } => hex::decode(hash).map(Delta::Withdraw),
-            Self::FirstStart { .. } => None,
+            Self::FirstStart { .. } | Self::Shares(_) => None,
         }
     }
 }
--- a/crates/nutmegwheel-limits/src/amount.rs
+++ b/crates/nutmegwheel-limits/src/amount.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use nutmegwheel_types::plain_copy;
+use serde::{Deserialize, Serialize};
 
 /// An amount of tokens in millionths, so that a rate of half a token a second stays a whole number.
 pub type MicroTokens = u64;
@@ -23,6 +24,7 @@
 
 plain_copy! {
     /// What a token bucket allows: a steady rate and the most that may come at once.
+    #[derive(Serialize, Deserialize)]
     pub struct Limit {
         /// The refill, in millionths of a token per second.
         pub rate: MicroTokens,
--- a/crates/nutmegwheel-limits/src/share/mod.rs
+++ b/crates/nutmegwheel-limits/src/share/mod.rs
@@ -7,12 +7,14 @@
 
 mod held;
 mod leader;
+mod placement;
 mod rebalance;
 mod table;
 mod types;
 
 pub use held::Held;
 pub use leader::Renewals;
+pub use placement::placement;
 pub use rebalance::{Options, Outcome, rebalance};
 pub use table::{Error, Table};
 pub use types::{
--- a/crates/nutmegwheel-limits/src/share/table.rs
+++ b/crates/nutmegwheel-limits/src/share/table.rs
@@ -1,13 +1,14 @@
 use std::collections::BTreeMap;
 
 use nutmegwheel_types::{DataCentreId, WorkspaceId, plain};
+use serde::{Deserialize, Serialize};
 
 use super::{Change, ChangeSet, Entry, Share, ShareVersion};
 use crate::Limit;
 
 plain! {
     /// The shares of all data centres in all workspaces, as the replicated log builds them up.
-    #[derive(Default, Hash, PartialOrd, Ord)]
+    #[derive(Default, Hash, PartialOrd, Ord, Serialize, Deserialize)]
     pub struct Table {
         version: ShareVersion,
         workspaces: BTreeMap<WorkspaceId, BTreeMap<DataCentreId, Entry>>,
--- a/crates/nutmegwheel-limits/src/share/types.rs
+++ b/crates/nutmegwheel-limits/src/share/types.rs
@@ -1,6 +1,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use nutmegwheel_types::{DataCentreId, WorkspaceId, plain, plain_copy};
+use serde::{Deserialize, Serialize};
 
 use crate::{Limit, MicroTokens};
 
@@ -14,6 +15,7 @@
 
 plain_copy! {
     /// What one data centre may hand out for one workspace.
+    #[derive(Serialize, Deserialize)]
     pub struct Share {
         /// The limit while its lease from the control leader lasts.
         pub whole: Limit,
@@ -22,6 +24,7 @@
     }
 
     /// What the log holds on one data centre's share.
+    #[derive(Serialize, Deserialize)]
     pub struct Entry {
         /// What the data centre is told to use.
         pub share: Share,
@@ -58,6 +61,7 @@
 
 plain! {
     /// One command of the replicated log.
+    #[derive(Serialize, Deserialize)]
     pub struct ChangeSet {
         /// The version of the table that the changes were computed from.
         pub based_on: ShareVersion,
@@ -66,6 +70,7 @@
     }
 
     /// One change of the table of shares.
+    #[derive(Serialize, Deserialize)]
     pub enum Change {
         /// The data centre is to use this share from now on.
         Told {
--- a/crates/nutmegwheel-node/src/door.rs
+++ b/crates/nutmegwheel-node/src/door.rs
@@ -51,6 +51,9 @@
     if call.deadline <= now {
         return Err(Refusal::not_run(Reason::Deadline, "no time was left"));
     }
+    if let Some(workspace) = &call.context.workspace {
+        shared.rates.spend(&view, workspace).await?;
+    }
     shared.suspects.check(now, suspects::fingerprint(&call))?;
     let parent = Parent::open(call.context.clone(), call.key, call.deadline);
     let id = forward::call_id(&call, None);
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -17,6 +17,7 @@
 mod node;
 mod once;
 mod platform;
+mod rates;
 mod refusal;
 mod routes;
 mod running;
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -18,6 +18,7 @@
     local::LocalDoor,
     members,
     platform::Platform,
+    rates::Rates,
     serve::NodeService,
     shared::{LEAVE_TIME, Shared},
 };
@@ -30,6 +31,8 @@
 const LAPSE_PAUSE: Duration = Duration::from_millis(100);
 /// The time between two steps of a restarted seed's recovery.
 const RECOVER_PAUSE: Duration = Duration::from_millis(200);
+/// The time between two steps of a possible steward.
+const STEWARD_PAUSE: Duration = Duration::from_millis(100);
 /// The time between two rounds of forgetting what is too old.
 const EXPIRY_PAUSE: Duration = Duration::from_secs(1);
 /// The longest time that a planned stop waits for requests in flight.
@@ -147,6 +150,20 @@
         }
     });
     let cx = shared.clone();
+    tree.spawn_interval("steward", STEWARD_PAUSE, move || {
+        let cx = cx.clone();
+        async move {
+            if let (Some(duty), Some(endpoint)) = (&cx.duty, cx.endpoint()) {
+                duty.step(endpoint);
+            }
+        }
+    });
+    let cx = shared.clone();
+    tree.spawn("rates", move || {
+        let cx = cx.clone();
+        async move { Rates::keep(&cx).await }
+    });
+    let cx = shared.clone();
     tree.spawn("gate", move || {
         let cx = cx.clone();
         async move { cx.gate.keep_time().await }
--- a/crates/nutmegwheel-node/src/platform.rs
+++ b/crates/nutmegwheel-node/src/platform.rs
@@ -39,7 +39,10 @@
         "the node is leaving"
     } else {
         match shared.spread.decide() {
-            Decision::Serve => return Ok(json(StatusCode::OK, &value!({"ok": true}))),
+            Decision::Serve if shared.rates.has_steward() => {
+                return Ok(json(StatusCode::OK, &value!({"ok": true})));
+            }
+            Decision::Serve => "the data centre's steward does not answer",
             Decision::Fenced(Why::NoConfiguration) => "the node has no configuration yet",
             Decision::Fenced(Why::NoMajority) => "no majority of the seeds confirms the node",
             Decision::Fenced(Why::CutOff) => "the data centre is cut off",
--- /dev/null
+++ b/crates/nutmegwheel-node/src/rates.rs
@@ -0,0 +1,264 @@
+//! The rates of workspaces at this door: each keyed request spends one token of its workspace.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use nutmegwheel_config::View;
+use nutmegwheel_limits::{
+    messages::DoorId,
+    purse::{
+        AccountKey, Decision, POLL_INTERVAL, Purse, Refusal as Refused, RefusalCause, Spend,
+        WaiterId,
+    },
+    share::placement,
+};
+use nutmegwheel_types::{DataCentreId, WorkspaceId};
+use tokio::sync::{Notify, oneshot};
+
+use crate::{
+    refusal::{Reason, Refusal},
+    shared::Shared,
+};
+
+/// How long the last answer of a steward shows that there is one.
+const STEWARD_SEEN: Duration = Duration::from_secs(3);
+/// The time between two questions whether there is a steward, while no tokens are asked for.
+const PROBE_PAUSE: Duration = Duration::from_millis(500);
+
+/// What this door holds of the workspaces' tokens.
+pub(crate) struct Rates {
+    own: DataCentreId,
+    data_centres: BTreeSet<DataCentreId>,
+    state: Mutex<State>,
+    urgent: Notify,
+    next_waiter: AtomicU64,
+}
+
+struct State {
+    door: DoorId,
+    purses: BTreeMap<DataCentreId, Purse>,
+    waiters: HashMap<WaiterId, oneshot::Sender<Spend>>,
+    steward_seen: Option<Instant>,
+    probed: Option<Instant>,
+}
+
+/// Lifecycle.
+impl Rates {
+    pub(crate) fn open(
+        door: DoorId,
+        own: DataCentreId,
+        data_centres: BTreeSet<DataCentreId>,
+    ) -> Self {
+        let purses = BTreeMap::from([(own.clone(), Purse::open(door.clone()))]);
+        Self {
+            own,
+            data_centres,
+            state: Mutex::new(State {
+                door,
+                purses,
+                waiters: HashMap::new(),
+                steward_seen: None,
+                probed: None,
+            }),
+            urgent: Notify::new(),
+            next_waiter: AtomicU64::new(0),
+        }
+    }
+
+    /// Asks for tokens and gives them back; runs as long as the node.
+    pub(crate) async fn keep(shared: &Arc<Shared>) {
+        loop {
+            let rates = &shared.rates;
+            for (data_centre, ask) in rates.lock().poll(&rates.own) {
+                let shared = shared.clone();
+                tokio::spawn(async move {
+                    let tokens = shared.tokens()?;
+                    let grant = tokens.ask(&data_centre, &ask).await?;
+                    shared.rates.granted(&data_centre, &grant);
+                    Some(())
+                });
+            }
+            tokio::select! {
+                () = tokio::time::sleep(POLL_INTERVAL) => {}
+                () = rates.urgent.notified() => {}
+            }
+        }
+    }
+
+    fn granted(&self, data_centre: &DataCentreId, grant: &nutmegwheel_limits::messages::Grant) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        if *data_centre == self.own {
+            state.steward_seen = Some(now);
+        }
+        let Some(purse) = state.purses.get_mut(data_centre) else {
+            return;
+        };
+        let decisions = purse.granted(grant, now);
+        let is_urgent = purse.is_urgent();
+        state.tell(decisions);
+        drop(state);
+        if is_urgent {
+            self.urgent.notify_one();
+        }
+    }
+}
+
+/// Spending.
+impl Rates {
+    /// Whether the data centre's steward answered lately.
+    pub(crate) fn has_steward(&self) -> bool {
+        let seen = self.lock().steward_seen;
+        seen.is_some_and(|at| at.elapsed() < STEWARD_SEEN)
+    }
+
+    /// Spends a token of the workspace, or refuses with the time to come back.
+    pub(crate) async fn spend(&self, view: &View, workspace: &WorkspaceId) -> Result<(), Refusal> {
+        let data_centre = self.asked(view, workspace);
+        let waiter = self.next_waiter.fetch_add(1, Ordering::Relaxed);
+        let (key, spend, decision) = self.try_spend(&data_centre, workspace, waiter);
+        let spend = match decision {
+            Some(decision) => {
+                let _waiting = Waiting {
+                    rates: self,
+                    data_centre: &data_centre,
+                    key,
+                    waiter,
+                };
+                decision.await.unwrap_or(Spend::Waiting)
+            }
+            None => spend,
+        };
+        match spend {
+            Spend::Spent => Ok(()),
+            Spend::Waiting => Err(refusal(workspace, None)),
+            Spend::Refused(refused) => Err(refusal(workspace, Some(refused))),
+        }
+    }
+
+    fn try_spend(
+        &self,
+        data_centre: &DataCentreId,
+        workspace: &WorkspaceId,
+        waiter: WaiterId,
+    ) -> (AccountKey, Spend, Option<oneshot::Receiver<Spend>>) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let door = state.door.clone();
+        let purse = state.purses.entry(data_centre.clone());
+        let purse = purse.or_insert_with(|| Purse::open(door));
+        let key = purse.account(workspace, now);
+        let spend = purse.spend(key, waiter, now);
+        let is_urgent = purse.is_urgent();
+        // The decision may come as soon as the state is free, so its receiver stands before.
+        let decision = (spend == Spend::Waiting).then(|| {
+            let (tx, rx) = oneshot::channel();
+            state.waiters.insert(waiter, tx);
+            rx
+        });
+        drop(state);
+        if is_urgent {
+            self.urgent.notify_one();
+        }
+        (key, spend, decision)
+    }
+
+    /// The data centre whose steward is asked: the own one, unless the burst is too small to share.
+    fn asked(&self, view: &View, workspace: &WorkspaceId) -> DataCentreId {
+        let configured = view.configuration.workspaces.get(workspace);
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let burst = configured.map_or(1, |configured| configured.burst as u64);
+        let holders = placement(workspace, burst, &self.data_centres);
+        if holders.contains(&self.own) {
+            return self.own.clone();
+        }
+        holders.first().unwrap_or(&self.own).clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// What is to be asked, of which data centre.
+    fn poll(
+        &mut self,
+        own: &DataCentreId,
+    ) -> Vec<(DataCentreId, nutmegwheel_limits::messages::Ask)> {
+        let now = Instant::now();
+        let mut asks = Vec::new();
+        let mut decisions = Vec::new();
+        for (data_centre, purse) in &mut self.purses {
+            let output = purse.poll(now);
+            decisions.extend(output.decisions);
+            asks.extend(output.ask.map(|ask| (data_centre.clone(), ask)));
+        }
+        self.tell(decisions);
+        let is_due = self
+            .probed
+            .is_none_or(|at| now.duration_since(at) >= PROBE_PAUSE);
+        if is_due {
+            self.probed = Some(now);
+            asks.push((own.clone(), self.probe()));
+        }
+        asks
+    }
+
+    /// A question without items, whose answer shows that there is a steward.
+    fn probe(&self) -> nutmegwheel_limits::messages::Ask {
+        nutmegwheel_limits::messages::Ask {
+            door: self.door.clone(),
+            seq: 0,
+            items: Vec::new(),
+        }
+    }
+
+    fn tell(&mut self, decisions: Vec<Decision>) {
+        for Decision { waiter, spend } in decisions {
+            if let Some(tx) = self.waiters.remove(&waiter) {
+                let _ = tx.send(spend);
+            }
+        }
+    }
+}
+
+/// Forgets a request that waits for a token when it is answered or its caller leaves.
+struct Waiting<'a> {
+    rates: &'a Rates,
+    data_centre: &'a DataCentreId,
+    key: AccountKey,
+    waiter: WaiterId,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut state = self.rates.lock();
+        state.waiters.remove(&self.waiter);
+        if let Some(purse) = state.purses.get_mut(self.data_centre) {
+            purse.cancel(self.key, self.waiter);
+        }
+    }
+}
+
+fn refusal(workspace: &WorkspaceId, refused: Option<Refused>) -> Refusal {
+    let after = refused.map_or(POLL_INTERVAL, |refused| refused.retry_after);
+    let after = after.mul_f64(rand::random_range(1.0..1.5));
+    let refusal = match refused.map(|refused| refused.cause) {
+        Some(RefusalCause::OverRate) => {
+            let detail = format!("{workspace} has used up its rate and burst");
+            Refusal::not_run(Reason::OverRate, detail)
+        }
+        Some(RefusalCause::NoSteward) | None => {
+            let detail = "the data centre's steward does not answer";
+            Refusal::not_run(Reason::NotReady, detail)
+        }
+    };
+    refusal.after(after)
+}
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -8,13 +8,14 @@
 
 use nutmegwheel_config::Settings;
 use nutmegwheel_events::{Journal, Stamp};
+use nutmegwheel_limits::messages::DoorId;
 use nutmegwheel_link::Endpoint;
 use nutmegwheel_policy::{
     needs::Needs,
     retry::{RatioOptions, Ratios},
     shed::{self, Levels},
 };
-use nutmegwheel_seeds::{AttemptId, Claims, Duty, SeedLists, Started, started};
+use nutmegwheel_seeds::{AttemptId, Claims, Duty, SeedLists, Started, Tokens, started};
 use nutmegwheel_spread::Spread;
 use nutmegwheel_types::{EndpointId, Incarnation, Priority, ProcessName, ServiceId};
 use nutmegwheel_wire as wire;
@@ -23,6 +24,7 @@
     backend::{BackendState, Local},
     gate::Gate,
     members,
+    rates::Rates,
     routes::Routes,
     running::Running,
     suspects::Suspects,
@@ -51,6 +53,8 @@
     pub(crate) seeds: Arc<SeedLists>,
     pub(crate) duty: Option<Arc<Duty>>,
     pub(crate) started: Mutex<Started>,
+    pub(crate) rates: Rates,
+    tokens: OnceLock<Tokens>,
     claims: OnceLock<Claims>,
     attempts: AtomicU64,
     endpoint: OnceLock<Endpoint>,
@@ -80,6 +84,19 @@
                 capacity: started::CAPACITY,
                 retention: started::RETENTION,
             })),
+            rates: Rates::open(
+                DoorId {
+                    name: settings.name.clone(),
+                    incarnation,
+                },
+                settings.data_centre.clone(),
+                settings
+                    .seeds
+                    .iter()
+                    .map(|seed| seed.data_centre.clone())
+                    .collect(),
+            ),
+            tokens: OnceLock::new(),
             claims: OnceLock::new(),
             attempts: AtomicU64::new(0),
             spread: Spread::open(&settings, incarnation),
@@ -113,6 +130,13 @@
     /// Sets the endpoint, which is opened after what it serves.
     pub(crate) fn connect(&self, endpoint: Endpoint) {
         self.spread.connect(endpoint.clone());
+        let tokens = Tokens::open(
+            self.settings.name.clone(),
+            endpoint.clone(),
+            self.duty.clone(),
+            self.seeds.clone(),
+        );
+        let _ = self.tokens.set(tokens);
         let claims = Claims::open(
             self.settings.name.clone(),
             endpoint.clone(),
@@ -126,6 +150,9 @@
     pub(crate) fn leave(&self) {
         let _ = self.leaving.set(Instant::now());
         self.spread.leave();
+        if let Some(duty) = &self.duty {
+            duty.stop();
+        }
     }
 }
 
@@ -135,6 +162,10 @@
         self.endpoint.get()
     }
 
+    pub(crate) fn tokens(&self) -> Option<Tokens> {
+        self.tokens.get().cloned()
+    }
+
     pub(crate) fn claims(&self) -> Option<Claims> {
         self.claims.get().cloned()
     }
--- a/crates/nutmegwheel-seeds/src/duty.rs
+++ b/crates/nutmegwheel-seeds/src/duty.rs
@@ -1,6 +1,6 @@
 use std::{
     net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
@@ -14,6 +14,7 @@
 
 use crate::{
     SeedLists,
+    stewardship::Stewardship,
     wire::{
         recover_from_wire, recover_to_wire, recovered_from_wire, recovered_to_wire, reply_to_wire,
         request_from_wire, update_from_wire,
@@ -31,6 +32,7 @@
     others: Vec<(ProcessName, SocketAddr)>,
     control_vms: Vec<SocketAddr>,
     seed: Mutex<Seed>,
+    stewardship: Arc<Stewardship>,
 }
 
 /// Lifecycle.
@@ -59,9 +61,20 @@
             others: others.map(|(name, link)| (name.clone(), *link)).collect(),
             control_vms: settings.control_vms().map(|seed| seed.link).collect(),
             seed: Mutex::new(seed),
+            stewardship: Arc::new(Stewardship::open(settings, incarnation, list)),
         })
     }
 
+    /// Takes part in handing out tokens; to be called every 100 ms or so.
+    pub fn step(&self, endpoint: &Endpoint) {
+        self.stewardship.step(endpoint);
+    }
+
+    /// Hands out nothing more, since the process stops soon.
+    pub fn stop(&self) {
+        self.stewardship.stop();
+    }
+
     /// Goes on with what a restarted seed must learn before it may grant anything; to be called
     /// every 200 ms or so.
     pub async fn recover(&self, endpoint: &Endpoint) {
@@ -119,6 +132,12 @@
 
 /// Access.
 impl Duty {
+    /// Whether this process hands out the tokens of its data centre.
+    #[must_use]
+    pub fn is_steward(&self) -> bool {
+        self.stewardship.is_steward()
+    }
+
     /// Whether the seed still learns what it may have forgotten.
     #[must_use]
     pub fn is_recovering(&self) -> bool {
@@ -139,7 +158,7 @@
             topic::CLAIM => self.claim(head),
             topic::CLAIM_UPDATE => self.update(head),
             topic::RECOVER => self.answer_recovery(head),
-            _ => None,
+            topic => self.stewardship.serve(topic, head),
         };
         answer.unwrap_or_default().into()
     }
--- a/crates/nutmegwheel-wire/src/topic.rs
+++ b/crates/nutmegwheel-wire/src/topic.rs
@@ -24,3 +24,14 @@
 pub const FENCE: Topic = Topic(11);
 /// A request of a seed to a control VM: [`crate::FirstStart`], answered by one byte, 1 for yes.
 pub const FIRST_START: Topic = Topic(12);
+/// A request of a door to a steward: [`crate::Ask`] and [`crate::Grant`].
+pub const ASK: Topic = Topic(13);
+/// A request of a possible steward to a seed: [`crate::LeaseRequest`] and [`crate::LeaseReply`].
+pub const LEASE: Topic = Topic(14);
+/// A request that gives a lease back: [`crate::LeaseRelease`].
+pub const LEASE_RELEASE: Topic = Topic(15);
+/// A request of a restarted seed to another one, answered by [`crate::KnownShares`].
+pub const KNOWN_SHARES: Topic = Topic(16);
+/// A request to the leading control VM: [`crate::RenewalRequest`] and [`crate::Renewal`]; any other
+/// process answers with nothing.
+pub const RENEWAL: Topic = Topic(17);
--- a/crates/nutmegwheel/tests/common/mod.rs
+++ b/crates/nutmegwheel/tests/common/mod.rs
@@ -55,9 +55,23 @@
         setup.give_key(2, "vidzeme", KEY_TEXT).await;
         setup.fleet.ready().await.expect("every node serves");
         setup.version_everywhere(2).await;
+        setup.tokens_everywhere().await;
         setup
     }
 
+    /// Waits until every door gets tokens for the workspace `vidzeme`: a request that finds no
+    /// backend server has passed the rate.
+    async fn tokens_everywhere(&self) {
+        for node in &self.fleet.nodes {
+            self.until("every door gets tokens", async || {
+                let name = &node.vm.name;
+                let answer = self.call(name, "/shiftbook/probe", &[("authorization", KEY)], "");
+                answer.await.reason() == "no-backend-server"
+            })
+            .await;
+        }
+    }
+
     /// Commits a change and fails the test when it is not.
     pub(crate) async fn change(&self, number: u64, body: &str) -> Answer {
         let path = format!("/v1/changes/{number}");
