test: operators resend under the same number while a control VM is not certain

With a load of 39 on 10 cores two control tests saw 503 within its 3 s, which the interface allows and asks to resend. They resend now, and check that the resend gets the version of the first. Ruled out: a longer commit time, since operators are promised an answer within 3 s.

--- a/crates/nutmegwheel/tests/control.rs
+++ b/crates/nutmegwheel/tests/control.rs
@@ -24,11 +24,20 @@
     answer["configuration"]["workspaces"]["zemgale"]["rate"].as_f64()
 }
 
+/// Offers a change to one control VM, and again under the same number while it is not certain, as
+/// docs/INTERFACES.md asks of operators.
 async fn change_at(setup: &Setup, vm: usize, number: u64, body: &str) -> Answer {
     let at = setup.fleet.control[vm].vm.platform;
     let path = format!("/v1/changes/{number}");
-    let answer = setup.fleet.operate_at(at, "PUT", &path, body).await;
-    answer.expect("the control VM answers")
+    let end = Instant::now() + Duration::from_secs(20);
+    loop {
+        let answer = setup.fleet.operate_at(at, "PUT", &path, body).await;
+        let answer = answer.expect("the control VM answers");
+        if answer.status != 503 {
+            return answer;
+        }
+        assert!(Instant::now() < end, "{}", answer.text());
+    }
 }
 
 /// Offers a change to the control VMs in turn until one of them is certain, as operators do.
@@ -75,7 +84,9 @@
         let number = 10 + vm as u64;
         let answer = change_at(&setup, vm, number, &configuration(number)).await;
         assert_eq!(answer.status, 200, "{}", answer.text());
-        assert_eq!(answer.json()["first"], true);
+        let again = change_at(&setup, (vm + 1) % 3, number, &configuration(number)).await;
+        assert_eq!(again.json()["first"], false);
+        assert_eq!(again.json()["version"], answer.json()["version"]);
     }
     for vm in 0..3 {
         setup
