fix(node): a repeat after a failed answer spends a retry of the chain

Cause: a call that was answered with a 5xx (a backend server answers so when its own call failed) was settled as answered, so the next repeat of it by the backend server above was free, and each layer multiplied the tries. Ruled out: a leak of tokens in Chain (its model check covers it). Named calls that were answered well stay free of charge. The fake backend server's truncated answer made hyper panic in debug builds and never left; it now sends its bytes and breaks off.

--- a/crates/nutmegwheel-node/src/call.rs
+++ b/crates/nutmegwheel-node/src/call.rs
@@ -31,6 +31,18 @@
     }
 }
 
+impl Answer {
+    /// Whether callers take this answer for a failure and send the same call again.
+    pub(crate) fn asks_for_repeat(&self) -> bool {
+        let asks = [
+            StatusCode::REQUEST_TIMEOUT,
+            StatusCode::TOO_EARLY,
+            StatusCode::TOO_MANY_REQUESTS,
+        ];
+        self.status.is_server_error() || asks.contains(&self.status)
+    }
+}
+
 impl Call {
     /// The head of the call's message to a node in one of its lives, which gets so much time.
     pub(crate) fn to_wire(&self, time: Duration, target_incarnation: u64) -> wire::CallHead {
--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -68,7 +68,10 @@
         unspent: None,
     };
     let result = tries(shared, parent, &mut call, &mut settled).await;
-    if result.is_ok() {
+    if result
+        .as_ref()
+        .is_ok_and(|answer| !answer.asks_for_repeat())
+    {
         settled.end = End::Answered;
     }
     result
--- a/crates/nutmegwheel/tests/common/mod.rs
+++ b/crates/nutmegwheel/tests/common/mod.rs
@@ -7,13 +7,16 @@
 };
 
 use nutmegwheel_support::{
-    Answer, Backend, BackendOptions, Behaviour, Fleet, FleetOptions, Ledger,
+    Answer, Backend, BackendOptions, Behaviour, Fleet, FleetOptions, Ledger, Vm,
 };
+use tokio::task::JoinHandle;
 
 /// The header field with the key of the workspace `vidzeme`.
 pub(crate) const KEY: &str = "Bearer key-of-vidzeme-000001";
 /// The key itself.
 pub(crate) const KEY_TEXT: &str = "key-of-vidzeme-000001";
+/// The slots of a backend server that needs no other number.
+const SLOTS: u16 = 16;
 /// The time in which a change must be in force everywhere.
 pub(crate) const IN_FORCE: Duration = Duration::from_secs(5);
 
@@ -26,7 +29,8 @@
   "services": {
     "tally-portal": {"health": {"class": "reports", "open": true}, "*": {"class": "crews"}},
     "dispatch": {"bill": {"class": "crews", "non_idempotent": true}, "*": {"class": "crews"}},
-    "shiftbook": {"*": {"class": "reports"}}
+    "shiftbook": {"*": {"class": "reports"}},
+    "intake": {"*": {"class": "crews"}}
   },
   "workspaces": {"vidzeme": {"rate": 5000.0, "burst": 5000}, "zemgale": {"rate": 10.0, "burst": 5}}
 }}"#;
@@ -92,19 +96,25 @@
         node: &str,
         service: &str,
         behave: impl FnOnce(&mut Behaviour),
+    ) -> std::net::SocketAddr {
+        self.backend_of(node, service, SLOTS, behave).await
+    }
+
+    /// Starts a backend server with this many slots beside a node.
+    pub(crate) async fn backend_of(
+        &self,
+        node: &str,
+        service: &str,
+        slots: u16,
+        behave: impl FnOnce(&mut Behaviour),
     ) -> std::net::SocketAddr {
         let mut behaviour = Behaviour::default();
         behave(&mut behaviour);
-        let vm = self
-            .fleet
-            .nodes
-            .iter()
-            .find(|process| process.vm.name == node);
         let opts = BackendOptions {
             name: format!("{service}@{node}"),
             service: service.to_owned(),
-            slots: 16,
-            node: vm.expect("a node of that name").vm.backend,
+            slots,
+            node: self.vm(node).backend,
         };
         let backend = Backend::spawn(opts, behaviour, self.ledger.clone()).await;
         let backend = backend.expect("a backend server starts");
@@ -138,12 +148,7 @@
         fields: &[(&str, &str)],
         body: &str,
     ) -> Answer {
-        let vm = self
-            .fleet
-            .nodes
-            .iter()
-            .find(|process| process.vm.name == node);
-        let at = vm.expect("a node of that name").vm.callers;
+        let at = self.vm(node).callers;
         let answer = self
             .fleet
             .caller
@@ -152,6 +157,86 @@
         answer.expect("the door answers")
     }
 
+    /// Calls the door of a node with the key of `vidzeme`.
+    pub(crate) async fn ask(&self, node: &str, path: &str, body: &str) -> Answer {
+        self.call(node, path, &[("authorization", KEY)], body).await
+    }
+
+    /// Calls the door of a node with the key of `vidzeme` beside what the test goes on to do.
+    pub(crate) fn spawn_ask(&self, node: &str, path: &str, body: &str) -> JoinHandle<Answer> {
+        let (caller, at) = (self.fleet.caller.clone(), self.vm(node).callers);
+        let (path, body) = (path.to_owned(), body.to_owned());
+        tokio::spawn(async move {
+            let fields = [("authorization", KEY)];
+            let answer = caller.call("POST", at, &path, &fields, body).await;
+            answer.expect("the door answers")
+        })
+    }
+
+    /// The VM of a node.
+    pub(crate) fn vm(&self, node: &str) -> &Vm {
+        let mut nodes = self.fleet.nodes.iter();
+        let process = nodes.find(|process| process.vm.name == node);
+        &process.expect("a node of that name").vm
+    }
+
+    /// Does something with the backend server of that name, which is `SERVICE@NODE`.
+    pub(crate) fn with_backend<T>(&self, name: &str, work: impl FnOnce(&Backend) -> T) -> T {
+        let backends = self.backends.lock().unwrap();
+        let mut named = backends.iter().rev();
+        work(named.find(|backend| backend.name() == name).expect(name))
+    }
+
+    /// Does something with each backend server.
+    pub(crate) fn with_each_backend(&self, work: impl Fn(&Backend)) {
+        self.backends.lock().unwrap().iter().for_each(work);
+    }
+
+    /// How many backend servers were killed or died.
+    pub(crate) fn deaths(&self) -> usize {
+        let backends = self.backends.lock().unwrap();
+        backends.iter().filter(|backend| backend.is_dead()).count()
+    }
+
+    /// Sends a signal to the process of that name.
+    pub(crate) fn signal(&self, name: &str, signal: &str) {
+        let mut all = self.fleet.control.iter().chain(&self.fleet.nodes);
+        let process = all.find(|process| process.vm.name == name);
+        process.expect("a process of that name").signal(signal);
+    }
+
+    /// Waits until a path has been begun this often and returns where it was begun last.
+    pub(crate) async fn begun(&self, path: &str, times: usize) -> String {
+        self.until("the request begins", async || {
+            self.ledger.count(path) >= times
+        })
+        .await;
+        let runs = self.ledger.runs();
+        let last = runs.into_iter().rfind(|run| run.path == path);
+        last.expect("a run").backend
+    }
+
+    /// Waits until every node has heard of a ready backend server beside each of these nodes.
+    pub(crate) async fn ready_at(&self, nodes: &[&str]) {
+        for at in &self.fleet.nodes {
+            for node in nodes {
+                self.until("the announcement is everywhere", async || {
+                    self.seen(&at.vm, node).await["backend"]["state"] == "ready"
+                })
+                .await;
+            }
+        }
+    }
+
+    /// What one VM knows of a process.
+    pub(crate) async fn seen(&self, at: &Vm, name: &str) -> serde_json::Value {
+        let status = self.fleet.operate_at(at.platform, "GET", "/v1/status", "");
+        let status = status.await.map(|answer| answer.json()).unwrap_or_default();
+        let members = status["members"].as_array().cloned().unwrap_or_default();
+        let mut named = members.into_iter().filter(|member| member["name"] == name);
+        named.next().unwrap_or_default()
+    }
+
     /// Waits until a condition holds, for as long as a change may take to be in force.
     pub(crate) async fn until(&self, what: &str, holds: impl AsyncFn() -> bool) {
         let end = Instant::now() + 4 * IN_FORCE;
--- a/tests/support/src/backend.rs
+++ b/tests/support/src/backend.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::BodyExt as _;
 use hyper::{Request, Response, body::Incoming, service::service_fn};
 use hyper_util::rt::TokioIo;
 use tokio::{
@@ -21,7 +21,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{Caller, Ledger, Run};
+use crate::{Caller, Ledger, Run, body::Body};
 
 /// The lease of an announcement.
 const LEASE: Duration = Duration::from_millis(1500);
@@ -145,6 +145,12 @@
 
 /// Access.
 impl Backend {
+    /// Its name in the ledger.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.shared.opts.name
+    }
+
     /// Where it takes requests.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -224,10 +230,7 @@
         .await;
 }
 
-async fn handle(
-    shared: &Arc<Inner>,
-    req: Request<Incoming>,
-) -> anyhow::Result<Response<Full<Bytes>>> {
+async fn handle(shared: &Arc<Inner>, req: Request<Incoming>) -> anyhow::Result<Response<Body>> {
     let (head, body) = req.into_parts();
     let body = body.collect().await?.to_bytes();
     let behaviour = lock(&shared.behaviour).clone();
@@ -303,8 +306,8 @@
     last
 }
 
-fn shed() -> Response<Full<Bytes>> {
-    let mut res = Response::new(Full::default());
+fn shed() -> Response<Body> {
+    let mut res = Response::new(Body::whole(Bytes::new()));
     *res.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
     let word = hyper::header::HeaderValue::from_static("not-run");
     res.headers_mut().insert("nutmegwheel-outcome", word);
@@ -312,26 +315,23 @@
 }
 
 /// A backend server whose own call failed answers 502 and what it got.
-fn failed_below(called: Option<crate::Answer>) -> Response<Full<Bytes>> {
+fn failed_below(called: Option<crate::Answer>) -> Response<Body> {
     let body = called.map(|answer| answer.body).unwrap_or_default();
-    let mut res = Response::new(Full::new(body));
+    let mut res = Response::new(Body::whole(body));
     *res.status_mut() = hyper::StatusCode::BAD_GATEWAY;
     res
 }
 
-fn finish(behaviour: &Behaviour, report: &serde_json::Value, body: &[u8]) -> Response<Full<Bytes>> {
+fn finish(behaviour: &Behaviour, report: &serde_json::Value, body: &[u8]) -> Response<Body> {
     let mut report = report.clone();
     report["echo"] = String::from_utf8_lossy(body).into();
-    let mut res = Response::new(Full::new(Bytes::from(report.to_string())));
-    match behaviour.fault {
-        Fault::Status(status) => {
-            *res.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
-        }
-        Fault::Truncate => {
-            let longer = hyper::header::HeaderValue::from_static("100000");
-            res.headers_mut().insert("content-length", longer);
-        }
-        _ => {}
+    let bytes = Bytes::from(report.to_string());
+    let mut res = Response::new(match behaviour.fault {
+        Fault::Truncate => Body::truncated(bytes),
+        _ => Body::whole(bytes),
+    });
+    if let Fault::Status(status) = behaviour.fault {
+        *res.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
     }
     res
 }
--- a/tests/support/src/lib.rs
+++ b/tests/support/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs)]
 
 mod backend;
+mod body;
 mod caller;
 mod fleet;
 mod ledger;
