--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -135,7 +135,7 @@
     pub async fn shutdown(self) {
         self.journal.emit(Event::ProcessLeaving, &[]);
         self.spread.leave();
-        self.web.stop();
+        self.web.stop().await;
         self.spread.stop();
         self.endpoint.shutdown().await;
         tokio::time::sleep(GRACE).await;
--- a/crates/nutmegwheel-node/src/door.rs
+++ b/crates/nutmegwheel-node/src/door.rs
@@ -15,7 +15,7 @@
     running::Parent,
     serve,
     shared::Shared,
-    suspects, views,
+    views,
 };
 
 /// Answers callers.
@@ -49,7 +49,6 @@
     if call.deadline <= now {
         return Err(Refusal::not_run(Reason::Deadline, "no time was left"));
     }
-    shared.suspects.check(now, suspects::fingerprint(&call))?;
     let parent = Parent::open(call.context.clone(), call.key, call.deadline);
     let id = forward::call_id(&call, None);
     forward::forward(shared, &parent, call, id).await
--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -23,6 +23,7 @@
     running::{Below, Parent},
     serve::{self, Served},
     shared::Shared,
+    suspects,
 };
 
 /// The time for the way there and back inside a data centre.
@@ -30,6 +31,10 @@
 /// The time for the way there and back between data centres.
 const FAR_ROUND_TRIP: Duration = Duration::from_millis(4);
 
+/// The most backend servers that may break off in one request before it is given up, whether or
+/// not the news of their deaths has come.
+const MAX_LOST: u32 = 2;
+
 /// Names a call among those of its parent.
 pub(crate) fn call_id(call: &Call, name: Option<&str>) -> CallId {
     let mut hash = Sha256::new();
@@ -100,7 +105,9 @@
     settled: &mut Settled<'_>,
 ) -> Result<Answer, Refusal> {
     let mut tried = Vec::new();
+    let mut lost = 0;
     loop {
+        suspects::check(shared, call)?;
         let target = match choose(shared, call, &tried) {
             Ok(target) => target,
             Err(refusal) if tried.is_empty() => return Err(refusal),
@@ -117,6 +124,13 @@
             Err(refusal) => refusal,
         };
         tried.push(target.key);
+        if may_have_killed(&refusal) {
+            lost += 1;
+            if lost >= MAX_LOST {
+                suspects::check(shared, call)?;
+                return Err(refusal);
+            }
+        }
         let others = shared.routes.available(&call.service) > tried.len();
         let attempt = Attempt {
             proof: proof(&refusal),
@@ -179,6 +193,10 @@
     }
 }
 
+fn may_have_killed(refusal: &Refusal) -> bool {
+    refusal.reason == Reason::BackendLost && refusal.outcome == Outcome::MayHaveRun
+}
+
 fn proof(refusal: &Refusal) -> Proof {
     let is_final = matches!(
         refusal.reason,
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -161,7 +161,7 @@
         tokio::time::sleep(LEAVE_TIME).await;
         self.drain().await;
         for server in &self.servers {
-            server.stop();
+            server.stop().await;
         }
         self.shared.spread.stop();
         if let Some(endpoint) = self.shared.endpoint() {
--- a/crates/nutmegwheel-node/src/platform.rs
+++ b/crates/nutmegwheel-node/src/platform.rs
@@ -99,6 +99,7 @@
         "version": shared.views.version(),
         "members": members::shown(shared),
         "running": shared.running.count(),
+        "waiting": shared.gate.report().waiting,
     });
     json(StatusCode::OK, &shown)
 }
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -77,7 +77,9 @@
             if refusal.outcome == Outcome::MayHaveRun {
                 watched.broken();
             }
-            tokio::spawn(suspects::investigate(shared.clone(), address));
+            // The others must know of a death before the request is tried at one of them, also
+            // when the caller leaves meanwhile.
+            let _ = tokio::spawn(suspects::investigate(shared.clone(), address)).await;
         }
         Err(_) => {}
     }
--- a/crates/nutmegwheel-node/src/suspects.rs
+++ b/crates/nutmegwheel-node/src/suspects.rs
@@ -85,8 +85,7 @@
 
 /// Runs.
 impl Suspects {
-    /// Refuses what is in quarantine; cheap enough for every door.
-    pub(crate) fn check(&self, now: Instant, fingerprint: Fingerprint) -> Result<(), Refusal> {
+    fn check(&self, now: Instant, fingerprint: Fingerprint) -> Result<(), Refusal> {
         match self.lock().quarantine.verdict(now, fingerprint) {
             Verdict::Quarantined { .. } => Err(quarantined()),
             Verdict::Clear | Verdict::Suspect => Ok(()),
@@ -159,6 +158,11 @@
     }
 }
 
+/// Refuses what is in quarantine; cheap enough for every try.
+pub(crate) fn check(shared: &Shared, call: &Call) -> Result<(), Refusal> {
+    shared.suspects.check(Instant::now(), fingerprint(call))
+}
+
 /// Finds out whether the backend server died, and tells the fleet what was in flight then.
 pub(crate) async fn investigate(shared: Arc<Shared>, address: SocketAddr) {
     let connect = tokio::net::TcpStream::connect(address);
--- a/crates/nutmegwheel-web/src/connections.rs
+++ b/crates/nutmegwheel-web/src/connections.rs
@@ -7,8 +7,11 @@
 use std::{
     collections::HashMap,
     io,
-    net::{SocketAddr, TcpListener},
-    sync::{Arc, Mutex, PoisonError},
+    net::{Shutdown, SocketAddr, TcpListener},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use xitca_io::net::Stream;
@@ -19,6 +22,7 @@
 #[derive(Clone, Default)]
 pub(crate) struct Connections {
     duplicates: Arc<Mutex<HashMap<SocketAddr, std::net::TcpStream>>>,
+    is_closing: Arc<AtomicBool>,
 }
 
 impl Connections {
@@ -27,20 +31,31 @@
     /// Never returns for a connection that cannot be watched: the answer is then written in vain.
     pub(crate) async fn left(&self, peer: SocketAddr) {
         match self.watch(peer) {
-            Ok(stream) => Self::closed(stream).await,
+            Ok(stream) => self.closed(stream).await,
             Err(_) => std::future::pending().await,
         }
     }
 
+    /// Ends the reading side of every connection: each closes once what was sent to it before is
+    /// answered. From then on no caller is taken to have left.
+    pub(crate) fn close_idle(&self) {
+        self.is_closing.store(true, Ordering::SeqCst);
+        for stream in self.lock().values() {
+            // One that is closed already needs no closing.
+            let _ = stream.shutdown(Shutdown::Read);
+        }
+    }
+
     fn watch(&self, peer: SocketAddr) -> io::Result<tokio::net::TcpStream> {
         let duplicates = self.lock();
         let stream = duplicates.get(&peer).ok_or(io::ErrorKind::NotFound)?;
         tokio::net::TcpStream::from_std(stream.try_clone()?)
     }
 
-    async fn closed(stream: tokio::net::TcpStream) {
+    async fn closed(&self, stream: tokio::net::TcpStream) {
         let mut byte = [0];
         match stream.peek(&mut byte).await {
+            Ok(0) if self.is_closing.load(Ordering::SeqCst) => std::future::pending().await,
             Ok(0) | Err(_) => {}
             // The next request of the same caller is waiting, so the caller is there.
             Ok(_) => std::future::pending().await,
--- a/crates/nutmegwheel-web/src/server.rs
+++ b/crates/nutmegwheel-web/src/server.rs
@@ -5,6 +5,7 @@
     net::{SocketAddr, TcpListener},
     pin::Pin,
     sync::Arc,
+    thread::JoinHandle,
     time::Duration,
 };
 
@@ -29,6 +30,8 @@
 const WRITE_LIMIT: usize = 64 * 1024;
 /// The time between two searches for connections that their peer closed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
+/// The time between two looks whether a listener that stops has ended.
+const STOP_PAUSE: Duration = Duration::from_millis(20);
 /// The time for which a connection may stay without a request.
 const KEEP_ALIVE: Duration = Duration::from_mins(2);
 
@@ -69,6 +72,8 @@
 pub struct Server {
     address: SocketAddr,
     handle: xitca_server::ServerHandle,
+    connections: Connections,
+    thread: JoinHandle<()>,
 }
 
 /// Access.
@@ -82,9 +87,13 @@
 
 /// Lifecycle.
 impl Server {
-    /// Takes no further connections; requests that run are finished.
-    pub fn stop(&self) {
+    /// Takes no further connections, finishes the requests that run and closes idle connections.
+    pub async fn stop(&self) {
         self.handle.stop(true);
+        while !self.thread.is_finished() {
+            self.connections.close_idle();
+            tokio::time::sleep(STOP_PAUSE).await;
+        }
     }
 }
 
@@ -102,9 +111,10 @@
         listener,
         connections: connections.clone(),
     };
+    let served = connections.clone();
     let service = fn_service(move |req: http::Request<RequestExt<RequestBody>>| {
         let handler = handler.clone();
-        let connections = connections.clone();
+        let connections = served.clone();
         let (limit, patience) = (opts.body_limit, opts.patience);
         async move { answer(req, &*handler, &connections, limit, patience).await }
     });
@@ -120,8 +130,19 @@
         .listen(watched)?
         .run();
     let handle = server.handle()?;
-    tokio::spawn(server);
-    Ok(Server { address, handle })
+    // The library blocks the thread that waits for the end of the last connection.
+    let thread = std::thread::Builder::new().name("http-server".to_owned());
+    let thread = thread.spawn(move || {
+        if let Err(e) = server.wait() {
+            log::error!("{address}: {e}");
+        }
+    })?;
+    Ok(Server {
+        address,
+        handle,
+        connections,
+        thread,
+    })
 }
 
 async fn sweep(connections: Connections) {
--- a/crates/nutmegwheel/tests/common/mod.rs
+++ b/crates/nutmegwheel/tests/common/mod.rs
@@ -228,6 +228,24 @@
         }
     }
 
+    /// Waits until a node says that it serves, as after a freeze it first asks its seeds.
+    pub(crate) async fn door_serves(&self, node: &str) {
+        let at = self.vm(node).platform;
+        self.until("the door serves", async || {
+            let answer = self.fleet.caller.call("GET", at, "/readyz", &[], "");
+            answer.await.is_ok_and(|answer| answer.status == 200)
+        })
+        .await;
+    }
+
+    /// How many requests wait in front of a node's backend server.
+    pub(crate) async fn waiting_at(&self, node: &str) -> u64 {
+        let at = self.vm(node).platform;
+        let status = self.fleet.operate_at(at, "GET", "/v1/status", "").await;
+        let status = status.map(|answer| answer.json()).unwrap_or_default();
+        status["waiting"].as_u64().unwrap_or_default()
+    }
+
     /// What one VM knows of a process.
     pub(crate) async fn seen(&self, at: &Vm, name: &str) -> serde_json::Value {
         let status = self.fleet.operate_at(at.platform, "GET", "/v1/status", "");
@@ -246,3 +264,36 @@
         }
     }
 }
+
+/// A caller's connection that is used for one request after the other.
+pub(crate) struct KeptAlive {
+    stream: tokio::io::BufReader<tokio::net::TcpStream>,
+}
+
+impl KeptAlive {
+    pub(crate) async fn open(at: std::net::SocketAddr) -> Self {
+        let stream = tokio::net::TcpStream::connect(at).await;
+        Self {
+            stream: tokio::io::BufReader::new(stream.expect("the door is open")),
+        }
+    }
+
+    /// Sends a whole request and reads one whole answer, of which it returns the head.
+    pub(crate) async fn ask(&mut self, request: &str) -> String {
+        use tokio::io::{AsyncBufReadExt as _, AsyncReadExt as _, AsyncWriteExt as _};
+        let sent = self.stream.get_mut().write_all(request.as_bytes()).await;
+        sent.expect("the connection is open");
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            let read = self.stream.read_line(&mut head).await;
+            assert!(read.is_ok_and(|bytes| bytes > 0), "closed after {head:?}");
+        }
+        let lower = head.to_ascii_lowercase();
+        let length = lower.split("content-length: ").nth(1);
+        let length = length.and_then(|rest| rest.split('\r').next()?.parse().ok());
+        let mut body = vec![0; length.unwrap_or(0)];
+        let read = self.stream.read_exact(&mut body).await;
+        read.expect("the whole answer");
+        head
+    }
+}
--- a/tests/support/src/backend.rs
+++ b/tests/support/src/backend.rs
@@ -172,6 +172,11 @@
         announce(&self.shared, self.address).await;
     }
 
+    /// Announces from the next renewal on that it leaves.
+    pub fn leave(&self) {
+        *lock(&self.shared.state) = "leaving";
+    }
+
     /// Changes what it does with requests from now on.
     pub fn set_behaviour(&self, change: impl FnOnce(&mut Behaviour)) {
         change(&mut lock(&self.shared.behaviour));
