--- a/crates/nutmegwheel/tests/keys.rs
+++ b/crates/nutmegwheel/tests/keys.rs
@@ -71,6 +71,7 @@
             setup.waiting_at("riga1-1").await > 0 || queued.is_finished()
         })
         .await;
+    setup.signal("control-0", "STOP");
     withdraw_at(&setup, "riga1-0").await;
     let queued = queued.await.expect("an answer");
     assert_eq!(queued.outcome(), Some("not-run"), "{}", queued.text());
