--- a/crates/nutmegwheel/tests/common/mod.rs
+++ b/crates/nutmegwheel/tests/common/mod.rs
@@ -28,7 +28,8 @@
   },
   "services": {
     "tally-portal": {"health": {"class": "reports", "open": true}, "*": {"class": "crews"}},
-    "dispatch": {"bill": {"class": "crews", "non_idempotent": true}, "*": {"class": "crews"}},
+    "dispatch": {"bill": {"class": "crews", "non_idempotent": true},
+                 "report": {"class": "reports"}, "*": {"class": "crews"}},
     "shiftbook": {"*": {"class": "reports"}},
     "intake": {"*": {"class": "crews"}}
   },
--- a/tests/support/src/backend.rs
+++ b/tests/support/src/backend.rs
@@ -264,7 +264,12 @@
         body: body.to_vec(),
         began: Instant::now(),
         ended: None,
+        cancelled: false,
     });
+    let _watched = Watched {
+        ledger: &shared.ledger,
+        place,
+    };
     if behaviour.fault == Fault::DieOn(body.to_vec()) {
         shared.killed.cancel();
         std::future::pending::<Infallible>().await;
@@ -287,6 +292,18 @@
     Ok(finish(&behaviour, &report, &body))
 }
 
+/// Notes in the ledger when the work on a request is dropped before its end.
+struct Watched<'a> {
+    ledger: &'a Ledger,
+    place: usize,
+}
+
+impl Drop for Watched<'_> {
+    fn drop(&mut self) {
+        self.ledger.cancel(self.place);
+    }
+}
+
 async fn downstream(
     shared: &Arc<Inner>,
     behaviour: &Behaviour,
--- a/tests/support/src/ledger.rs
+++ b/tests/support/src/ledger.rs
@@ -25,6 +25,8 @@
     pub began: Instant,
     /// When it was answered, `None` when it never was.
     pub ended: Option<Instant>,
+    /// Whether its connection was closed before it was answered.
+    pub cancelled: bool,
 }
 
 /// What ran, over all backend servers of a test.
@@ -46,6 +48,18 @@
         self.lock()[place].ended = Some(Instant::now());
     }
 
+    /// Notes that the connection of a request was closed before it was answered.
+    pub(crate) fn cancel(&self, place: usize) {
+        let run = &mut self.lock()[place];
+        run.cancelled = run.ended.is_none();
+    }
+
+    /// How many requests were cancelled.
+    #[must_use]
+    pub fn cancelled(&self) -> usize {
+        self.lock().iter().filter(|run| run.cancelled).count()
+    }
+
     /// Everything that ran so far.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
