--- a/tests/support/src/backend.rs
+++ b/tests/support/src/backend.rs
@@ -13,6 +13,7 @@
 use http_body_util::{BodyExt as _, Full};
 use hyper::{Request, Response, body::Incoming, service::service_fn};
 use hyper_util::rt::TokioIo;
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 use tokio::{
     io::AsyncWriteExt as _,
     net::{TcpListener, TcpStream},
@@ -44,8 +45,10 @@
 /// What a fake backend server does with requests; can be changed while it runs.
 #[derive(Clone, Debug, Default)]
 pub struct Behaviour {
-    /// The time that a request takes in a slot.
+    /// The time that a request takes in a slot, on average.
     pub service_time: Duration,
+    /// The part of the service time that varies, 0 to 1; it is distributed exponentially.
+    pub spread: f64,
     /// The downstream calls made for a request, by the request's path: each a path.
     pub calls: HashMap<String, Vec<String>>,
     /// How often a failed downstream call is sent again by the backend server itself.
@@ -87,6 +90,7 @@
     slots: Semaphore,
     caller: Caller,
     calls: AtomicU64,
+    rng: Mutex<SmallRng>,
     killed: CancellationToken,
 }
 
@@ -107,6 +111,7 @@
         let killed = CancellationToken::new();
         let shared = Arc::new(Inner {
             slots: Semaphore::new(opts.slots.into()),
+            rng: Mutex::new(SmallRng::seed_from_u64(seed(&opts.name))),
             opts,
             state: Mutex::new("ready"),
             behaviour: Mutex::new(behaviour),
@@ -256,13 +261,16 @@
         body: body.to_vec(),
         began: Instant::now(),
         ended: None,
+        worked: Duration::ZERO,
     });
     if behaviour.fault == Fault::DieOn(body.to_vec()) {
         shared.killed.cancel();
         std::future::pending::<Infallible>().await;
     }
     let _slot = shared.slots.acquire().await?;
-    tokio::time::sleep(behaviour.service_time).await;
+    let time = service_time(&behaviour, &mut lock(&shared.rng));
+    tokio::time::sleep(time).await;
+    shared.ledger.worked(place, time);
     if behaviour.fault == Fault::Break {
         anyhow::bail!("breaks off");
     }
@@ -279,6 +287,20 @@
     Ok(finish(&behaviour, &report, &body))
 }
 
+/// Draws the service time of one request.
+fn service_time(behaviour: &Behaviour, rng: &mut SmallRng) -> Duration {
+    let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+    let factor = 1.0 - behaviour.spread - behaviour.spread * uniform.ln();
+    behaviour.service_time.mul_f64(factor.max(0.0))
+}
+
+/// A seed that is the same in every run, so that a run can be repeated.
+fn seed(name: &str) -> u64 {
+    name.bytes().fold(1, |seed: u64, byte| {
+        seed.wrapping_mul(31).wrapping_add(byte.into())
+    })
+}
+
 async fn downstream(
     shared: &Arc<Inner>,
     behaviour: &Behaviour,
--- a/tests/support/src/ledger.rs
+++ b/tests/support/src/ledger.rs
@@ -1,7 +1,7 @@
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, PoisonError},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 /// One request that a backend server began.
@@ -25,6 +25,8 @@
     pub began: Instant,
     /// When it was answered, `None` when it never was.
     pub ended: Option<Instant>,
+    /// The time that it worked in a slot, without waiting for a slot or for calls of its own.
+    pub worked: Duration,
 }
 
 /// What ran, over all backend servers of a test.
@@ -46,6 +48,11 @@
         self.lock()[place].ended = Some(Instant::now());
     }
 
+    /// Notes the time that a request worked.
+    pub(crate) fn worked(&self, place: usize, time: Duration) {
+        self.lock()[place].worked = time;
+    }
+
     /// Everything that ran so far.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
--- /dev/null
+++ b/tools/bench/src/bed.rs
@@ -0,0 +1,129 @@
+//! The fake backend servers beside the doors of a system.
+
+use std::time::Duration;
+
+use nutmegwheel_support::{Backend, BackendOptions, Behaviour, Fault, Ledger};
+
+use crate::{
+    deployment::{Deployment, Service},
+    system::Place,
+};
+
+/// The part of the service time that varies.
+const SPREAD: f64 = 0.5;
+
+/// One backend server with what it takes to start it again.
+pub(crate) struct Server {
+    pub(crate) service: &'static str,
+    pub(crate) backend: Backend,
+    place: Place,
+    slots: u16,
+    behaviour: Behaviour,
+}
+
+/// All backend servers of a deployment; dropping them kills them.
+pub(crate) struct Bed {
+    pub(crate) ledger: Ledger,
+    pub(crate) servers: Vec<Server>,
+}
+
+/// Lifecycle.
+impl Bed {
+    /// Starts a backend server beside each place, the services taking turns.
+    pub(crate) async fn start(deployment: &Deployment, places: &[Place]) -> std::io::Result<Self> {
+        let ledger = Ledger::default();
+        let mut servers = Vec::new();
+        for (number, place) in places.iter().enumerate() {
+            let service = &deployment.services[number % deployment.services.len()];
+            let behaviour = behaviour(deployment, service);
+            servers.push(Server::start(service, place, behaviour, &ledger).await?);
+        }
+        Ok(Self { ledger, servers })
+    }
+}
+
+fn behaviour(deployment: &Deployment, service: &Service) -> Behaviour {
+    Behaviour {
+        service_time: service.time,
+        spread: SPREAD,
+        calls: deployment.calls_of(service.name),
+        own_retries: 0,
+        fault: Fault::None,
+    }
+}
+
+/// Control.
+impl Bed {
+    /// The backend servers of a service.
+    pub(crate) fn of(&mut self, service: &str) -> impl Iterator<Item = &mut Server> {
+        let servers = self.servers.iter_mut();
+        servers.filter(move |server| server.service == service)
+    }
+
+    /// Starts another backend server in place of each that died.
+    pub(crate) async fn replace_dead(&mut self) -> std::io::Result<()> {
+        for server in &mut self.servers {
+            if server.backend.is_dead() {
+                server.restart(&self.ledger).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Makes a service slower by a factor; 1 makes it as fast as at first.
+    pub(crate) fn slow(&self, service: &Service, factor: f64) {
+        for server in self.servers.iter().filter(|s| s.service == service.name) {
+            server.slow(service.time, factor);
+        }
+    }
+}
+
+impl Server {
+    async fn start(
+        service: &Service,
+        place: &Place,
+        behaviour: Behaviour,
+        ledger: &Ledger,
+    ) -> std::io::Result<Self> {
+        let opts = options(service.name, service.slots, place);
+        let backend = Backend::spawn(opts, behaviour.clone(), ledger.clone()).await?;
+        Ok(Self {
+            service: service.name,
+            backend,
+            place: place.clone(),
+            slots: service.slots,
+            behaviour,
+        })
+    }
+
+    /// Makes the backend server take so many times its usual time.
+    pub(crate) fn slow(&self, time: Duration, factor: f64) {
+        let time = time.mul_f64(factor);
+        self.backend
+            .set_behaviour(|behaviour| behaviour.service_time = time);
+    }
+
+    /// Sets what goes wrong, also after a restart.
+    pub(crate) fn set_fault(&mut self, fault: Fault) {
+        self.behaviour.fault = fault.clone();
+        self.backend
+            .set_behaviour(|behaviour| behaviour.fault = fault);
+    }
+
+    /// Kills the backend server and starts another in its place.
+    pub(crate) async fn restart(&mut self, ledger: &Ledger) -> std::io::Result<()> {
+        self.backend.kill();
+        let opts = options(self.service, self.slots, &self.place);
+        self.backend = Backend::spawn(opts, self.behaviour.clone(), ledger.clone()).await?;
+        Ok(())
+    }
+}
+
+fn options(service: &str, slots: u16, place: &Place) -> BackendOptions {
+    BackendOptions {
+        name: format!("{service}@{}", place.name),
+        service: service.to_owned(),
+        slots,
+        node: place.backend,
+    }
+}
--- /dev/null
+++ b/tools/bench/src/demo.rs
@@ -0,0 +1,156 @@
+//! The demo: a request, an overload and a withdrawal on a local fleet, with a short report.
+
+use std::time::Duration;
+
+use nutmegwheel_support::{Answer, Fleet};
+
+use crate::{
+    bed::Bed,
+    deployment::{self, Deployment},
+    load::{Load, Record},
+    operator, score,
+    system::{self, System as _},
+};
+
+/// The seed of the load.
+const SEED: u64 = 1;
+/// The time of each phase of the load.
+const PHASE: Duration = Duration::from_millis(2500);
+/// How many times its demand a workspace sends in a surge.
+const SURGE: f64 = 4.0;
+
+/// Runs the demo and fails when something is not as it should be.
+pub(crate) async fn run() -> anyhow::Result<()> {
+    let deployment = deployment::demo();
+    let fleet = system::start_fleet(&deployment).await?;
+    let bed = Bed::start(&deployment, &fleet.places()).await?;
+    operator::announced(&fleet, bed.servers.len()).await?;
+    println!(
+        "fleet     {} nodes in {} data centres, {} control VMs, {} backend servers",
+        fleet.nodes.len(),
+        deployment.data_centres.len(),
+        fleet.control.len(),
+        bed.servers.len(),
+    );
+    show_request(&fleet, &bed, &deployment).await?;
+    show_overload(&fleet, &bed, &deployment).await?;
+    show_withdrawal(&fleet, &deployment).await?;
+    println!("\nall as it should be");
+    Ok(())
+}
+
+async fn call(fleet: &Fleet, deployment: &Deployment) -> anyhow::Result<Answer> {
+    let key = format!("Bearer {}", deployment.key(0));
+    let path = format!(
+        "/{}/{}",
+        deployment.front().name,
+        deployment.classes[0].name
+    );
+    let door = fleet.nodes[0].vm.callers;
+    let fields = [("authorization", key.as_str())];
+    fleet.caller.call("POST", door, &path, &fields, "42").await
+}
+
+async fn show_request(fleet: &Fleet, bed: &Bed, deployment: &Deployment) -> anyhow::Result<()> {
+    let answer = call(fleet, deployment).await?;
+    anyhow::ensure!(answer.status == 200, "{} {}", answer.status, answer.text());
+    let root = answer
+        .fields
+        .get("nutmegwheel-request")
+        .cloned()
+        .unwrap_or_default();
+    println!(
+        "\nrequest   {root} through the door of {}",
+        fleet.nodes[0].vm.name
+    );
+    for run in bed.ledger.runs().iter().filter(|run| run.root == root) {
+        let workspace = run.workspace.as_deref().unwrap_or("-");
+        println!(
+            "          ran {} on {} for {workspace}",
+            run.path, run.backend
+        );
+    }
+    let deepest = deployment.deepest().name;
+    anyhow::ensure!(
+        answer.json()["below"]["service"] == deepest,
+        "{}",
+        answer.text()
+    );
+    Ok(())
+}
+
+async fn show_overload(fleet: &Fleet, bed: &Bed, deployment: &Deployment) -> anyhow::Result<()> {
+    let doors = fleet.places().iter().map(|place| place.callers).collect();
+    let mut load = Load::open(deployment, doors, SEED);
+    let vidzeme_only = |workspace| if workspace == 0 { SURGE } else { 1.0 };
+    load.phase(PHASE, |_| 1.0).await;
+    load.phase(PHASE, vidzeme_only).await;
+    load.phase(PHASE, |_| SURGE).await;
+    let trigger_end = std::time::Instant::now();
+    load.phase(PHASE, |_| 1.0).await;
+    let end = std::time::Instant::now();
+    let records = load.finish().await;
+    print_phases(deployment, &records);
+    let recovery = score::recovery(&records, trigger_end, end);
+    anyhow::ensure!(recovery.is_some(), "no recovery within {PHASE:?}");
+    let runs = bed.ledger.runs();
+    println!(
+        "          recovered {:.2} s after the surge; at most {} retries of a call; {:.1} % of the work wasted",
+        recovery.unwrap_or_default().as_secs_f64(),
+        score::most_retries(&runs),
+        100.0 * score::wasted(&runs, &records),
+    );
+    Ok(())
+}
+
+fn print_phases(deployment: &Deployment, records: &[Record]) {
+    println!("\noverload  in time, of whole requests with up to 3 resends (seed {SEED})");
+    print!("          {:24}{:>9}", "", "sent/s");
+    for class in &deployment.classes {
+        print!("{:>9}", class.name);
+    }
+    for workspace in &deployment.workspaces {
+        print!("{:>9}", workspace.name);
+    }
+    println!();
+    let names = [
+        "usual demand",
+        "vidzeme sends 4 times",
+        "both send 4 times",
+        "usual demand again",
+    ];
+    for (phase, name) in names.iter().enumerate() {
+        let of_phase: Vec<&Record> = records.iter().filter(|r| r.phase == phase).collect();
+        #[allow(clippy::cast_precision_loss)]
+        let rate = of_phase.len() as f64 / PHASE.as_secs_f64();
+        print!("          {name:24}{rate:>9.0}");
+        for class in 0..deployment.classes.len() {
+            let part = score::part_in_time(of_phase.iter().copied().filter(|r| r.class == class));
+            print!("{:>8.1}%", 100.0 * part);
+        }
+        for workspace in 0..deployment.workspaces.len() {
+            let of_workspace = of_phase
+                .iter()
+                .copied()
+                .filter(|r| r.workspace == workspace);
+            print!("{:>8.1}%", 100.0 * score::part_in_time(of_workspace));
+        }
+        println!();
+    }
+}
+
+async fn show_withdrawal(fleet: &Fleet, deployment: &Deployment) -> anyhow::Result<()> {
+    let took = operator::withdraw(fleet, &deployment.key(0)).await?;
+    println!(
+        "\nkey       of vidzeme withdrawn; in force everywhere after {:.2} s",
+        took.as_secs_f64()
+    );
+    let answer = call(fleet, deployment).await?;
+    println!(
+        "          its next request: {} {}",
+        answer.status,
+        answer.reason()
+    );
+    anyhow::ensure!(answer.status == 401, "a withdrawn key was taken");
+    Ok(())
+}
--- /dev/null
+++ b/tools/bench/src/deployment.rs
@@ -0,0 +1,218 @@
+//! The deployments of the users, scaled down to one machine.
+
+use std::{collections::HashMap, time::Duration};
+
+/// The rates of the workspaces, as a multiple of what they send when nothing surges.
+const RATE_OVER_DEMAND: f64 = 4.0;
+
+/// One service of a call chain.
+pub(crate) struct Service {
+    pub(crate) name: &'static str,
+    /// The requests that a backend server works on at a time.
+    pub(crate) slots: u16,
+    /// The average time of a request in a slot, without calls further down.
+    pub(crate) time: Duration,
+}
+
+/// A class of work with the endpoint that carries its name on every service.
+pub(crate) struct Class {
+    pub(crate) name: &'static str,
+    pub(crate) rank: u8,
+    pub(crate) within: Duration,
+    /// Its part of the demand; the parts of all classes sum to 1.
+    pub(crate) part: f64,
+}
+
+/// A tenant with its part of the demand; the parts of all workspaces sum to 1.
+pub(crate) struct Workspace {
+    pub(crate) name: &'static str,
+    pub(crate) part: f64,
+}
+
+/// A fleet with what it serves.
+pub(crate) struct Deployment {
+    pub(crate) name: &'static str,
+    pub(crate) data_centres: Vec<&'static str>,
+    /// The backend servers of each service in each data centre.
+    pub(crate) copies: usize,
+    /// The call chain, from the service that callers ask to the deepest.
+    pub(crate) services: Vec<Service>,
+    pub(crate) classes: Vec<Class>,
+    pub(crate) workspaces: Vec<Workspace>,
+    /// Requests a second over all workspaces when nothing surges.
+    pub(crate) demand: f64,
+    /// The rates of the workspaces over what they send when nothing surges.
+    pub(crate) rate_over_demand: f64,
+}
+
+fn service(name: &'static str, slots: u16, millis: u64) -> Service {
+    Service {
+        name,
+        slots,
+        time: Duration::from_millis(millis),
+    }
+}
+
+fn class(name: &'static str, rank: u8, millis: u64, part: f64) -> Class {
+    Class {
+        name,
+        rank,
+        within: Duration::from_millis(millis),
+        part,
+    }
+}
+
+fn workspaces(names: [&'static str; 8]) -> Vec<Workspace> {
+    let parts = [0.30, 0.20, 0.14, 0.10, 0.08, 0.07, 0.06, 0.05];
+    let named = names.into_iter().zip(parts);
+    named.map(|(name, part)| Workspace { name, part }).collect()
+}
+
+/// The small fleet of the demo.
+pub(crate) fn demo() -> Deployment {
+    Deployment {
+        name: "demo",
+        data_centres: vec!["riga1", "riga2", "riga3"],
+        copies: 1,
+        services: vec![service("tally-portal", 10, 10), service("dispatch", 2, 40)],
+        classes: vec![
+            class("crews", 0, 800, 0.25),
+            class("counts", 1, 1500, 0.35),
+            class("reports", 2, 3000, 0.4),
+        ],
+        workspaces: vec![
+            Workspace {
+                name: "vidzeme",
+                part: 0.6,
+            },
+            Workspace {
+                name: "zemgale",
+                part: 0.4,
+            },
+        ],
+        demand: 80.0,
+        rate_over_demand: RATE_OVER_DEMAND,
+    }
+}
+
+/// Skaitītājs: a tenth of the slots, twice as many backend servers as data centres.
+pub(crate) fn skaititajs() -> Deployment {
+    Deployment {
+        name: "skaititajs",
+        data_centres: vec!["riga1", "riga2", "riga3"],
+        copies: 2,
+        services: vec![
+            service("tally-portal", 6, 20),
+            service("dispatch", 7, 20),
+            service("shiftbook", 9, 20),
+            service("intake", 2, 16),
+        ],
+        classes: vec![
+            class("crews", 0, 800, 0.25),
+            class("counts", 1, 1500, 0.35),
+            class("reports", 2, 3000, 0.4),
+        ],
+        workspaces: workspaces([
+            "riga",
+            "liepaja",
+            "daugavpils",
+            "jelgava",
+            "jurmala",
+            "ventspils",
+            "rezekne",
+            "cesis",
+        ]),
+        demand: 168.0,
+        rate_over_demand: RATE_OVER_DEMAND,
+    }
+}
+
+/// Kawayan: a tenth of the slots, one backend server of each service in each data centre.
+pub(crate) fn kawayan() -> Deployment {
+    Deployment {
+        name: "kawayan",
+        data_centres: vec!["luzon1", "luzon2", "luzon3", "luzon4"],
+        copies: 1,
+        services: vec![
+            service("sward-portal", 7, 20),
+            service("subsidy-desk", 8, 20),
+            service("fieldbook", 8, 20),
+            service("paddock-alerts", 3, 16),
+        ],
+        classes: vec![
+            class("alerts", 0, 1000, 0.25),
+            class("claims", 1, 2000, 0.35),
+            class("surveys", 2, 4000, 0.4),
+        ],
+        workspaces: workspaces([
+            "benguet", "isabela", "tarlac", "abra", "ifugao", "kalinga", "apayao", "quirino",
+        ]),
+        demand: 140.0,
+        rate_over_demand: RATE_OVER_DEMAND,
+    }
+}
+
+/// Access.
+impl Deployment {
+    /// The service that callers ask.
+    pub(crate) fn front(&self) -> &Service {
+        &self.services[0]
+    }
+
+    /// The service at the end of the chain.
+    pub(crate) fn deepest(&self) -> &Service {
+        &self.services[self.services.len() - 1]
+    }
+
+    /// The nodes of each data centre.
+    pub(crate) fn nodes_per_data_centre(&self) -> usize {
+        self.copies * self.services.len()
+    }
+
+    /// The calls that a backend server of the service makes, by the path of its request.
+    pub(crate) fn calls_of(&self, service: &str) -> HashMap<String, Vec<String>> {
+        let place = self.services.iter().position(|known| known.name == service);
+        let below = place.and_then(|place| self.services.get(place + 1));
+        let Some(below) = below else {
+            return HashMap::new();
+        };
+        let classes = self.classes.iter();
+        classes
+            .map(|class| {
+                let path = format!("/{service}/{}", class.name);
+                (path, vec![format!("/{}/{}", below.name, class.name)])
+            })
+            .collect()
+    }
+
+    /// The key of a workspace.
+    pub(crate) fn key(&self, workspace: usize) -> String {
+        format!("key-of-{}-000001", self.workspaces[workspace].name)
+    }
+
+    /// Requests a second that a workspace may send.
+    pub(crate) fn rate(&self, workspace: usize) -> f64 {
+        self.workspaces[workspace].part * self.demand * self.rate_over_demand
+    }
+
+    /// The configuration as an operator writes it.
+    pub(crate) fn configuration(&self) -> String {
+        let mut document = serde_json::json!({"retries_per_request": 3});
+        for class in &self.classes {
+            document["classes"][class.name] = serde_json::json!({
+                "rank": class.rank,
+                "finish": 0.99,
+                "within_ms": class.within.as_millis(),
+            });
+            for service in &self.services {
+                document["services"][service.name][class.name]["class"] = class.name.into();
+            }
+        }
+        for (place, workspace) in self.workspaces.iter().enumerate() {
+            let rate = self.rate(place);
+            document["workspaces"][workspace.name] =
+                serde_json::json!({"rate": rate, "burst": rate.ceil().max(1.0)});
+        }
+        document.to_string()
+    }
+}
--- /dev/null
+++ b/tools/bench/src/main.rs
@@ -0,0 +1,60 @@
+//! The development tool of nutmegwheel: `demo` and `measure`.
+//!
+//! Both start real processes of the system and fake backend servers on loopback, drive them as
+//! callers and operators would, and end by themselves. See docs/MEASURE.md.
+#![forbid(unsafe_code)]
+#![deny(missing_docs)]
+
+mod bed;
+mod demo;
+mod deployment;
+mod flags;
+mod load;
+mod measure;
+mod operator;
+mod program;
+mod score;
+mod system;
+
+use std::process::ExitCode;
+
+use flags::{MeasureCmd, NutmegwheelBench, NutmegwheelBenchCmd};
+
+/// The command line is wrong.
+const USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let flags = match NutmegwheelBench::from_env() {
+        Ok(flags) => flags,
+        Err(e) if e.is_help() => {
+            println!("{e}");
+            return ExitCode::SUCCESS;
+        }
+        Err(e) => {
+            eprintln!("{e}\n\nTry: nutmegwheel-bench --help");
+            return ExitCode::from(USAGE);
+        }
+    };
+    match run(flags.subcommand) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(cmd: NutmegwheelBenchCmd) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    match cmd {
+        NutmegwheelBenchCmd::Demo(_) => runtime.block_on(demo::run()),
+        NutmegwheelBenchCmd::Measure(cmd) => runtime.block_on(measure(cmd.subcommand)),
+    }
+}
+
+async fn measure(cmd: MeasureCmd) -> anyhow::Result<()> {
+    match cmd {
+        MeasureCmd::Scenarios(flags) => measure::scenarios(&flags).await,
+        MeasureCmd::Added(_) | MeasureCmd::Slopes(_) => anyhow::bail!("not built yet"),
+    }
+}
--- /dev/null
+++ b/tools/bench/src/measure/mod.rs
@@ -0,0 +1,126 @@
+//! The measurements.
+
+mod figures;
+mod report;
+mod round;
+mod scenario;
+
+use std::path::{Path, PathBuf};
+
+use anyhow::Context as _;
+
+use crate::{
+    deployment::{self, Deployment},
+    flags::Scenarios,
+};
+use figures::Figures;
+use round::SystemKind;
+use scenario::Scenario;
+
+/// How often each scenario is run unless told otherwise.
+const ROUNDS: u64 = 3;
+/// The first seed unless told otherwise.
+const SEED: u64 = 1;
+
+/// What is run.
+struct Options {
+    scenarios: Vec<Scenario>,
+    deployments: Vec<fn() -> Deployment>,
+    systems: Vec<SystemKind>,
+    rounds: u64,
+    seed: u64,
+    events: Option<PathBuf>,
+}
+
+/// One run with what it showed.
+pub(crate) struct Run {
+    pub(crate) scenario: Scenario,
+    pub(crate) deployment: &'static str,
+    pub(crate) system: SystemKind,
+    pub(crate) seed: u64,
+    pub(crate) figures: Figures,
+}
+
+impl Options {
+    fn read(flags: &Scenarios) -> anyhow::Result<Self> {
+        let deployments = [
+            ("skaititajs", deployment::skaititajs as fn() -> Deployment),
+            ("kawayan", deployment::kawayan),
+        ];
+        let wanted = |name: &str| flags.deployment.as_deref().is_none_or(|only| only == name);
+        let deployments: Vec<_> = deployments
+            .into_iter()
+            .filter(|(name, _)| wanted(name))
+            .map(|(_, open)| open)
+            .collect();
+        anyhow::ensure!(
+            !deployments.is_empty(),
+            "--deployment: skaititajs or kawayan"
+        );
+        Ok(Self {
+            scenarios: Scenario::read(flags.only.as_deref())?,
+            deployments,
+            systems: SystemKind::read(flags.system.as_deref())?,
+            rounds: flags.rounds.unwrap_or(ROUNDS),
+            seed: flags.seed.unwrap_or(SEED),
+            events: flags.events.clone(),
+        })
+    }
+}
+
+/// Runs the scenarios and prints what they showed.
+pub(crate) async fn scenarios(flags: &Scenarios) -> anyhow::Result<()> {
+    let opts = Options::read(flags)?;
+    if let Some(folder) = &opts.events {
+        std::fs::create_dir_all(folder)?;
+    }
+    for scenario in &opts.scenarios {
+        for open in &opts.deployments {
+            let deployment = scenario.adapt(open());
+            let runs = rounds(&opts, *scenario, &deployment).await?;
+            if flags.json {
+                runs.iter()
+                    .for_each(|run| println!("{}", report::json(run)));
+            } else {
+                report::print(*scenario, &deployment, &runs);
+            }
+        }
+    }
+    Ok(())
+}
+
+async fn rounds(
+    opts: &Options,
+    scenario: Scenario,
+    deployment: &Deployment,
+) -> anyhow::Result<Vec<Run>> {
+    let mut runs = Vec::new();
+    for seed in opts.seed..opts.seed + opts.rounds {
+        for system in &opts.systems {
+            let events = opts.events.as_deref();
+            let events = events.map(|folder| events_path(folder, scenario, deployment, seed));
+            let figures = round::run(scenario, deployment, *system, seed, events.as_deref())
+                .await
+                .with_context(|| format!("{} on {}", scenario.name(), deployment.name))?;
+            eprintln!(
+                "{} {} {} seed {seed}: done",
+                scenario.name(),
+                deployment.name,
+                system.name()
+            );
+            runs.push(Run {
+                scenario,
+                deployment: deployment.name,
+                system: *system,
+                seed,
+                figures,
+            });
+        }
+    }
+    Ok(runs)
+}
+
+fn events_path(folder: &Path, scenario: Scenario, deployment: &Deployment, seed: u64) -> PathBuf {
+    let name = format!("{}-{}-{seed}.jsonl", scenario.name(), deployment.name);
+    folder.join(name)
+}
--- /dev/null
+++ b/tools/bench/src/measure/report.rs
@@ -0,0 +1,199 @@
+//! Tables for people and JSON for programs.
+
+use super::{Run, figures::Figures, round::SystemKind, scenario::Scenario};
+use crate::deployment::Deployment;
+
+/// A line of the table: what it shows, its target, and how it is taken from a run.
+struct Line {
+    name: &'static str,
+    target: &'static str,
+    value: fn(&Figures) -> f64,
+    decimals: usize,
+}
+
+const LINES: &[Line] = &[
+    Line {
+        name: "goodput, calm (1/s)",
+        target: "",
+        value: |f| f.calm,
+        decimals: 0,
+    },
+    Line {
+        name: "goodput under trigger (1/s)",
+        target: "",
+        value: |f| f.under,
+        decimals: 0,
+    },
+    Line {
+        name: "goodput over the same capacity without surge (%)",
+        target: ">= 90",
+        value: |f| 100.0 * f.goodput_part,
+        decimals: 1,
+    },
+    Line {
+        name: "recovery (s)",
+        target: "<= 5",
+        value: |f| f.recovery.map_or(f64::INFINITY, |time| time.as_secs_f64()),
+        decimals: 2,
+    },
+    Line {
+        name: "worst-served workspace, of its due (%)",
+        target: ">= 95",
+        value: |f| 100.0 * worst(&[f]),
+        decimals: 1,
+    },
+    Line {
+        name: "wrongful refusals (%)",
+        target: "< 0.1",
+        value: wrongful,
+        decimals: 2,
+    },
+    Line {
+        name: "most retries of a call",
+        target: "<= 3",
+        value: |f| count(f.most_retries),
+        decimals: 0,
+    },
+    Line {
+        name: "work wasted (%)",
+        target: "",
+        value: |f| 100.0 * f.wasted,
+        decimals: 1,
+    },
+    Line {
+        name: "top class lost while a lower ran",
+        target: "0",
+        value: |f| count(f.top_lost),
+        decimals: 0,
+    },
+];
+
+#[allow(clippy::cast_precision_loss)]
+fn count(count: usize) -> f64 {
+    count as f64
+}
+
+fn wrongful(figures: &Figures) -> f64 {
+    100.0 * count(figures.wrongful) / count(figures.sufficient.max(1))
+}
+
+/// The worst part of its due that a workspace got, over all runs together.
+fn worst(all: &[&Figures]) -> f64 {
+    let Some(first) = all.first() else { return 1.0 };
+    let part = |place: usize| {
+        let got: f64 = all.iter().map(|figures| figures.shares[place].got).sum();
+        let due: f64 = all.iter().map(|figures| figures.shares[place].due).sum();
+        got / due.max(1.0)
+    };
+    (0..first.shares.len())
+        .map(part)
+        .fold(f64::INFINITY, f64::min)
+}
+
+/// Prints the table of one scenario: the median of the rounds with the least and the greatest.
+pub(crate) fn print(scenario: Scenario, deployment: &Deployment, runs: &[Run]) {
+    let seeds: Vec<String> = runs.iter().map(|run| run.seed.to_string()).collect();
+    let mut seeds = seeds;
+    seeds.dedup();
+    println!(
+        "\n{} on {}, seeds {}",
+        scenario.name(),
+        deployment.name,
+        seeds.join(" ")
+    );
+    println!("{:50}{:>8}{:>26}{:>26}", "", "target", "ours", "baseline");
+    let figures = |system| -> Vec<&Figures> {
+        let of_system = runs.iter().filter(|run| run.system == system);
+        of_system.map(|run| &run.figures).collect()
+    };
+    let (ours, baseline) = (figures(SystemKind::Ours), figures(SystemKind::Baseline));
+    for line in LINES {
+        println!(
+            "{:50}{:>8}{:>26}{:>26}",
+            line.name,
+            line.target,
+            line.show(&ours),
+            line.show(&baseline),
+        );
+    }
+    let pooled = |figures: &[&Figures]| format!("{:.1}", 100.0 * worst(figures));
+    println!(
+        "{:50}{:>8}{:>26}{:>26}",
+        "worst-served workspace, all rounds together (%)",
+        ">= 95",
+        pooled(&ours),
+        pooled(&baseline),
+    );
+    for (place, class) in deployment.classes.iter().enumerate() {
+        let shown = |figures: &[&Figures]| {
+            spread(
+                figures.iter().map(|f| 100.0 * f.classes[place]).collect(),
+                1,
+            )
+        };
+        let name = format!(
+            "{} (rank {}) in time under trigger (%)",
+            class.name, class.rank
+        );
+        println!(
+            "{name:50}{:>8}{:>26}{:>26}",
+            "",
+            shown(&ours),
+            shown(&baseline)
+        );
+    }
+}
+
+impl Line {
+    fn show(&self, figures: &[&Figures]) -> String {
+        let values = figures.iter().map(|figures| (self.value)(figures));
+        spread(values.collect(), self.decimals)
+    }
+}
+
+/// The median with the least and the greatest.
+fn spread(mut values: Vec<f64>, decimals: usize) -> String {
+    values.sort_by(f64::total_cmp);
+    let Some((least, greatest)) = values.first().zip(values.last()) else {
+        return "not run".into();
+    };
+    let median = values[values.len() / 2];
+    let show = |value: f64| {
+        if value.is_finite() {
+            format!("{value:.decimals$}")
+        } else {
+            "never".into()
+        }
+    };
+    format!("{} [{} .. {}]", show(median), show(*least), show(*greatest))
+}
+
+/// One run as JSON.
+pub(crate) fn json(run: &Run) -> serde_json::Value {
+    let figures = &run.figures;
+    let shares = figures.shares.iter();
+    let shares = shares.map(|share| {
+        serde_json::json!({"workspace": share.workspace, "got": share.got, "due": share.due})
+    });
+    serde_json::json!({
+        "scenario": run.scenario.name(),
+        "deployment": run.deployment,
+        "system": run.system.name(),
+        "seed": run.seed,
+        "trigger_s": figures.lasted.as_secs_f64(),
+        "goodput_calm": figures.calm,
+        "goodput_under": figures.under,
+        "goodput_part": figures.goodput_part,
+        "recovery_s": figures.recovery.map(|time| time.as_secs_f64()),
+        "worst_served": worst(&[figures]),
+        "shares": shares.collect::<Vec<_>>(),
+        "wrongful": figures.wrongful,
+        "sufficient": figures.sufficient,
+        "most_retries": figures.most_retries,
+        "wasted": figures.wasted,
+        "top_lost": figures.top_lost,
+        "classes_in_time": figures.classes,
+        "reasons": figures.reasons,
+        "wrongful_reasons": figures.wrongful_reasons,
+    })
+}
--- /dev/null
+++ b/tools/bench/src/system/baseline.rs
@@ -0,0 +1,208 @@
+//! A baseline without control: plain forwarders that choose at random and retry at each layer.
+
+use std::{
+    collections::HashMap,
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full};
+use hyper::{Request, Response, StatusCode, body::Incoming, service::service_fn};
+use hyper_util::rt::TokioIo;
+use nutmegwheel_support::{Answer, Caller};
+use tokio::{net::TcpListener, task::JoinSet};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use super::{Place, System};
+use crate::deployment::Deployment;
+
+/// How often a forwarder sends a failed request again.
+const RETRIES: u32 = 2;
+/// The time after which an announcement that was not renewed lapses.
+const LEASE: Duration = Duration::from_millis(1500);
+/// The request's root id, under the name that backend servers know it by.
+const REQUEST: &str = "nutmegwheel-request";
+/// The field that backend servers copy to their calls; here it carries root and workspace.
+const CONTEXT: &str = "nutmegwheel-context";
+/// The workspace's name.
+const WORKSPACE: &str = "nutmegwheel-workspace";
+
+/// Forwarders, one beside each backend server; they end when this is dropped.
+pub(crate) struct Baseline {
+    places: Vec<Place>,
+    _stop: DropGuard,
+}
+
+struct Shared {
+    http: Caller,
+    keys: HashMap<String, &'static str>,
+    /// The backend servers of each service, with the time of their last announcement.
+    servers: Mutex<HashMap<String, HashMap<SocketAddr, Instant>>>,
+    roots: AtomicU64,
+    /// The time after which a forwarder gives up on a try.
+    patience: Duration,
+}
+
+/// Lifecycle.
+impl Baseline {
+    pub(crate) async fn start(deployment: &Deployment) -> std::io::Result<Self> {
+        let workspaces = deployment.workspaces.iter().enumerate();
+        let classes = deployment.classes.iter();
+        let shared = Arc::new(Shared {
+            http: Caller::open(),
+            keys: workspaces
+                .map(|(place, workspace)| {
+                    (format!("Bearer {}", deployment.key(place)), workspace.name)
+                })
+                .collect(),
+            servers: Mutex::default(),
+            roots: AtomicU64::new(1),
+            patience: classes.map(|class| class.within).max().unwrap_or_default(),
+        });
+        let stop = CancellationToken::new();
+        let mut places = Vec::new();
+        for data_centre in &deployment.data_centres {
+            for number in 0..deployment.nodes_per_data_centre() {
+                places.push(Place {
+                    name: format!("{data_centre}-{number}"),
+                    callers: listen(shared.clone(), &stop).await?,
+                    backend: listen(shared.clone(), &stop).await?,
+                });
+            }
+        }
+        Ok(Self {
+            places,
+            _stop: stop.drop_guard(),
+        })
+    }
+}
+
+impl System for Baseline {
+    fn places(&self) -> Vec<Place> {
+        self.places.clone()
+    }
+}
+
+async fn listen(shared: Arc<Shared>, stop: &CancellationToken) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+    let address = listener.local_addr()?;
+    let accepting = accept_always(listener, shared);
+    tokio::spawn(stop.clone().run_until_cancelled_owned(accepting));
+    Ok(address)
+}
+
+async fn accept_always(listener: TcpListener, shared: Arc<Shared>) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            Ok((stream, _)) = listener.accept() => {
+                let _ = stream.set_nodelay(true);
+                let shared = shared.clone();
+                connections.spawn(async move {
+                    let service = service_fn(|req| answer(&shared, req));
+                    let connection = hyper::server::conn::http1::Builder::new();
+                    let _ = connection.serve_connection(TokioIo::new(stream), service).await;
+                });
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn answer(
+    shared: &Shared,
+    req: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (head, body) = req.into_parts();
+    let Ok(body) = body.collect().await else {
+        return Ok(status(StatusCode::BAD_REQUEST));
+    };
+    let body = body.to_bytes();
+    let path = head.uri.path();
+    if path == "/v1/announcement" {
+        shared.announce(&body);
+        return Ok(status(StatusCode::OK));
+    }
+    let field = |name: &str| {
+        let value = head.headers.get(name)?;
+        value.to_str().ok().map(str::to_owned)
+    };
+    let context = field(CONTEXT).or_else(|| {
+        let workspace = shared.keys.get(&field("authorization")?)?;
+        let root = shared.roots.fetch_add(1, Ordering::Relaxed);
+        Some(format!("{root:032x}/{workspace}"))
+    });
+    let Some(context) = context else {
+        return Ok(status(StatusCode::UNAUTHORIZED));
+    };
+    Ok(shared.forward(path, &context, &body).await)
+}
+
+impl Shared {
+    fn announce(&self, body: &[u8]) {
+        let document: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
+        let service = document["service"].as_str().unwrap_or_default().to_owned();
+        let address = document["address"].as_str().unwrap_or_default().parse();
+        let Ok(address) = address else { return };
+        let mut servers = self.servers.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = servers.entry(service).or_default();
+        if document["state"] == "ready" {
+            known.insert(address, Instant::now());
+        } else {
+            known.remove(&address);
+        }
+        known.retain(|_, at| at.elapsed() < LEASE);
+    }
+
+    fn choose(&self, path: &str) -> Option<SocketAddr> {
+        let service = path.split('/').nth(1)?;
+        let servers = self.servers.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = servers.get(service)?.iter();
+        let known: Vec<SocketAddr> = known
+            .filter(|(_, at)| at.elapsed() < LEASE)
+            .map(|(address, _)| *address)
+            .collect();
+        (!known.is_empty()).then(|| known[rand::random_range(0..known.len())])
+    }
+
+    async fn forward(&self, path: &str, context: &str, body: &Bytes) -> Response<Full<Bytes>> {
+        let root = context.split('/').next().unwrap_or_default();
+        let mut last = None;
+        for _ in 0..=RETRIES {
+            last = self.attempt(path, context, body).await;
+            if last.as_ref().is_some_and(|answer| answer.status < 500) {
+                break;
+            }
+        }
+        let Some(last) = last else {
+            return status(StatusCode::BAD_GATEWAY);
+        };
+        let code = StatusCode::from_u16(last.status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let mut res = Response::new(Full::new(last.body));
+        *res.status_mut() = code;
+        if let Ok(root) = root.parse() {
+            res.headers_mut().insert(REQUEST, root);
+        }
+        res
+    }
+
+    async fn attempt(&self, path: &str, context: &str, body: &Bytes) -> Option<Answer> {
+        let at = self.choose(path)?;
+        let (root, workspace) = context.split_once('/')?;
+        let fields = [(CONTEXT, context), (REQUEST, root), (WORKSPACE, workspace)];
+        let answer = self.http.call("POST", at, path, &fields, body.clone());
+        tokio::time::timeout(self.patience, answer).await.ok()?.ok()
+    }
+}
+
+fn status(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut res = Response::new(Full::default());
+    *res.status_mut() = status;
+    res
+}
--- /dev/null
+++ b/tools/bench/src/system/mod.rs
@@ -0,0 +1,54 @@
+//! What is measured: the fleet of our processes, or the baseline that stands for no control.
+
+pub(crate) mod baseline;
+
+use std::net::SocketAddr;
+
+use nutmegwheel_support::{Fleet, FleetOptions};
+
+use crate::{deployment::Deployment, operator, program};
+
+/// The number of control VMs.
+const CONTROL_VMS: usize = 3;
+
+/// The listeners beside one backend server.
+#[derive(Clone, Debug)]
+pub(crate) struct Place {
+    pub(crate) name: String,
+    pub(crate) callers: SocketAddr,
+    pub(crate) backend: SocketAddr,
+}
+
+/// A running system under load.
+pub(crate) trait System {
+    /// The listeners, in the order of the data centres.
+    fn places(&self) -> Vec<Place>;
+}
+
+impl System for Fleet {
+    fn places(&self) -> Vec<Place> {
+        let nodes = self.nodes.iter();
+        nodes
+            .map(|node| Place {
+                name: node.vm.name.clone(),
+                callers: node.vm.callers,
+                backend: node.vm.backend,
+            })
+            .collect()
+    }
+}
+
+/// Starts a fleet of our processes and configures it.
+pub(crate) async fn start_fleet(deployment: &Deployment) -> anyhow::Result<Fleet> {
+    let nodes = deployment.nodes_per_data_centre();
+    let data_centres = deployment.data_centres.iter();
+    let fleet = Fleet::start(FleetOptions {
+        program: program::locate()?,
+        data_centres: data_centres.map(|name| (*name, nodes)).collect(),
+        control_vms: CONTROL_VMS,
+    })
+    .await?;
+    operator::configure(&fleet, deployment).await?;
+    fleet.ready().await?;
+    Ok(fleet)
+}
