--- a/tools/bench/src/load.rs
+++ b/tools/bench/src/load.rs
@@ -183,7 +183,8 @@
             record.attempts += 1;
             let door = self.doors[rng.random_range(0..self.doors.len())];
             let left = deadline.saturating_duration_since(Instant::now());
-            let answer = self.ask(door, path, &self.keys[req.workspace], left).await;
+            let key = &self.keys[req.workspace];
+            let answer = self.ask(door, path, key, left, req.seed).await;
             if record.note(answer, deadline) {
                 break;
             }
@@ -192,13 +193,21 @@
         record
     }
 
-    async fn ask(&self, door: SocketAddr, path: &str, key: &str, left: Duration) -> Option<Answer> {
+    async fn ask(
+        &self,
+        door: SocketAddr,
+        path: &str,
+        key: &str,
+        left: Duration,
+        number: u64,
+    ) -> Option<Answer> {
         let left_ms = left.as_millis().to_string();
         let fields = [
             ("authorization", key),
             ("nutmegwheel-deadline-ms", left_ms.as_str()),
         ];
-        let answer = self.http.call("POST", door, path, &fields, "");
+        let body = number.to_string();
+        let answer = self.http.call("POST", door, path, &fields, body);
         tokio::time::timeout(left, answer).await.ok()?.ok()
     }
 }
@@ -219,8 +228,10 @@
             }
             return true;
         }
-        self.reasons
-            .push(format!("{} {}", answer.status, answer.reason()));
+        let document = answer.json();
+        let detail = document["detail"].as_str().unwrap_or_default();
+        let reason = format!("{} {}: {detail}", answer.status, answer.reason());
+        self.reasons.push(reason);
         match (answer.status, answer.outcome()) {
             (429, _) => self.refusals.over_rate += 1,
             (503, Some("not-run")) => self.refusals.not_run += 1,
