--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -12,6 +12,7 @@
 use crate::{
     log::{self, ReplicatedLog},
     members::{Members, Offer},
+    metrics::Metrics,
     operators::Operators,
     service::ControlService,
     shares::Shares,
@@ -95,6 +96,7 @@
     }
     let operators = Operators {
         log: log.clone(),
+        metrics: Arc::new(Metrics::open()),
         members: members.clone(),
         journal: journal.clone(),
         secret: settings.operator_secret.as_str().into(),
--- a/crates/nutmegwheel-control/src/lib.rs
+++ b/crates/nutmegwheel-control/src/lib.rs
@@ -7,6 +7,7 @@
 mod control;
 mod log;
 mod members;
+mod metrics;
 mod operators;
 mod service;
 mod shares;
--- /dev/null
+++ b/crates/nutmegwheel-control/src/metrics.rs
@@ -0,0 +1,61 @@
+//! What the platform scrapes from a control VM; docs/OPERATORS.md, "Metrics".
+
+use std::sync::{Mutex, PoisonError};
+
+use nutmegwheel_spread::{Health, Spread};
+use prometheus_client::{encoding::text::encode, metrics::gauge::Gauge, registry::Registry};
+
+use crate::log::ReplicatedLog;
+
+/// The figures of one control VM.
+pub(crate) struct Metrics {
+    registry: Mutex<Registry>,
+    version: Gauge,
+    last_change: Gauge,
+    leads: Gauge,
+    members: Gauge,
+}
+
+impl Metrics {
+    pub(crate) fn open() -> Self {
+        let mut registry = Registry::with_prefix("nutmegwheel");
+        let mut gauge = |name: &str, help: &str| {
+            let gauge = Gauge::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        };
+        let version = "The version of the configuration that this control VM has applied";
+        let last = "The greatest number of a change that this control VM has applied";
+        let leads = "1 while this control VM leads";
+        let members = "Processes that this one knows to be alive";
+        Self {
+            version: gauge("configuration_version", version),
+            last_change: gauge("last_change", last),
+            leads: gauge("leads", leads),
+            members: gauge("members", members),
+            registry: Mutex::new(registry),
+        }
+    }
+
+    /// The figures as `OpenMetrics` text.
+    pub(crate) fn text(&self, log: &ReplicatedLog, spread: &Spread) -> String {
+        use crate::log::Log as _;
+        let members = spread.members();
+        let living = members
+            .iter()
+            .filter(|member| member.health != Health::Dead);
+        self.version.set(signed(log.view().version));
+        self.last_change.set(signed(log.last_change()));
+        self.leads.set(i64::from(log.leads().is_some()));
+        self.members.set(signed(living.count() as u64));
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut text = String::new();
+        // Writing into a string does not fail.
+        let _ = encode(&mut text, &registry);
+        text
+    }
+}
+
+fn signed(count: u64) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- a/crates/nutmegwheel-control/src/operators.rs
+++ b/crates/nutmegwheel-control/src/operators.rs
@@ -7,22 +7,27 @@
 use nutmegwheel_events::{Event, Journal};
 use nutmegwheel_spread::WithdrawalState;
 use nutmegwheel_types::{KeyHash, hex};
-use nutmegwheel_web::{Handler, HandlerFuture, Problem, Request, Response, authorize, json};
+use nutmegwheel_web::{Handler, HandlerFuture, Problem, Request, Response, authorize, json, typed};
 use serde_json::{Value, json as value};
 
 use crate::{
-    log::{Log, LogError},
+    log::{Log as _, LogError, ReplicatedLog},
     members::Members,
+    metrics::Metrics,
     state::{ChangeNumber, Command, Verdict, Winner},
 };
 
 /// The greatest number of a change: the greatest integer that every JSON reader keeps.
 const NUMBER_MAX: ChangeNumber = 1 << 53;
 
+/// The content type of `OpenMetrics` text.
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 /// Answers operators and the platform on a control VM.
 #[derive(Clone)]
 pub(crate) struct Operators {
-    pub(crate) log: Arc<dyn Log>,
+    pub(crate) log: Arc<ReplicatedLog>,
+    pub(crate) metrics: Arc<Metrics>,
     pub(crate) members: Arc<Members>,
     pub(crate) journal: Arc<Journal>,
     pub(crate) secret: Arc<str>,
@@ -43,7 +48,12 @@
         let path = req.head.uri.path().to_owned();
         let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
         match (&req.head.method, segments.as_slice()) {
-            (&Method::GET, ["livez" | "readyz"]) => Ok(json(StatusCode::OK, &value!({"ok": true}))),
+            (&Method::GET, ["livez"]) => Ok(json(StatusCode::OK, &value!({"ok": true}))),
+            (&Method::GET, ["readyz"]) => self.readiness().await,
+            (&Method::GET, ["metrics"]) => {
+                let text = self.metrics.text(&self.log, &self.members.spread);
+                Ok(typed(StatusCode::OK, OPEN_METRICS, text))
+            }
             (method, ["v1", rest @ ..]) => {
                 authorize(&req.head, &self.secret)?;
                 self.operator(method, rest, &req).await
@@ -52,6 +62,18 @@
         }
     }
 
+    /// Ready is a control VM that holds all that is committed, which needs a quorum.
+    async fn readiness(&self) -> Result<Response, Problem> {
+        match self.log.catch_up().await {
+            Ok(()) => Ok(json(StatusCode::OK, &value!({"ok": true}))),
+            Err(e) => Err(Problem::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "not-ready",
+                e.to_string(),
+            )),
+        }
+    }
+
     async fn operator(
         &self,
         method: &Method,
--- a/crates/nutmegwheel-node/src/door.rs
+++ b/crates/nutmegwheel-node/src/door.rs
@@ -29,7 +29,9 @@
         Box::pin(async move {
             let _in_flight = shared.enter();
             let root = rand::random();
+            let began = Instant::now();
             let result = take(&shared, req, root).await;
+            shared.metrics.count(&result, began.elapsed());
             respond(&shared, result, root)
         })
     }
--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -146,6 +146,7 @@
         };
         match decide(shared, parent, call, settled.child, &attempt) {
             Decision::Retry { backoff, tokens } => {
+                shared.metrics.count_retry();
                 call.context.retry_tokens = tokens;
                 tokio::time::sleep(backoff).await;
             }
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -14,6 +14,7 @@
 mod headers;
 mod local;
 mod members;
+mod metrics;
 mod node;
 mod once;
 mod platform;
--- /dev/null
+++ b/crates/nutmegwheel-node/src/metrics.rs
@@ -0,0 +1,130 @@
+//! What the platform scrapes from a node; docs/OPERATORS.md, "Metrics".
+
+use std::{
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+
+use crate::{call::Answer, refusal::Refusal, shared::Shared};
+
+/// The bounds of the buckets of request times, in seconds.
+const TIME_BUCKETS: [f64; 12] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0,
+];
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Reasons {
+    reason: &'static str,
+    outcome: &'static str,
+}
+
+/// The figures of one node.
+pub(crate) struct Metrics {
+    registry: Mutex<Registry>,
+    answered: Counter,
+    refused: Family<Reasons, Counter>,
+    request_seconds: Histogram,
+    retries: Counter,
+    in_flight: Gauge,
+    running: Gauge,
+    waiting: Gauge,
+    limit: Gauge,
+    version: Gauge,
+    members: Gauge,
+}
+
+/// Lifecycle.
+impl Metrics {
+    pub(crate) fn open() -> Self {
+        let metrics = Self {
+            registry: Mutex::new(Registry::with_prefix("nutmegwheel")),
+            answered: Counter::default(),
+            refused: Family::default(),
+            request_seconds: Histogram::new(TIME_BUCKETS),
+            retries: Counter::default(),
+            in_flight: Gauge::default(),
+            running: Gauge::default(),
+            waiting: Gauge::default(),
+            limit: Gauge::default(),
+            version: Gauge::default(),
+            members: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&self) {
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let answered = "Requests of callers that a backend server answered";
+        registry.register("requests_answered", answered, self.answered.clone());
+        let refused = "Requests of callers that were refused, by reason and outcome";
+        registry.register("requests_refused", refused, self.refused.clone());
+        let seconds = "Time from the arrival of a caller's request to its answer or refusal";
+        registry.register("request_seconds", seconds, self.request_seconds.clone());
+        let retries = "Tries of calls after the first one";
+        registry.register("retries", retries, self.retries.clone());
+        let in_flight = "Requests and calls in this process";
+        registry.register("in_flight", in_flight, self.in_flight.clone());
+        let running = "Requests at the backend server";
+        registry.register("backend_running", running, self.running.clone());
+        let waiting = "Requests that wait for the backend server";
+        registry.register("backend_waiting", waiting, self.waiting.clone());
+        let limit = "Requests that the backend server gets at a time";
+        registry.register("backend_limit", limit, self.limit.clone());
+        let version = "The version of the configuration in force";
+        registry.register("configuration_version", version, self.version.clone());
+        let members = "Processes that this one knows to be alive";
+        registry.register("members", members, self.members.clone());
+    }
+}
+
+/// Counting.
+impl Metrics {
+    /// Counts the end of a caller's request.
+    pub(crate) fn count(&self, result: &Result<Answer, Refusal>, time: Duration) {
+        self.request_seconds.observe(time.as_secs_f64());
+        match result {
+            Ok(_) => {
+                self.answered.inc();
+            }
+            Err(refusal) => {
+                let reasons = Reasons {
+                    reason: refusal.reason.word(),
+                    outcome: refusal.outcome.word(),
+                };
+                self.refused.get_or_create(&reasons).inc();
+            }
+        }
+    }
+
+    pub(crate) fn count_retry(&self) {
+        self.retries.inc();
+    }
+
+    /// The figures as `OpenMetrics` text.
+    pub(crate) fn text(&self, shared: &Shared) -> String {
+        let report = shared.gate.report();
+        self.in_flight.set(signed(shared.in_flight()));
+        self.running.set(report.running.into());
+        self.waiting.set(report.waiting.into());
+        self.limit.set(report.limit.into());
+        let version = i64::try_from(shared.views.version());
+        self.version.set(version.unwrap_or(i64::MAX));
+        self.members.set(signed(shared.living_members()));
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut text = String::new();
+        // Writing into a string does not fail.
+        let _ = encode(&mut text, &registry);
+        text
+    }
+}
+
+fn signed(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -1,6 +1,6 @@
 use std::{
     net::SocketAddr,
-    sync::{Arc, atomic::Ordering},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -202,8 +202,7 @@
 
     async fn drain(&self) {
         let end = tokio::time::Instant::now() + DRAIN_LIMIT;
-        while self.shared.in_flight.load(Ordering::SeqCst) > 0 && tokio::time::Instant::now() < end
-        {
+        while self.shared.in_flight() > 0 && tokio::time::Instant::now() < end {
             tokio::time::sleep(DRAIN_PAUSE).await;
         }
     }
--- a/crates/nutmegwheel-node/src/platform.rs
+++ b/crates/nutmegwheel-node/src/platform.rs
@@ -4,12 +4,15 @@
 use nutmegwheel_spread::{Decision, Why, WithdrawalState};
 use nutmegwheel_types::KeyHash;
 use nutmegwheel_web::{
-    Handler, HandlerFuture, Problem, Request, Response, authorize, events, json,
+    Handler, HandlerFuture, Problem, Request, Response, authorize, events, json, typed,
 };
 use serde_json::json as value;
 
 use crate::{members, shared::Shared};
 
+/// The content type of `OpenMetrics` text.
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 /// Answers the platform and operators on a node.
 pub(crate) struct Platform {
     pub(crate) shared: Arc<Shared>,
@@ -26,6 +29,10 @@
     match (&req.head.method, req.head.uri.path()) {
         (&Method::GET, "/livez") => Ok(json(StatusCode::OK, &value!({"ok": true}))),
         (&Method::GET, "/readyz") => readiness(shared),
+        (&Method::GET, "/metrics") => {
+            let text = shared.metrics.text(shared);
+            Ok(typed(StatusCode::OK, OPEN_METRICS, text))
+        }
         (method, path) if path.starts_with("/v1/") => {
             authorize(&req.head, &shared.settings.operator_secret)?;
             operator(shared, req, method, path)
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -16,7 +16,7 @@
     shed::{self, Levels},
 };
 use nutmegwheel_seeds::{AttemptId, Claims, Duty, SeedLists, Started, Tokens, started};
-use nutmegwheel_spread::Spread;
+use nutmegwheel_spread::{Health, Spread};
 use nutmegwheel_types::{EndpointId, Incarnation, Priority, ProcessName, ServiceId};
 use nutmegwheel_wire as wire;
 
@@ -24,6 +24,7 @@
     backend::{BackendState, Local},
     gate::Gate,
     members,
+    metrics::Metrics,
     rates::Rates,
     routes::Routes,
     running::Running,
@@ -49,7 +50,8 @@
     pub(crate) levels: Mutex<Levels>,
     pub(crate) ratios: Mutex<Ratios>,
     needs: Mutex<Needs>,
-    pub(crate) in_flight: AtomicUsize,
+    pub(crate) metrics: Metrics,
+    in_flight: AtomicUsize,
     pub(crate) seeds: Arc<SeedLists>,
     pub(crate) duty: Option<Arc<Duty>>,
     pub(crate) started: Mutex<Started>,
@@ -106,6 +108,7 @@
             journal,
             local: Local::open(),
             running: Running::default(),
+            metrics: Metrics::open(),
             in_flight: AtomicUsize::new(0),
             endpoint: OnceLock::new(),
             leaving: OnceLock::new(),
@@ -170,6 +173,20 @@
         self.claims.get().cloned()
     }
 
+    /// The requests and calls that are in this process.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// The processes of the fleet that are not known to be dead.
+    pub(crate) fn living_members(&self) -> usize {
+        let members = self.spread.members();
+        members
+            .iter()
+            .filter(|member| member.health != Health::Dead)
+            .count()
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving.get().is_some()
     }
