--- a/crates/nutmegwheel-control/src/operators.rs
+++ b/crates/nutmegwheel-control/src/operators.rs
@@ -1,6 +1,6 @@
 //! The operators' interface; docs/INTERFACES.md, "Operators" and "Platform".
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use http::{Method, StatusCode, request::Parts};
 use nutmegwheel_config::Change;
@@ -23,6 +23,11 @@
 /// The content type of `OpenMetrics` text.
 const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
+/// The time in which a read must have a quorum.
+const READ_LIMIT: Duration = Duration::from_secs(3);
+/// The pause before a read asks for a quorum again, while a leader is elected.
+const READ_PAUSE: Duration = Duration::from_millis(50);
+
 /// Answers operators and the platform on a control VM.
 #[derive(Clone)]
 pub(crate) struct Operators {
@@ -82,8 +87,14 @@
     ) -> Result<Response, Problem> {
         match (method, route) {
             (&Method::PUT, ["changes", number]) => self.change(number, &req.body).await,
-            (&Method::GET, ["changes", number]) => self.changed(number),
-            (&Method::GET, ["configuration"]) => self.configuration(),
+            (&Method::GET, ["changes", number]) => {
+                self.catch_up().await?;
+                self.changed(number)
+            }
+            (&Method::GET, ["configuration"]) => {
+                self.catch_up().await?;
+                self.configuration()
+            }
             (&Method::PUT, ["withdrawals", hash]) => self.withdraw(read_hash(hash)?).await,
             (&Method::GET, ["withdrawals", hash]) => self.withdrawal(read_hash(hash)?),
             (&Method::GET, ["status"]) => Ok(self.status()),
@@ -112,6 +123,19 @@
         self.log.commit(command).await.map_err(|e| not_certain(&e))
     }
 
+    /// Reads answer from all that was committed before they came, or not at all: an isolated control
+    /// VM must not show an old configuration as the one in force.
+    async fn catch_up(&self) -> Result<(), Problem> {
+        let end = tokio::time::Instant::now() + READ_LIMIT;
+        loop {
+            match self.log.catch_up().await {
+                Ok(()) => return Ok(()),
+                Err(e) if tokio::time::Instant::now() >= end => return Err(not_certain(&e)),
+                Err(_) => tokio::time::sleep(READ_PAUSE).await,
+            }
+        }
+    }
+
     fn record(&self, number: ChangeNumber, verdict: &Verdict) {
         let event = match verdict {
             Verdict::Committed { first: false, .. } => return,
