--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -15,10 +15,10 @@
 use nutmegwheel_seeds::AttemptId;
 use nutmegwheel_wire::{ReplyHead, topic};
 use prost::Message as _;
-use sha2::{Digest, Sha256};
 
 use crate::{
     call::{self, Answer, Call},
+    digest::short_digest,
     once::{self, Begun},
     refusal::{Outcome, Reason, Refusal},
     routes::Target,
@@ -39,15 +39,8 @@
 
 /// Names a call among those of its parent.
 pub(crate) fn call_id(call: &Call, name: Option<&str>) -> CallId {
-    let mut hash = Sha256::new();
-    for part in [call.method.as_str(), &call.path, name.unwrap_or_default()] {
-        hash.update((part.len() as u64).to_be_bytes());
-        hash.update(part);
-    }
-    let digest: [u8; 32] = hash.finalize().into();
-    let mut half = [0; 16];
-    half.copy_from_slice(&digest[..16]);
-    u128::from_be_bytes(half)
+    let parts = [call.method.as_str(), &call.path, name.unwrap_or_default()];
+    short_digest(parts.map(str::as_bytes))
 }
 
 /// Sends a call of `parent` to a backend server, and again to others where that is allowed.
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod backend;
 mod call;
+mod digest;
 mod door;
 mod forward;
 mod gate;
--- a/crates/nutmegwheel-node/src/once.rs
+++ b/crates/nutmegwheel-node/src/once.rs
@@ -13,10 +13,10 @@
 use nutmegwheel_types::{DataCentreId, RequestId, plain};
 use nutmegwheel_wire::{self as wire, topic};
 use prost::Message as _;
-use sha2::{Digest, Sha256};
 
 use crate::{
     call::{self, Answer, Call},
+    digest::digest,
     headers,
     refusal::{Outcome, Reason, Refusal},
     routes,
@@ -53,13 +53,8 @@
 
 /// The name that a caller's idempotency key gives a request.
 pub(crate) fn name(shared: &Shared, call: &Call, key: &str) -> Result<Name, Refusal> {
-    let mut hash = Sha256::new();
     let workspace = call.context.workspace.as_deref().unwrap_or_default();
-    for part in [workspace, &call.service, &call.endpoint, key] {
-        hash.update((part.len() as u64).to_be_bytes());
-        hash.update(part);
-    }
-    let id = hash.finalize().into();
+    let id = digest([workspace, &call.service, &call.endpoint, key].map(str::as_bytes));
     match shared.seeds.home(&id, key) {
         Some(home) => Ok(Name { id, home }),
         None => Err(unavailable("the fleet has no seeds")),
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -15,7 +15,7 @@
     retry::{RatioOptions, Ratios},
     shed::{self, Levels},
 };
-use nutmegwheel_seeds::{AttemptId, Claims, Duty, SeedLists, Started, Tokens, started};
+use nutmegwheel_seeds::{Asker, AttemptId, Claims, Duty, SeedLists, Started, Tokens, started};
 use nutmegwheel_spread::{Health, Spread};
 use nutmegwheel_types::{EndpointId, Incarnation, Priority, ProcessName, ServiceId};
 use nutmegwheel_wire as wire;
@@ -133,20 +133,14 @@
     /// Sets the endpoint, which is opened after what it serves.
     pub(crate) fn connect(&self, endpoint: Endpoint) {
         self.spread.connect(endpoint.clone());
-        let tokens = Tokens::open(
+        let asker = Asker::open(
             self.settings.name.clone(),
             endpoint.clone(),
             self.duty.clone(),
             self.seeds.clone(),
         );
-        let _ = self.tokens.set(tokens);
-        let claims = Claims::open(
-            self.settings.name.clone(),
-            endpoint.clone(),
-            self.duty.clone(),
-            self.seeds.clone(),
-        );
-        let _ = self.claims.set(claims);
+        let _ = self.tokens.set(Tokens::open(asker.clone()));
+        let _ = self.claims.set(Claims::open(asker));
         let _ = self.endpoint.set(endpoint);
     }
 
--- a/crates/nutmegwheel-node/src/suspects.rs
+++ b/crates/nutmegwheel-node/src/suspects.rs
@@ -13,10 +13,10 @@
 use nutmegwheel_spread::{Health, Role};
 use nutmegwheel_wire as wire;
 use prost::Message as _;
-use sha2::{Digest, Sha256};
 
 use crate::{
     call::Call,
+    digest::short_digest,
     refusal::{Outcome, Reason, Refusal},
     shared::Shared,
 };
@@ -47,21 +47,13 @@
 
 /// What makes requests the same.
 pub(crate) fn fingerprint(call: &Call) -> Fingerprint {
-    let mut hash = Sha256::new();
-    for part in [
+    short_digest([
         call.service.as_bytes(),
         call.path.as_bytes(),
         call.method.as_str().as_bytes(),
         call.context.workspace.as_deref().unwrap_or("").as_bytes(),
         &call.body,
-    ] {
-        hash.update((part.len() as u64).to_be_bytes());
-        hash.update(part);
-    }
-    let digest: [u8; 32] = hash.finalize().into();
-    let mut half = [0; 16];
-    half.copy_from_slice(&digest[..16]);
-    u128::from_be_bytes(half)
+    ])
 }
 
 /// Lifecycle.
--- /dev/null
+++ b/crates/nutmegwheel-seeds/src/asker.rs
@@ -0,0 +1,75 @@
+use std::{net::SocketAddr, sync::Arc, time::Instant};
+
+use bytes::Bytes;
+use nutmegwheel_link::{Endpoint, Request, Topic};
+use nutmegwheel_types::ProcessName;
+
+use crate::{Duty, SeedLists};
+
+/// A process that asks seeds, and may be one of them itself.
+#[derive(Clone)]
+pub struct Asker {
+    name: ProcessName,
+    endpoint: Endpoint,
+    own: Option<Arc<Duty>>,
+    lists: Arc<SeedLists>,
+}
+
+/// Lifecycle.
+impl Asker {
+    /// Opens the side of the process `name` with its own duty, where it is a seed.
+    #[must_use]
+    pub fn open(
+        name: ProcessName,
+        endpoint: Endpoint,
+        own: Option<Arc<Duty>>,
+        lists: Arc<SeedLists>,
+    ) -> Self {
+        Self {
+            name,
+            endpoint,
+            own,
+            lists,
+        }
+    }
+}
+
+/// Access.
+impl Asker {
+    pub(crate) fn lists(&self) -> &SeedLists {
+        &self.lists
+    }
+
+    /// The duty of this process where the seed of that name is this very process.
+    pub(crate) fn own(&self, seed: &ProcessName) -> Option<&Duty> {
+        self.own.as_deref().filter(|_| *seed == self.name)
+    }
+
+    pub(crate) fn endpoint(&self) -> &Endpoint {
+        &self.endpoint
+    }
+}
+
+/// Asking.
+impl Asker {
+    /// Asks a seed; this process answers itself without a link.
+    pub(crate) async fn ask(
+        &self,
+        seed: &ProcessName,
+        address: SocketAddr,
+        topic: Topic,
+        head: Bytes,
+        deadline: Instant,
+    ) -> Option<Bytes> {
+        if let Some(own) = self.own(seed) {
+            return Some(own.serve(topic, head));
+        }
+        let req = Request {
+            topic,
+            head,
+            body: Bytes::new(),
+        };
+        let reply = self.endpoint.call(address, req, deadline).await;
+        reply.ok().map(|reply| reply.body)
+    }
+}
--- a/crates/nutmegwheel-seeds/src/claims.rs
+++ b/crates/nutmegwheel-seeds/src/claims.rs
@@ -1,6 +1,5 @@
 use std::{
     net::SocketAddr,
-    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -8,7 +7,7 @@
 use futures_util::{StreamExt as _, stream::FuturesUnordered};
 use nutmegwheel_claims::{
     AttemptId, Target,
-    claim::{self, Claim, Refusal, State},
+    claim::{self, CLAIM_TIMEOUT, Claim, Refusal, State},
     messages::Update,
 };
 use nutmegwheel_link::Endpoint;
@@ -17,7 +16,7 @@
 use prost::Message as _;
 
 use crate::{
-    Duty, SeedList, SeedLists, duty,
+    Asker, SeedList, duty,
     wire::{reply_from_wire, request_to_wire, update_to_wire},
 };
 
@@ -45,10 +44,7 @@
 /// The side of those who ask seeds for claims.
 #[derive(Clone)]
 pub struct Claims {
-    endpoint: Endpoint,
-    own: Option<Arc<Duty>>,
-    name: ProcessName,
-    lists: Arc<SeedLists>,
+    asker: Asker,
 }
 
 /// A claim that a majority of the home's seeds holds.
@@ -59,20 +55,10 @@
 
 /// Lifecycle.
 impl Claims {
-    /// Opens the side of the process `name`, which may be a seed itself.
+    /// Opens the side of a process.
     #[must_use]
-    pub fn open(
-        name: ProcessName,
-        endpoint: Endpoint,
-        own: Option<Arc<Duty>>,
-        lists: Arc<SeedLists>,
-    ) -> Self {
-        Self {
-            endpoint,
-            own,
-            name,
-            lists,
-        }
+    pub fn open(asker: Asker) -> Self {
+        Self { asker }
     }
 }
 
@@ -84,7 +70,7 @@
     ///
     /// Tells why the attempt must not run.
     pub async fn claim(&self, opts: Options) -> Result<Held, Refusal> {
-        let list = self.lists.of(&opts.home);
+        let list = self.asker.lists().of(&opts.home);
         let list = list.ok_or(Refusal::Unavailable)?;
         let (mut claim, req) = Claim::open(claim::Options {
             id: opts.id,
@@ -140,10 +126,9 @@
         address: SocketAddr,
         head: Bytes,
     ) -> Option<nutmegwheel_claims::messages::ClaimReply> {
-        let answer = match &self.own {
-            Some(own) if *name == self.name => own.serve(topic::CLAIM, head),
-            _ => duty::call(&self.endpoint, address, topic::CLAIM, head).await?,
-        };
+        let deadline = Instant::now() + CLAIM_TIMEOUT;
+        let answer = self.asker.ask(name, address, topic::CLAIM, head, deadline);
+        let answer = answer.await?;
         reply_from_wire(ClaimReply::decode(answer).ok()?).ok()
     }
 }
@@ -174,19 +159,16 @@
     }
 
     fn tell(&self, home: &DataCentreId, update: &Update) {
-        let Some(list) = self.lists.of(home) else {
+        let Some(list) = self.asker.lists().of(home) else {
             return;
         };
         let head = Bytes::from(update_to_wire(update).encode_to_vec());
         for (name, address) in &list.seeds {
-            match &self.own {
-                Some(own) if *name == self.name => {
-                    let _ = own.serve(topic::CLAIM_UPDATE, head.clone());
-                }
-                _ => {
-                    let endpoint = self.endpoint.clone();
-                    tokio::spawn(offer(endpoint, *address, head.clone()));
-                }
+            if let Some(own) = self.asker.own(name) {
+                let _ = own.serve(topic::CLAIM_UPDATE, head.clone());
+            } else {
+                let endpoint = self.asker.endpoint().clone();
+                tokio::spawn(offer(endpoint, *address, head.clone()));
             }
         }
     }
--- a/crates/nutmegwheel-seeds/src/lib.rs
+++ b/crates/nutmegwheel-seeds/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod asker;
 mod claims;
 mod duty;
 mod lists;
@@ -14,6 +15,7 @@
 mod tokens;
 mod wire;
 
+pub use asker::Asker;
 pub use claims::{Claims, Held, Options};
 pub use duty::Duty;
 pub use lists::{SeedList, SeedLists};
--- a/crates/nutmegwheel-seeds/src/tokens.rs
+++ b/crates/nutmegwheel-seeds/src/tokens.rs
@@ -6,13 +6,12 @@
 
 use bytes::Bytes;
 use nutmegwheel_limits::messages::{Ask, Grant};
-use nutmegwheel_link::{Endpoint, Request};
 use nutmegwheel_types::{DataCentreId, ProcessName};
 use nutmegwheel_wire::{self as wire, topic};
 use prost::Message as _;
 
 use crate::{
-    Duty, SeedLists,
+    Asker,
     rates_wire::{ask_to_wire, grant_from_wire},
     stewardship::ASK_LIMIT,
 };
@@ -20,29 +19,18 @@
 /// The side of doors that ask stewards for tokens.
 #[derive(Clone)]
 pub struct Tokens {
-    endpoint: Endpoint,
-    own: Option<Arc<Duty>>,
-    name: ProcessName,
-    lists: Arc<SeedLists>,
+    asker: Asker,
     /// The seed of each data centre that answered last.
     stewards: Arc<Mutex<BTreeMap<DataCentreId, ProcessName>>>,
 }
 
 /// Lifecycle.
 impl Tokens {
-    /// Opens the side of the process `name`, which may be a steward itself.
+    /// Opens the side of a process.
     #[must_use]
-    pub fn open(
-        name: ProcessName,
-        endpoint: Endpoint,
-        own: Option<Arc<Duty>>,
-        lists: Arc<SeedLists>,
-    ) -> Self {
+    pub fn open(asker: Asker) -> Self {
         Self {
-            endpoint,
-            own,
-            name,
-            lists,
+            asker,
             stewards: Arc::default(),
         }
     }
@@ -73,7 +61,7 @@
 
     /// The seeds of a data centre, the one that answered last coming first.
     fn order(&self, data_centre: &DataCentreId) -> Vec<ProcessName> {
-        let list = self.lists.of(data_centre);
+        let list = self.asker.lists().of(data_centre);
         let mut names: Vec<_> = list
             .into_iter()
             .flat_map(|list| list.seeds.keys().cloned())
@@ -90,17 +78,10 @@
         head: Bytes,
         deadline: Instant,
     ) -> Option<Bytes> {
-        if let Some(own) = self.own.as_ref().filter(|_| *seed == self.name) {
-            return Some(own.serve(topic::ASK, head));
-        }
-        let address = *self.lists.of(data_centre)?.seeds.get(seed)?;
-        let req = Request {
-            topic: topic::ASK,
-            head,
-            body: Bytes::new(),
-        };
-        let reply = self.endpoint.call(address, req, deadline).await;
-        reply.ok().map(|reply| reply.body)
+        let list = self.asker.lists().of(data_centre)?;
+        let address = *list.seeds.get(seed)?;
+        let answer = self.asker.ask(seed, address, topic::ASK, head, deadline);
+        answer.await
     }
 
     fn stewards(&self) -> std::sync::MutexGuard<'_, BTreeMap<DataCentreId, ProcessName>> {
