--- a/crates/nutmegwheel-config/src/settings.rs
+++ b/crates/nutmegwheel-config/src/settings.rs
@@ -55,6 +55,8 @@
         pub platform: SocketAddr,
         /// For the other processes of the fleet.
         pub link: SocketAddr,
+        /// The address at which others reach `link`, where a translation lies between.
+        pub link_advertised: Option<SocketAddr>,
     }
 
     /// A process that others can ask for the fleet.
@@ -63,13 +65,21 @@
         pub name: ProcessName,
         /// The data centre in which its VM stands.
         pub data_centre: DataCentreId,
-        /// Its `listen.link`.
+        /// Its `listen.link_advertised`, or else its `listen.link`.
         pub link: SocketAddr,
         /// Whether it is a control VM.
         pub control: bool,
     }
 }
 
+impl Listen {
+    /// The address at which the other processes of the fleet reach this one.
+    #[must_use]
+    pub fn link_of_others(&self) -> SocketAddr {
+        self.link_advertised.unwrap_or(self.link)
+    }
+}
+
 impl Settings {
     /// Reads and checks a whole settings file.
     ///
@@ -123,6 +133,10 @@
     };
     let platform = address(&table.need("platform")?)?;
     let link = address(&table.need("link")?)?;
+    let link_advertised = match table.take("link_advertised") {
+        Some(field) => Some(read_advertised(&field)?),
+        None => None,
+    };
     let (callers, backend) = match role {
         Role::Control => (None, None),
         Role::Node => {
@@ -141,9 +155,18 @@
         backend,
         platform,
         link,
+        link_advertised,
     })
 }
 
+fn read_advertised(field: &Field<'_>) -> Result<SocketAddr, CheckError> {
+    let address: SocketAddr = field.parsed("an IP address with a port")?;
+    if address.ip().is_unspecified() || address.port() == 0 {
+        return Err(field.error("must be an address that others can reach"));
+    }
+    Ok(address)
+}
+
 fn read_seeds(field: &Field<'_>) -> Result<Vec<Seed>, CheckError> {
     let items = field.items()?;
     if items.is_empty() || items.len() > SEED_LIMIT {
@@ -214,7 +237,7 @@
             Role::Control => Err(table.error("seeds must name this control VM itself")),
         };
     };
-    let same = own.link == settings.listen.link
+    let same = own.link == settings.listen.link_of_others()
         && own.data_centre == settings.data_centre
         && own.control == (settings.role == Role::Control);
     if same {
--- a/crates/nutmegwheel-config/tests/settings.rs
+++ b/crates/nutmegwheel-config/tests/settings.rs
@@ -25,6 +25,19 @@
     assert_eq!(settings.control_vms().count(), 1);
 }
 
+#[test]
+fn an_advertised_address_stands_for_the_one_listened_on() {
+    let settings = Settings::parse(NODE).expect("good settings");
+    let link = "10.0.0.1:7003".parse().expect("an address");
+    assert_eq!(settings.listen.link_of_others(), link);
+    let good = "\"10.0.0.1:7003\", \"link_advertised\": \"192.0.2.1:9\"";
+    let settings = Settings::parse(&NODE.replacen("\"10.0.0.1:7003\"", good, 1));
+    let settings = settings.expect("good settings");
+    assert_eq!(settings.listen.link, link);
+    let advertised = "192.0.2.1:9".parse().expect("an address");
+    assert_eq!(settings.listen.link_of_others(), advertised);
+}
+
 #[test]
 fn every_fault_is_refused_with_line_and_field() {
     let faults = [
@@ -35,6 +48,14 @@
         ("\"10.0.0.1:7000\"", "7000"),
         ("\"10.0.0.1:7000\"", "\"10.0.0.1:7003\""),
         ("\"127.0.0.1:7001\"", "\"10.0.0.1:7001\""),
+        (
+            "\"10.0.0.1:7003\"",
+            "\"10.0.0.1:7003\", \"link_advertised\": \"x\"",
+        ),
+        (
+            "\"10.0.0.1:7003\"",
+            "\"10.0.0.1:7003\", \"link_advertised\": \"0.0.0.0:7003\"",
+        ),
         ("\"control\": true", "\"control\": false"),
         ("\"control\": true", "\"control\": 1"),
         ("\"control\": true", "\"controll\": true"),
--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -64,6 +64,7 @@
         data_centre: settings.data_centre.clone(),
         incarnation,
         listen: settings.listen.link,
+        advertised: settings.listen.link_advertised,
         fleet_secret: settings.fleet_secret.clone().into_bytes(),
         limits: Limits::default(),
     };
--- a/crates/nutmegwheel-link/examples/bench.rs
+++ b/crates/nutmegwheel-link/examples/bench.rs
@@ -41,6 +41,7 @@
         data_centre: "riga1".into(),
         incarnation: 1,
         listen: "127.0.0.1:0".parse().expect("an address"),
+        advertised: None,
         fleet_secret: b"a secret for the bench of links.".to_vec(),
         limits: Limits::default(),
     };
--- a/crates/nutmegwheel-link/src/endpoint.rs
+++ b/crates/nutmegwheel-link/src/endpoint.rs
@@ -200,7 +200,7 @@
         name: opts.name,
         data_centre: opts.data_centre,
         incarnation: opts.incarnation,
-        address,
+        address: opts.advertised.unwrap_or(address),
     };
     Core {
         credentials: Credentials {
--- a/crates/nutmegwheel-link/src/options.rs
+++ b/crates/nutmegwheel-link/src/options.rs
@@ -13,6 +13,8 @@
     pub incarnation: Incarnation,
     /// The address on which links from other processes are accepted.
     pub listen: SocketAddr,
+    /// The address at which others reach the one listened on, where that is another.
+    pub advertised: Option<SocketAddr>,
     /// The secret that every process of the fleet holds and proves in the handshake.
     pub fleet_secret: Vec<u8>,
     /// The bounds on memory and time.
@@ -27,6 +29,7 @@
             .field("data_centre", &self.data_centre)
             .field("incarnation", &self.incarnation)
             .field("listen", &self.listen)
+            .field("advertised", &self.advertised)
             .field("limits", &self.limits)
             .finish_non_exhaustive()
     }
--- a/crates/nutmegwheel-link/tests/common/mod.rs
+++ b/crates/nutmegwheel-link/tests/common/mod.rs
@@ -31,6 +31,7 @@
         data_centre: "riga1".into(),
         incarnation: 7,
         listen: "127.0.0.1:0".parse().unwrap(),
+        advertised: None,
         fleet_secret: b"a secret for the tests of links.".to_vec(),
         limits: Limits::default(),
     }
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -79,6 +79,7 @@
         data_centre: settings.data_centre.clone(),
         incarnation: shared.incarnation,
         listen: settings.listen.link,
+        advertised: settings.listen.link_advertised,
         fleet_secret: settings.fleet_secret.clone().into_bytes(),
         limits: Limits::default(),
     };
--- a/crates/nutmegwheel-spread/src/spread.rs
+++ b/crates/nutmegwheel-spread/src/spread.rs
@@ -198,7 +198,7 @@
             nutmegwheel_config::Role::Node => Role::Node,
             nutmegwheel_config::Role::Control => Role::Control,
         },
-        link: settings.listen.link,
+        link: settings.listen.link_of_others(),
         callers: settings.listen.callers,
         platform: Some(settings.listen.platform),
         incarnation,
--- a/crates/nutmegwheel-web/src/server.rs
+++ b/crates/nutmegwheel-web/src/server.rs
@@ -111,10 +111,10 @@
         listener,
         connections: connections.clone(),
     };
-    let served = connections.clone();
+    let watched_by = connections.clone();
     let service = fn_service(move |req: http::Request<RequestExt<RequestBody>>| {
         let handler = handler.clone();
-        let connections = served.clone();
+        let connections = watched_by.clone();
         let (limit, patience) = (opts.body_limit, opts.patience);
         async move { answer(req, &*handler, &connections, limit, patience).await }
     });
--- a/crates/nutmegwheel/tests/common/mod.rs
+++ b/crates/nutmegwheel/tests/common/mod.rs
@@ -46,10 +46,27 @@
 impl Setup {
     /// Starts a fleet, gives it the configuration and a key, and waits until every node serves.
     pub(crate) async fn start(data_centres: &[(&'static str, usize)], control_vms: usize) -> Self {
+        Self::start_with(data_centres, control_vms, false).await
+    }
+
+    /// Does the same with a relay in front of every process.
+    pub(crate) async fn start_relayed(
+        data_centres: &[(&'static str, usize)],
+        control_vms: usize,
+    ) -> Self {
+        Self::start_with(data_centres, control_vms, true).await
+    }
+
+    async fn start_with(
+        data_centres: &[(&'static str, usize)],
+        control_vms: usize,
+        relayed: bool,
+    ) -> Self {
         let fleet = Fleet::start(FleetOptions {
             program: env!("CARGO_BIN_EXE_nutmegwheel").into(),
             data_centres: data_centres.to_vec(),
             control_vms,
+            relayed,
         });
         let setup = Self {
             fleet: fleet.await.expect("the fleet starts"),
--- a/crates/nutmegwheel/tests/stops.rs
+++ b/crates/nutmegwheel/tests/stops.rs
@@ -11,14 +11,14 @@
 };
 
 use common::{KEY, Setup};
-use nutmegwheel_support::{Answer, Behaviour, Caller};
+use nutmegwheel_support::{Answer, Backend, Behaviour, Caller};
 use tokio::task::JoinHandle;
 
 const PATH: &str = "/dispatch/crew";
 /// The time that a request takes.
 const SERVICE_TIME: Duration = Duration::from_millis(40);
 /// The time that a request takes which is under way when a stop begins.
-const LONG: Duration = Duration::from_millis(1000);
+const LONG: Duration = Duration::from_secs(1);
 /// The time after which a leaving backend server gets nothing new.
 const LEFT: Duration = Duration::from_secs(3);
 /// The time in which a process that has nothing more to do ends.
@@ -233,7 +233,7 @@
         .map(|_| setup.spawn_ask("riga1-0", PATH, "x"))
         .collect();
     setup.begun(PATH, 2).await;
-    setup.with_backend("dispatch@riga1-1", |backend| backend.leave());
+    setup.with_backend("dispatch@riga1-1", Backend::leave);
     for asked in asked {
         let answer = asked.await.expect("an answer");
         assert_eq!(answer.status, 200, "{}", answer.text());
--- a/tests/support/src/fleet.rs
+++ b/tests/support/src/fleet.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::HashMap,
     fs::File,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::PathBuf,
@@ -10,7 +11,7 @@
 use anyhow::Context as _;
 use tempfile::TempDir;
 
-use crate::{Answer, Caller};
+use crate::{Answer, Caller, relay::Relay};
 
 /// What operators of a test fleet show.
 pub const OPERATOR_SECRET: &str = "operators-of-the-test-fleet";
@@ -33,6 +34,8 @@
     pub data_centres: Vec<(&'static str, usize)>,
     /// The number of control VMs, dealt to the data centres in turn.
     pub control_vms: usize,
+    /// Whether a relay stands in front of every `link` listener.
+    pub relayed: bool,
 }
 
 /// A VM of the fleet with the addresses of its process.
@@ -50,8 +53,10 @@
     pub backend: SocketAddr,
     /// For the platform and operators.
     pub platform: SocketAddr,
-    /// For the other processes.
+    /// Where its process listens for the other processes.
     pub link: SocketAddr,
+    /// Where the others reach it: its relay, or else `link`.
+    pub advertised: SocketAddr,
 }
 
 /// A VM with its running process; dropping it kills the process.
@@ -69,6 +74,7 @@
     pub nodes: Vec<Process>,
     program: PathBuf,
     folder: TempDir,
+    relays: HashMap<String, Relay>,
     /// Calls doors and operators' interfaces.
     pub caller: Caller,
 }
@@ -82,12 +88,19 @@
     /// Names the process that did not come up.
     pub async fn start(opts: FleetOptions) -> anyhow::Result<Self> {
         let folder = tempfile::tempdir()?;
-        let vms = lay_out(&opts);
+        let mut vms = lay_out(&opts);
+        let mut relays = HashMap::new();
+        for vm in vms.iter_mut().filter(|_| opts.relayed) {
+            let relay = Relay::bind(vm.link).await?;
+            vm.advertised = relay.local_addr();
+            relays.insert(vm.name.clone(), relay);
+        }
         let mut fleet = Self {
             control: Vec::new(),
             nodes: Vec::new(),
             program: opts.program,
             folder,
+            relays,
             caller: Caller::open(),
         };
         for vm in &vms {
@@ -177,6 +190,16 @@
             .expect("a process of that name")
     }
 
+    /// The relay in front of a process.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the fleet has none of that name, which is a fault of the test.
+    #[must_use]
+    pub fn relay(&self, name: &str) -> &Relay {
+        self.relays.get(name).expect("a relay of that name")
+    }
+
     /// The log of a process so far.
     #[must_use]
     pub fn log(&self, name: &str) -> String {
@@ -313,6 +336,7 @@
         backend: port(1),
         platform: port(2),
         link: port(3),
+        advertised: port(3),
     }
 }
 
@@ -326,6 +350,9 @@
         "fleet_secret": FLEET_SECRET,
         "operator_secret": OPERATOR_SECRET,
     });
+    if vm.advertised != vm.link {
+        document["listen"]["link_advertised"] = vm.advertised.to_string().into();
+    }
     if vm.control {
         document["data_folder"] = data_folder.to_string_lossy().into();
     } else {
@@ -336,7 +363,7 @@
 }
 
 fn seeds(all: &[Vm]) -> Vec<serde_json::Value> {
-    let mut counts = std::collections::HashMap::new();
+    let mut counts = HashMap::new();
     let mut seeds = Vec::new();
     for vm in all {
         let count: &mut usize = counts.entry(vm.data_centre).or_default();
@@ -345,7 +372,7 @@
             seeds.push(serde_json::json!({
                 "name": vm.name,
                 "data_centre": vm.data_centre,
-                "link": vm.link,
+                "link": vm.advertised,
                 "control": vm.control,
             }));
         }
--- a/tests/support/src/relay.rs
+++ b/tests/support/src/relay.rs
@@ -131,6 +131,12 @@
         });
     }
 
+    /// Lets nothing through on the connections, of now and later, whose first bytes hold this
+    /// name, until [`Relay::pass`]; then what was kept back is delivered.
+    pub fn bar(&self, name: &str) {
+        self.change(|plan| plan.barred.push(name.to_owned()));
+    }
+
     /// Delivers everything later by `time`, in order.
     pub fn delay(&self, time: Duration) {
         self.change(|plan| plan.delay = time);
--- a/tests/support/src/relay/plan.rs
+++ b/tests/support/src/relay/plan.rs
@@ -26,6 +26,8 @@
     pub(super) hold: bool,
     pub(super) delay: Duration,
     pub(super) fault: Option<Fault>,
+    /// What the first bytes of a connection hold through which nothing goes.
+    pub(super) barred: Vec<String>,
     faults: u64,
 }
 
@@ -63,6 +65,7 @@
         self.hold = false;
         self.delay = Duration::ZERO;
         self.fault = None;
+        self.barred.clear();
     }
 
     pub(super) fn set_fault(&mut self, direction: Direction, kind: Kind, after: usize) {
@@ -80,7 +83,16 @@
         connection <= self.cut_up_to
     }
 
-    pub(super) fn is_flowing(&self, connection: u64) -> bool {
-        !self.hold && !self.silence_new && connection > self.silent_up_to
+    /// Whether bytes go through a connection that began with those of `opening`.
+    pub(super) fn is_flowing(&self, connection: u64, opening: &[u8]) -> bool {
+        let is_barred = self
+            .barred
+            .iter()
+            .any(|name| holds(opening, name.as_bytes()));
+        !is_barred && !self.hold && !self.silence_new && connection > self.silent_up_to
     }
 }
+
+fn holds(bytes: &[u8], name: &[u8]) -> bool {
+    bytes.windows(name.len()).any(|window| window == name)
+}
--- a/tests/support/src/relay/pump.rs
+++ b/tests/support/src/relay/pump.rs
@@ -1,4 +1,7 @@
-use std::io;
+use std::{
+    io,
+    sync::{Arc, OnceLock},
+};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -24,11 +27,15 @@
     is_last: bool,
 }
 
+type Opening = Arc<OnceLock<Vec<u8>>>;
+
 /// One direction of one connection.
 struct Pump {
     connection: u64,
     direction: Direction,
     plan: watch::Receiver<Plan>,
+    /// The first bytes from the process that connected.
+    opening: Opening,
     /// The fault that is being counted towards, and the bytes that came since it was set.
     fault: u64,
     passed: usize,
@@ -46,8 +53,9 @@
     let _ = target.set_nodelay(true);
     let (from_accepted, to_accepted) = accepted.into_split();
     let (from_target, to_target) = target.into_split();
-    let there = Pump::new(connection, Direction::ToTarget, plan);
-    let back = Pump::new(connection, Direction::FromTarget, plan);
+    let opening = Opening::default();
+    let there = Pump::new(connection, Direction::ToTarget, plan, &opening);
+    let back = Pump::new(connection, Direction::FromTarget, plan, &opening);
     let mut cut = plan.subscribe();
     // An error of one direction ends both, and so does a cut.
     tokio::select! {
@@ -59,11 +67,17 @@
 }
 
 impl Pump {
-    fn new(connection: u64, direction: Direction, plan: &watch::Sender<Plan>) -> Self {
+    fn new(
+        connection: u64,
+        direction: Direction,
+        plan: &watch::Sender<Plan>,
+        opening: &Opening,
+    ) -> Self {
         Self {
             connection,
             direction,
             plan: plan.subscribe(),
+            opening: opening.clone(),
             fault: 0,
             passed: 0,
         }
@@ -72,19 +86,26 @@
     async fn run(self, from: OwnedReadHalf, to: OwnedWriteHalf) -> io::Result<()> {
         let (tx, rx) = mpsc::channel(MAX_WAITING);
         let (plan, connection) = (self.plan.clone(), self.connection);
-        tokio::try_join!(self.read(from, tx), deliver(to, rx, plan, connection))?;
+        let opening = self.opening.clone();
+        tokio::try_join!(
+            self.read(from, tx),
+            deliver(to, rx, plan, connection, &opening)
+        )?;
         Ok(())
     }
 
     async fn read(mut self, mut from: OwnedReadHalf, tx: mpsc::Sender<Chunk>) -> io::Result<()> {
         let mut buf = vec![0; CHUNK_BYTES];
         loop {
-            flowing(&mut self.plan, self.connection).await?;
+            flowing(&mut self.plan, self.connection, &self.opening).await?;
             let n = from.read(&mut buf).await?;
             if n == 0 {
                 return Ok(());
             }
             let mut bytes = buf[..n].to_vec();
+            if self.direction == Direction::ToTarget {
+                self.opening.get_or_init(|| bytes.clone());
+            }
             let is_last = self.damage(&mut bytes);
             let due = Instant::now() + self.plan.borrow().delay;
             let chunk = Chunk {
@@ -138,21 +159,27 @@
     mut rx: mpsc::Receiver<Chunk>,
     mut plan: watch::Receiver<Plan>,
     connection: u64,
+    opening: &Opening,
 ) -> io::Result<()> {
     while let Some(chunk) = rx.recv().await {
         tokio::time::sleep_until(chunk.due).await;
-        flowing(&mut plan, connection).await?;
+        flowing(&mut plan, connection, opening).await?;
         to.write_all(&chunk.bytes).await?;
         if chunk.is_last {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
     }
-    flowing(&mut plan, connection).await?;
+    flowing(&mut plan, connection, opening).await?;
     to.shutdown().await
 }
 
-async fn flowing(plan: &mut watch::Receiver<Plan>, connection: u64) -> io::Result<()> {
-    plan.wait_for(|plan| plan.is_flowing(connection))
+async fn flowing(
+    plan: &mut watch::Receiver<Plan>,
+    connection: u64,
+    opening: &Opening,
+) -> io::Result<()> {
+    let opening = || opening.get().map_or(&[][..], Vec::as_slice);
+    plan.wait_for(|plan| plan.is_flowing(connection, opening()))
         .await
         .map(|_| ())
         .map_err(io::Error::other)
