fix(node): a node that refuted a suspicion stays reachable

Cause: the gossip raises a node's incarnation when it refutes a suspicion, and the doors then address its calls to that number, which the node compared with the one of its start: every call was refused with 'meant for an earlier life' until the node was restarted. Found by links.rs (silence everywhere, held answers): no request served within 20 s after the links were back, and the detail of the refusals named the check. The node now takes the numbers that its own gossip took in this life for its own, also at fences. Ruled out: taking any greater number, since after a step back of the wall clock an earlier life's number can be the greater one and a fence for it would prove nothing.

--- a/crates/nutmegwheel-node/src/members.rs
+++ b/crates/nutmegwheel-node/src/members.rs
@@ -32,7 +32,8 @@
             let key = nutmegwheel_types::hex::encode(&key[..4]);
             shared.journal.emit(Logged::KeyWithdrawn, &[("key", &key)]);
         }
-        Event::VersionHeard(_) | Event::Refuted(_) => {}
+        Event::Refuted(incarnation) => shared.refuted(incarnation),
+        Event::VersionHeard(_) => {}
     }
     Vec::new()
 }
--- a/crates/nutmegwheel-node/src/once.rs
+++ b/crates/nutmegwheel-node/src/once.rs
@@ -240,11 +240,14 @@
 }
 
 fn fence(shared: &Shared, attempt: &AttemptId, incarnation: u64) -> Fence {
+    if !shared.is_own_life(incarnation) {
+        return Fence::Unknown;
+    }
     let mut started = shared
         .started
         .lock()
         .unwrap_or_else(PoisonError::into_inner);
-    started.fence(attempt, incarnation, Instant::now())
+    started.fence(attempt, shared.incarnation, Instant::now())
 }
 
 /// At the target: records that an attempt begins, or tells why it must not.
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -225,7 +225,7 @@
     if let Some(stamp) = head.stamp {
         shared.hear(stamp);
     }
-    if head.target_incarnation != shared.incarnation {
+    if !shared.is_own_life(head.target_incarnation) {
         let detail = "the call was meant for an earlier life of this node";
         return Err(Refusal::not_run(Reason::LinkLost, detail));
     }
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::VecDeque,
     sync::{
         Arc, Mutex, OnceLock, PoisonError,
         atomic::{AtomicU64, AtomicUsize, Ordering},
@@ -32,6 +33,9 @@
 /// The time in which others learn that this node leaves, and idle callers go elsewhere.
 pub(crate) const LEAVE_TIME: Duration = Duration::from_secs(2);
 
+/// The incarnations of this life that are kept; calls for older ones are refused as not run.
+const REFUTED_KEPT: usize = 64;
+
 /// What the listeners and tasks of a node share.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
@@ -56,6 +60,8 @@
     endpoint: OnceLock<Endpoint>,
     leaving: OnceLock<Instant>,
     lives: AtomicU64,
+    /// The incarnations that the gossip gave to this life of the node, to refute suspicions.
+    refuted: Mutex<VecDeque<Incarnation>>,
 }
 
 /// Lifecycle.
@@ -93,6 +99,7 @@
             endpoint: OnceLock::new(),
             leaving: OnceLock::new(),
             lives: AtomicU64::new(incarnation),
+            refuted: Mutex::default(),
         }
     }
 
@@ -150,6 +157,15 @@
             .is_some_and(|at| at.elapsed() > LEAVE_TIME)
     }
 
+    /// Whether what was meant for an incarnation of this node is meant for its present life.
+    ///
+    /// The gossip raises the number while the node lives on, and a greater number may also be that
+    /// of an earlier life, so only those count that this life took itself.
+    pub(crate) fn is_own_life(&self, incarnation: Incarnation) -> bool {
+        let refuted = self.refuted.lock().unwrap_or_else(PoisonError::into_inner);
+        incarnation == self.incarnation || refuted.contains(&incarnation)
+    }
+
     /// A reading of the clock, to travel with a message.
     pub(crate) fn stamp(&self) -> wire::Stamp {
         let Stamp { millis, count } = self.journal.clock().now();
@@ -177,6 +193,15 @@
         members::announce(self);
     }
 
+    /// Takes note that the gossip goes on in another incarnation in this life of the node.
+    pub(crate) fn refuted(&self, incarnation: Incarnation) {
+        let mut refuted = self.refuted.lock().unwrap_or_else(PoisonError::into_inner);
+        refuted.push_back(incarnation);
+        if refuted.len() > REFUTED_KEPT {
+            refuted.pop_front();
+        }
+    }
+
     pub(crate) fn hear(&self, stamp: wire::Stamp) {
         self.journal.clock().hear(Stamp {
             millis: stamp.millis,
--- a/crates/nutmegwheel/tests/deaths.rs
+++ b/crates/nutmegwheel/tests/deaths.rs
@@ -131,6 +131,11 @@
         let proved = answer.outcome() == Some("not-run");
         assert!(!proved || ran == 0, "{body} ran after {}", answer.text());
     }
+    setup
+        .until("the node that was frozen serves again", async || {
+            setup.ask("riga1-0", IDEMPOTENT, "again").await.status == 200
+        })
+        .await;
 }
 
 #[tokio::test]
