--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -12,8 +12,10 @@
 use crate::{
     log::{self, ReplicatedLog},
     members::{Members, Offer},
+    metrics::Metrics,
     operators::Operators,
     service::ControlService,
+    shares::Shares,
 };
 
 /// The largest body of an operator's request, in bytes.
@@ -24,6 +26,10 @@
 const VOUCH_PAUSE: Duration = Duration::from_millis(300);
 /// The time between two steps of a restarted seed's recovery.
 const RECOVER_PAUSE: Duration = Duration::from_millis(200);
+/// The time between two steps of a possible steward.
+const STEWARD_PAUSE: Duration = Duration::from_millis(100);
+/// The time between two looks whether shares should move.
+const SHARES_PAUSE: Duration = Duration::from_millis(500);
 /// How long answers that are being written may take when the process stops.
 const GRACE: Duration = Duration::from_millis(500);
 
@@ -68,10 +74,12 @@
         fleet_secret: settings.fleet_secret.clone().into_bytes(),
         limits: Limits::default(),
     };
+    let shares = Arc::new(Shares::open(&settings, log.clone(), journal.clone()));
     let service = Arc::new(ControlService {
         members: members.clone(),
         log: log.clone(),
         duty: duty.clone(),
+        shares: shares.clone(),
     });
     let endpoint = Endpoint::bind(opts, service)
         .await
@@ -79,11 +87,17 @@
     spread.connect(endpoint.clone());
     log.connect(endpoint.clone());
     spawn_tasks(&tree, &members, &log);
+    let cx = shares.clone();
+    tree.spawn_interval("shares", SHARES_PAUSE, move || {
+        let cx = cx.clone();
+        async move { cx.step().await }
+    });
     if let Some(duty) = duty {
         spawn_duty(&tree, &duty, &endpoint);
     }
     let operators = Operators {
         log: log.clone(),
+        metrics: Arc::new(Metrics::open()),
         members: members.clone(),
         journal: journal.clone(),
         secret: settings.operator_secret.as_str().into(),
@@ -121,6 +135,11 @@
         let (duty, endpoint) = cx.clone();
         async move { duty.recover(&endpoint).await }
     });
+    let cx = (duty.clone(), endpoint.clone());
+    tree.spawn_interval("steward", STEWARD_PAUSE, move || {
+        let (duty, endpoint) = cx.clone();
+        async move { duty.step(&endpoint) }
+    });
 }
 
 fn spawn_tasks(tree: &Supervisor, members: &Arc<Members>, log: &Arc<ReplicatedLog>) {
--- a/crates/nutmegwheel-control/src/lib.rs
+++ b/crates/nutmegwheel-control/src/lib.rs
@@ -7,8 +7,10 @@
 mod control;
 mod log;
 mod members;
+mod metrics;
 mod operators;
 mod service;
+mod shares;
 /// What the replicated log makes of the operators' changes.
 pub mod state;
 
--- a/crates/nutmegwheel-node/src/door.rs
+++ b/crates/nutmegwheel-node/src/door.rs
@@ -29,7 +29,9 @@
         Box::pin(async move {
             let _in_flight = shared.enter();
             let root = rand::random();
+            let began = Instant::now();
             let result = take(&shared, req, root).await;
+            shared.metrics.count(&result, began.elapsed());
             respond(&shared, result, root)
         })
     }
@@ -51,6 +53,9 @@
     if call.deadline <= now {
         return Err(Refusal::not_run(Reason::Deadline, "no time was left"));
     }
+    if let Some(workspace) = &call.context.workspace {
+        shared.rates.spend(&view, workspace).await?;
+    }
     let parent = Parent::open(call.context.clone(), call.key, call.deadline);
     let id = forward::call_id(&call, None);
     forward::forward(shared, &parent, call, id).await
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -9,14 +9,15 @@
 
 use nutmegwheel_config::Settings;
 use nutmegwheel_events::{Journal, Stamp};
+use nutmegwheel_limits::messages::DoorId;
 use nutmegwheel_link::Endpoint;
 use nutmegwheel_policy::{
     needs::Needs,
     retry::{RatioOptions, Ratios},
     shed::{self, Levels},
 };
-use nutmegwheel_seeds::{AttemptId, Claims, Duty, SeedLists, Started, started};
-use nutmegwheel_spread::Spread;
+use nutmegwheel_seeds::{AttemptId, Claims, Duty, SeedLists, Started, Tokens, started};
+use nutmegwheel_spread::{Health, Spread};
 use nutmegwheel_types::{EndpointId, Incarnation, Priority, ProcessName, ServiceId};
 use nutmegwheel_wire as wire;
 
@@ -24,6 +25,8 @@
     backend::{BackendState, Local},
     gate::Gate,
     members,
+    metrics::Metrics,
+    rates::Rates,
     routes::Routes,
     running::Running,
     suspects::Suspects,
@@ -51,10 +54,13 @@
     pub(crate) levels: Mutex<Levels>,
     pub(crate) ratios: Mutex<Ratios>,
     needs: Mutex<Needs>,
-    pub(crate) in_flight: AtomicUsize,
+    pub(crate) metrics: Metrics,
+    in_flight: AtomicUsize,
     pub(crate) seeds: Arc<SeedLists>,
     pub(crate) duty: Option<Arc<Duty>>,
     pub(crate) started: Mutex<Started>,
+    pub(crate) rates: Rates,
+    tokens: OnceLock<Tokens>,
     claims: OnceLock<Claims>,
     attempts: AtomicU64,
     endpoint: OnceLock<Endpoint>,
@@ -86,6 +92,19 @@
                 capacity: started::CAPACITY,
                 retention: started::RETENTION,
             })),
+            rates: Rates::open(
+                DoorId {
+                    name: settings.name.clone(),
+                    incarnation,
+                },
+                settings.data_centre.clone(),
+                settings
+                    .seeds
+                    .iter()
+                    .map(|seed| seed.data_centre.clone())
+                    .collect(),
+            ),
+            tokens: OnceLock::new(),
             claims: OnceLock::new(),
             attempts: AtomicU64::new(0),
             spread: Spread::open(&settings, incarnation),
@@ -95,6 +114,7 @@
             journal,
             local: Local::open(),
             running: Running::default(),
+            metrics: Metrics::open(),
             in_flight: AtomicUsize::new(0),
             endpoint: OnceLock::new(),
             leaving: OnceLock::new(),
@@ -120,6 +140,13 @@
     /// Sets the endpoint, which is opened after what it serves.
     pub(crate) fn connect(&self, endpoint: Endpoint) {
         self.spread.connect(endpoint.clone());
+        let tokens = Tokens::open(
+            self.settings.name.clone(),
+            endpoint.clone(),
+            self.duty.clone(),
+            self.seeds.clone(),
+        );
+        let _ = self.tokens.set(tokens);
         let claims = Claims::open(
             self.settings.name.clone(),
             endpoint.clone(),
@@ -133,6 +160,9 @@
     pub(crate) fn leave(&self) {
         let _ = self.leaving.set(Instant::now());
         self.spread.leave();
+        if let Some(duty) = &self.duty {
+            duty.stop();
+        }
     }
 }
 
@@ -142,10 +172,28 @@
         self.endpoint.get()
     }
 
+    pub(crate) fn tokens(&self) -> Option<Tokens> {
+        self.tokens.get().cloned()
+    }
+
     pub(crate) fn claims(&self) -> Option<Claims> {
         self.claims.get().cloned()
     }
 
+    /// The requests and calls that are in this process.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// The processes of the fleet that are not known to be dead.
+    pub(crate) fn living_members(&self) -> usize {
+        let members = self.spread.members();
+        members
+            .iter()
+            .filter(|member| member.health != Health::Dead)
+            .count()
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving.get().is_some()
     }
--- a/tests/support/src/ledger.rs
+++ b/tests/support/src/ledger.rs
@@ -1,7 +1,7 @@
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, PoisonError},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 /// One request that a backend server began.
@@ -27,6 +27,8 @@
     pub ended: Option<Instant>,
     /// Whether its connection was closed before it was answered.
     pub cancelled: bool,
+    /// The time that it worked in a slot, without waiting for a slot or for calls of its own.
+    pub worked: Duration,
 }
 
 /// What ran, over all backend servers of a test.
@@ -60,6 +62,11 @@
         self.lock().iter().filter(|run| run.cancelled).count()
     }
 
+    /// Notes the time that a request worked.
+    pub(crate) fn worked(&self, place: usize, time: Duration) {
+        self.lock()[place].worked = time;
+    }
+
     /// Everything that ran so far.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
