--- a/crates/nutmegwheel/tests/stops.rs
+++ b/crates/nutmegwheel/tests/stops.rs
@@ -11,7 +11,7 @@
 };
 
 use common::{KEY, Setup};
-use nutmegwheel_support::{Answer, Behaviour, Caller};
+use nutmegwheel_support::{Answer, Backend, Behaviour, Caller};
 use tokio::task::JoinHandle;
 
 const PATH: &str = "/dispatch/crew";
@@ -233,7 +233,7 @@
         .map(|_| setup.spawn_ask("riga1-0", PATH, "x"))
         .collect();
     setup.begun(PATH, 2).await;
-    setup.with_backend("dispatch@riga1-1", nutmegwheel_support::Backend::leave);
+    setup.with_backend("dispatch@riga1-1", Backend::leave);
     for asked in asked {
         let answer = asked.await.expect("an answer");
         assert_eq!(answer.status, 200, "{}", answer.text());
