fix(policy): a low limit grows after one sample per place

Cause: the gradient compared windows of at least 16 samples. A limit of 1 with a service time of 76 to 150 ms fills such a window in 1.2 to 2.4 s, so a cold start, or a step down after noise, held a small backend server at 1 to 3 of 7 places for seconds. Ruled out: fewer samples for every decision, which would make steps down follow noise.

--- a/crates/nutmegwheel-policy/src/concurrency/gradient.rs
+++ b/crates/nutmegwheel-policy/src/concurrency/gradient.rs
@@ -99,6 +99,22 @@
         }
     }
 
+    /// Whether a limit that is used up may grow before the window has its samples.
+    ///
+    /// A low limit gives samples so slowly that whole windows would keep it low for seconds. To
+    /// grow wrongly costs little, so a latency of one sample per place is enough to go on.
+    fn may_grow_early(&self, now: Instant) -> bool {
+        let seen = self.window.summary();
+        let is_searching = !matches!(self.phase, Phase::SteppedDown { .. });
+        is_searching
+            && self.limit < self.slots
+            && seen.most_running >= self.limit
+            && self.window.is_seen(now, self.limit, &self.options)
+            && seen
+                .latency
+                .is_some_and(|latency| !self.is_queueing(latency))
+    }
+
     /// Decides whether the last step down lowered the latency.
     fn judge_step(&mut self, latency: Duration, from: u32, before: Duration) {
         self.phase = Phase::Search;
@@ -168,6 +184,9 @@
             let seen = self.window.summary();
             self.decide(now, seen);
             self.window = Window::new(now);
+        } else if self.may_grow_early(now) {
+            self.grow(true);
+            self.window = Window::new(now);
         }
     }
 
--- a/crates/nutmegwheel-policy/src/concurrency/window.rs
+++ b/crates/nutmegwheel-policy/src/concurrency/window.rs
@@ -55,8 +55,16 @@
 
     pub(crate) fn is_complete(&self, now: Instant, limit: u32, options: &Options) -> bool {
         let wanted = limit.clamp(options.min_samples, options.max_samples);
-        let is_old = now.saturating_duration_since(self.began) >= options.window;
-        is_old && (self.refused || self.samples >= wanted)
+        self.is_old(now, options) && (self.refused || self.samples >= wanted)
+    }
+
+    /// Whether the window has so many samples, none of them a refusal.
+    pub(crate) fn is_seen(&self, now: Instant, samples: u32, options: &Options) -> bool {
+        self.is_old(now, options) && !self.refused && self.samples >= samples
+    }
+
+    fn is_old(&self, now: Instant, options: &Options) -> bool {
+        now.saturating_duration_since(self.began) >= options.window
     }
 
     pub(crate) fn summary(&self) -> Summary {
--- /dev/null
+++ b/crates/nutmegwheel-policy/tests/cold_start.rs
@@ -0,0 +1,68 @@
+//! A cold backend server comes up to its slots after one sample per place and step.
+
+use std::time::{Duration, Instant};
+
+use nutmegwheel_policy::concurrency::{Gradient, Limiter, Options, Outcome, Sample};
+
+/// The service time of the backend server.
+const SERVICE: Duration = Duration::from_millis(80);
+
+/// Keeps every place of the limiter busy and returns the time until the limit is `wanted`.
+fn time_to(limiter: &mut Gradient, mut now: Instant, wanted: u32) -> Duration {
+    let began = now;
+    while limiter.limit() < wanted {
+        assert!(
+            now - began < Duration::from_secs(10),
+            "limit {}",
+            limiter.limit()
+        );
+        now += SERVICE;
+        let running = limiter.limit();
+        for _ in 0..running {
+            limiter.observe(
+                now,
+                Sample {
+                    latency: SERVICE,
+                    running,
+                    outcome: Outcome::Answered,
+                },
+            );
+        }
+    }
+    now - began
+}
+
+#[test]
+fn a_slow_start_doubles_with_each_round_of_samples() {
+    let now = Instant::now();
+    for slots in [6, 17, 64] {
+        let mut limiter = Gradient::open(now, slots, Options::default());
+        limiter.cold_start(now);
+        let first = limiter.limit();
+        let doublings = slots.div_ceil(first).next_power_of_two().ilog2();
+        let time = time_to(&mut limiter, now, slots);
+        assert!(
+            time <= SERVICE * (doublings + 1),
+            "{slots} slots: {time:?} for {doublings} doublings"
+        );
+    }
+}
+
+#[test]
+fn a_refusal_keeps_a_slow_start_from_growing_early() {
+    let now = Instant::now();
+    let mut limiter = Gradient::open(now, 6, Options::default());
+    limiter.cold_start(now);
+    let before = limiter.limit();
+    for outcome in [Outcome::Refused, Outcome::Answered] {
+        limiter.observe(
+            now + SERVICE,
+            Sample {
+                latency: SERVICE,
+                running: before,
+                outcome,
+            },
+        );
+    }
+    assert_eq!(limiter.limit(), before);
+}
