--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -4,6 +4,7 @@
 use nutmegwheel_config::Settings;
 use nutmegwheel_events::{Event, Journal};
 use nutmegwheel_link::{Endpoint, Limits, Options};
+use nutmegwheel_seeds::Duty;
 use nutmegwheel_spread::{Spread, TICK};
 use nutmegwheel_supervisor::Supervisor;
 use nutmegwheel_types::Incarnation;
@@ -13,6 +14,7 @@
     members::{Members, Offer},
     operators::Operators,
     service::ControlService,
+    shares::Shares,
 };
 
 /// The largest body of an operator's request, in bytes.
@@ -21,6 +23,12 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 /// The time between two questions whether this control VM holds all that is committed.
 const VOUCH_PAUSE: Duration = Duration::from_millis(300);
+/// The time between two steps of a restarted seed's recovery.
+const RECOVER_PAUSE: Duration = Duration::from_millis(200);
+/// The time between two steps of a possible steward.
+const STEWARD_PAUSE: Duration = Duration::from_millis(100);
+/// The time between two looks whether shares should move.
+const SHARES_PAUSE: Duration = Duration::from_millis(500);
 /// How long answers that are being written may take when the process stops.
 const GRACE: Duration = Duration::from_millis(500);
 
@@ -46,6 +54,7 @@
 ) -> anyhow::Result<Control> {
     let tree = Supervisor::open(journal.clone());
     let spread = Arc::new(Spread::open(&settings, incarnation));
+    let duty = Duty::open(&settings, incarnation).map(Arc::new);
     let members = Arc::new(Members::open(spread.clone(), journal.clone()));
     let offer = Offer {
         spread: spread.clone(),
@@ -63,9 +72,12 @@
         fleet_secret: settings.fleet_secret.clone().into_bytes(),
         limits: Limits::default(),
     };
+    let shares = Arc::new(Shares::open(&settings, log.clone(), journal.clone()));
     let service = Arc::new(ControlService {
         members: members.clone(),
         log: log.clone(),
+        duty: duty.clone(),
+        shares: shares.clone(),
     });
     let endpoint = Endpoint::bind(opts, service)
         .await
@@ -73,6 +85,14 @@
     spread.connect(endpoint.clone());
     log.connect(endpoint.clone());
     spawn_tasks(&tree, &members, &log);
+    let cx = shares.clone();
+    tree.spawn_interval("shares", SHARES_PAUSE, move || {
+        let cx = cx.clone();
+        async move { cx.step().await }
+    });
+    if let Some(duty) = duty {
+        spawn_duty(&tree, &duty, &endpoint);
+    }
     let operators = Operators {
         log: log.clone(),
         members: members.clone(),
@@ -106,6 +126,19 @@
     })
 }
 
+fn spawn_duty(tree: &Supervisor, duty: &Arc<Duty>, endpoint: &Endpoint) {
+    let cx = (duty.clone(), endpoint.clone());
+    tree.spawn_interval("seed", RECOVER_PAUSE, move || {
+        let (duty, endpoint) = cx.clone();
+        async move { duty.recover(&endpoint).await }
+    });
+    let cx = (duty.clone(), endpoint.clone());
+    tree.spawn_interval("steward", STEWARD_PAUSE, move || {
+        let (duty, endpoint) = cx.clone();
+        async move { duty.step(&endpoint) }
+    });
+}
+
 fn spawn_tasks(tree: &Supervisor, members: &Arc<Members>, log: &Arc<ReplicatedLog>) {
     let cx = members.clone();
     tree.spawn_interval("gossip", TICK, move || {
@@ -135,7 +168,7 @@
     pub async fn shutdown(self) {
         self.journal.emit(Event::ProcessLeaving, &[]);
         self.spread.leave();
-        self.web.stop();
+        self.web.stop().await;
         self.spread.stop();
         self.endpoint.shutdown().await;
         tokio::time::sleep(GRACE).await;
--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -12,17 +12,20 @@
     routing::{BackendKey, LoadReport, Outcome as Ended},
     shed,
 };
+use nutmegwheel_seeds::AttemptId;
 use nutmegwheel_wire::{ReplyHead, topic};
 use prost::Message as _;
 use sha2::{Digest, Sha256};
 
 use crate::{
     call::{self, Answer, Call},
+    once::{self, Begun},
     refusal::{Outcome, Reason, Refusal},
     routes::Target,
     running::{Below, Parent},
     serve::{self, Served},
     shared::Shared,
+    suspects,
 };
 
 /// The time for the way there and back inside a data centre.
@@ -30,6 +33,10 @@
 /// The time for the way there and back between data centres.
 const FAR_ROUND_TRIP: Duration = Duration::from_millis(4);
 
+/// The most backend servers that may break off in one request before it is given up, whether or
+/// not the news of their deaths has come.
+const MAX_LOST: u32 = 2;
+
 /// Names a call among those of its parent.
 pub(crate) fn call_id(call: &Call, name: Option<&str>) -> CallId {
     let mut hash = Sha256::new();
@@ -68,7 +75,10 @@
         unspent: None,
     };
     let result = tries(shared, parent, &mut call, &mut settled).await;
-    if result.is_ok() {
+    if result
+        .as_ref()
+        .is_ok_and(|answer| !answer.asks_for_repeat())
+    {
         settled.end = End::Answered;
     }
     result
@@ -97,7 +107,10 @@
     settled: &mut Settled<'_>,
 ) -> Result<Answer, Refusal> {
     let mut tried = Vec::new();
+    let mut replaces = None;
+    let mut lost = 0;
     loop {
+        suspects::check(shared, call)?;
         let target = match choose(shared, call, &tried) {
             Ok(target) => target,
             Err(refusal) if tried.is_empty() => return Err(refusal),
@@ -106,7 +119,7 @@
         };
         let began = Instant::now();
         settled.unspent = None;
-        let served = attempt(shared, call, &target).await;
+        let served = attempt(shared, call, &target, &mut replaces).await;
         settled.unspent = served.unspent;
         parent.note(served.below);
         let refusal = match served.result {
@@ -114,6 +127,10 @@
             Err(refusal) => refusal,
         };
         tried.push(target.key);
+        lost += u32::from(may_have_killed(&refusal));
+        if lost >= MAX_LOST {
+            return suspects::check(shared, call).and(Err(refusal));
+        }
         let others = shared.routes.available(&call.service) > tried.len();
         let attempt = Attempt {
             proof: proof(&refusal),
@@ -176,12 +193,17 @@
     }
 }
 
+fn may_have_killed(refusal: &Refusal) -> bool {
+    refusal.reason == Reason::BackendLost && refusal.outcome == Outcome::MayHaveRun
+}
+
 fn proof(refusal: &Refusal) -> Proof {
     let is_final = matches!(
         refusal.reason,
         Reason::KeyWithdrawn
             | Reason::BadRequest
             | Reason::AnswerTooLarge
+            | Reason::ClaimUnavailable
             | Reason::Quarantined
             | Reason::Deadline
     );
@@ -243,19 +265,30 @@
 }
 
 /// One try at one backend server.
-async fn attempt(shared: &Arc<Shared>, call: &Call, target: &Target) -> Served {
+async fn attempt(
+    shared: &Arc<Shared>,
+    call: &mut Call,
+    target: &Target,
+    replaces: &mut Option<AttemptId>,
+) -> Served {
+    let service = call.service.clone();
     let mut outstanding = Outstanding {
         shared,
-        service: &call.service,
+        service: &service,
         key: target.key,
         ended: Ended::Cancelled,
         report: None,
     };
+    let guard = match once::begin(shared, call, target, replaces).await {
+        Begun::Go(guard) => guard,
+        Begun::Over(result) => return Served::unsent(result, call.context.retry_tokens),
+    };
     let served = if target.node == shared.settings.name {
         serve::serve(shared, call.clone()).await
     } else {
         send(shared, call, target).await
     };
+    let served = once::end(shared, guard, target, replaces, served).await;
     outstanding.report = served.report;
     outstanding.ended = ended(&served);
     if let Some(report) = served.report {
--- a/crates/nutmegwheel/tests/common/mod.rs
+++ b/crates/nutmegwheel/tests/common/mod.rs
@@ -7,13 +7,16 @@
 };
 
 use nutmegwheel_support::{
-    Answer, Backend, BackendOptions, Behaviour, Fleet, FleetOptions, Ledger,
+    Answer, Backend, BackendOptions, Behaviour, Fleet, FleetOptions, Ledger, Vm,
 };
+use tokio::task::JoinHandle;
 
 /// The header field with the key of the workspace `vidzeme`.
 pub(crate) const KEY: &str = "Bearer key-of-vidzeme-000001";
 /// The key itself.
 pub(crate) const KEY_TEXT: &str = "key-of-vidzeme-000001";
+/// The slots of a backend server that needs no other number.
+const SLOTS: u16 = 16;
 /// The time in which a change must be in force everywhere.
 pub(crate) const IN_FORCE: Duration = Duration::from_secs(5);
 
@@ -25,8 +28,10 @@
   },
   "services": {
     "tally-portal": {"health": {"class": "reports", "open": true}, "*": {"class": "crews"}},
-    "dispatch": {"bill": {"class": "crews", "non_idempotent": true}, "*": {"class": "crews"}},
-    "shiftbook": {"*": {"class": "reports"}}
+    "dispatch": {"bill": {"class": "crews", "non_idempotent": true},
+                 "report": {"class": "reports"}, "*": {"class": "crews"}},
+    "shiftbook": {"*": {"class": "reports"}},
+    "intake": {"*": {"class": "crews"}}
   },
   "workspaces": {"vidzeme": {"rate": 5000.0, "burst": 5000}, "zemgale": {"rate": 10.0, "burst": 5}}
 }}"#;
@@ -55,9 +60,23 @@
         setup.give_key(2, "vidzeme", KEY_TEXT).await;
         setup.fleet.ready().await.expect("every node serves");
         setup.version_everywhere(2).await;
+        setup.tokens_everywhere().await;
         setup
     }
 
+    /// Waits until every door gets tokens for the workspace `vidzeme`: a request that finds no
+    /// backend server has passed the rate.
+    async fn tokens_everywhere(&self) {
+        for node in &self.fleet.nodes {
+            self.until("every door gets tokens", async || {
+                let name = &node.vm.name;
+                let answer = self.call(name, "/shiftbook/probe", &[("authorization", KEY)], "");
+                answer.await.reason() == "no-backend-server"
+            })
+            .await;
+        }
+    }
+
     /// Commits a change and fails the test when it is not.
     pub(crate) async fn change(&self, number: u64, body: &str) -> Answer {
         let path = format!("/v1/changes/{number}");
@@ -92,19 +111,25 @@
         node: &str,
         service: &str,
         behave: impl FnOnce(&mut Behaviour),
+    ) -> std::net::SocketAddr {
+        self.backend_of(node, service, SLOTS, behave).await
+    }
+
+    /// Starts a backend server with this many slots beside a node.
+    pub(crate) async fn backend_of(
+        &self,
+        node: &str,
+        service: &str,
+        slots: u16,
+        behave: impl FnOnce(&mut Behaviour),
     ) -> std::net::SocketAddr {
         let mut behaviour = Behaviour::default();
         behave(&mut behaviour);
-        let vm = self
-            .fleet
-            .nodes
-            .iter()
-            .find(|process| process.vm.name == node);
         let opts = BackendOptions {
             name: format!("{service}@{node}"),
             service: service.to_owned(),
-            slots: 16,
-            node: vm.expect("a node of that name").vm.backend,
+            slots,
+            node: self.vm(node).backend,
         };
         let backend = Backend::spawn(opts, behaviour, self.ledger.clone()).await;
         let backend = backend.expect("a backend server starts");
@@ -138,12 +163,7 @@
         fields: &[(&str, &str)],
         body: &str,
     ) -> Answer {
-        let vm = self
-            .fleet
-            .nodes
-            .iter()
-            .find(|process| process.vm.name == node);
-        let at = vm.expect("a node of that name").vm.callers;
+        let at = self.vm(node).callers;
         let answer = self
             .fleet
             .caller
@@ -152,6 +172,104 @@
         answer.expect("the door answers")
     }
 
+    /// Calls the door of a node with the key of `vidzeme`.
+    pub(crate) async fn ask(&self, node: &str, path: &str, body: &str) -> Answer {
+        self.call(node, path, &[("authorization", KEY)], body).await
+    }
+
+    /// Calls the door of a node with the key of `vidzeme` beside what the test goes on to do.
+    pub(crate) fn spawn_ask(&self, node: &str, path: &str, body: &str) -> JoinHandle<Answer> {
+        let (caller, at) = (self.fleet.caller.clone(), self.vm(node).callers);
+        let (path, body) = (path.to_owned(), body.to_owned());
+        tokio::spawn(async move {
+            let fields = [("authorization", KEY)];
+            let answer = caller.call("POST", at, &path, &fields, body).await;
+            answer.expect("the door answers")
+        })
+    }
+
+    /// The VM of a node.
+    pub(crate) fn vm(&self, node: &str) -> &Vm {
+        let mut nodes = self.fleet.nodes.iter();
+        let process = nodes.find(|process| process.vm.name == node);
+        &process.expect("a node of that name").vm
+    }
+
+    /// Does something with the backend server of that name, which is `SERVICE@NODE`.
+    pub(crate) fn with_backend<T>(&self, name: &str, work: impl FnOnce(&Backend) -> T) -> T {
+        let backends = self.backends.lock().unwrap();
+        let mut named = backends.iter().rev();
+        work(named.find(|backend| backend.name() == name).expect(name))
+    }
+
+    /// Does something with each backend server.
+    pub(crate) fn with_each_backend(&self, work: impl Fn(&Backend)) {
+        self.backends.lock().unwrap().iter().for_each(work);
+    }
+
+    /// How many backend servers were killed or died.
+    pub(crate) fn deaths(&self) -> usize {
+        let backends = self.backends.lock().unwrap();
+        backends.iter().filter(|backend| backend.is_dead()).count()
+    }
+
+    /// Sends a signal to the process of that name.
+    pub(crate) fn signal(&self, name: &str, signal: &str) {
+        let mut all = self.fleet.control.iter().chain(&self.fleet.nodes);
+        let process = all.find(|process| process.vm.name == name);
+        process.expect("a process of that name").signal(signal);
+    }
+
+    /// Waits until a path has been begun this often and returns where it was begun last.
+    pub(crate) async fn begun(&self, path: &str, times: usize) -> String {
+        self.until("the request begins", async || {
+            self.ledger.count(path) >= times
+        })
+        .await;
+        let runs = self.ledger.runs();
+        let last = runs.into_iter().rfind(|run| run.path == path);
+        last.expect("a run").backend
+    }
+
+    /// Waits until every node has heard of a ready backend server beside each of these nodes.
+    pub(crate) async fn ready_at(&self, nodes: &[&str]) {
+        for at in &self.fleet.nodes {
+            for node in nodes {
+                self.until("the announcement is everywhere", async || {
+                    self.seen(&at.vm, node).await["backend"]["state"] == "ready"
+                })
+                .await;
+            }
+        }
+    }
+
+    /// Waits until a node says that it serves, as after a freeze it first asks its seeds.
+    pub(crate) async fn door_serves(&self, node: &str) {
+        let at = self.vm(node).platform;
+        self.until("the door serves", async || {
+            let answer = self.fleet.caller.call("GET", at, "/readyz", &[], "");
+            answer.await.is_ok_and(|answer| answer.status == 200)
+        })
+        .await;
+    }
+
+    /// How many requests wait in front of a node's backend server.
+    pub(crate) async fn waiting_at(&self, node: &str) -> u64 {
+        let at = self.vm(node).platform;
+        let status = self.fleet.operate_at(at, "GET", "/v1/status", "").await;
+        let status = status.map(|answer| answer.json()).unwrap_or_default();
+        status["waiting"].as_u64().unwrap_or_default()
+    }
+
+    /// What one VM knows of a process.
+    pub(crate) async fn seen(&self, at: &Vm, name: &str) -> serde_json::Value {
+        let status = self.fleet.operate_at(at.platform, "GET", "/v1/status", "");
+        let status = status.await.map(|answer| answer.json()).unwrap_or_default();
+        let members = status["members"].as_array().cloned().unwrap_or_default();
+        let mut named = members.into_iter().filter(|member| member["name"] == name);
+        named.next().unwrap_or_default()
+    }
+
     /// Waits until a condition holds, for as long as a change may take to be in force.
     pub(crate) async fn until(&self, what: &str, holds: impl AsyncFn() -> bool) {
         let end = Instant::now() + 4 * IN_FORCE;
@@ -161,3 +279,36 @@
         }
     }
 }
+
+/// A caller's connection that is used for one request after the other.
+pub(crate) struct KeptAlive {
+    stream: tokio::io::BufReader<tokio::net::TcpStream>,
+}
+
+impl KeptAlive {
+    pub(crate) async fn open(at: std::net::SocketAddr) -> Self {
+        let stream = tokio::net::TcpStream::connect(at).await;
+        Self {
+            stream: tokio::io::BufReader::new(stream.expect("the door is open")),
+        }
+    }
+
+    /// Sends a whole request and reads one whole answer, of which it returns the head.
+    pub(crate) async fn ask(&mut self, request: &str) -> String {
+        use tokio::io::{AsyncBufReadExt as _, AsyncReadExt as _, AsyncWriteExt as _};
+        let sent = self.stream.get_mut().write_all(request.as_bytes()).await;
+        sent.expect("the connection is open");
+        let mut head = String::new();
+        while !head.ends_with("\r\n\r\n") {
+            let read = self.stream.read_line(&mut head).await;
+            assert!(read.is_ok_and(|bytes| bytes > 0), "closed after {head:?}");
+        }
+        let lower = head.to_ascii_lowercase();
+        let length = lower.split("content-length: ").nth(1);
+        let length = length.and_then(|rest| rest.split('\r').next()?.parse().ok());
+        let mut body = vec![0; length.unwrap_or(0)];
+        let read = self.stream.read_exact(&mut body).await;
+        read.expect("the whole answer");
+        head
+    }
+}
