--- a/tools/bench/src/measure/figures.rs
+++ b/tools/bench/src/measure/figures.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, HashSet},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use nutmegwheel_support::Run;
@@ -62,6 +62,32 @@
     scenario: Scenario,
     phases: &'a [Phase],
     records: &'a [Record],
+    /// The intended starts of the requests that passed their workspace's rate and burst.
+    over_rate: HashSet<Instant>,
+}
+
+/// Finds the requests that pass the rate and burst of their workspace, resends not counted.
+fn over_rate(deployment: &Deployment, records: &[Record]) -> HashSet<Instant> {
+    let mut buckets: Vec<Option<(f64, Instant)>> = vec![None; deployment.workspaces.len()];
+    let mut over = HashSet::new();
+    for record in records {
+        let (rate, burst) = (
+            deployment.rate(record.workspace),
+            deployment.burst(record.workspace),
+        );
+        let bucket = &mut buckets[record.workspace];
+        let (tokens, at) = bucket.unwrap_or((burst, record.intended));
+        let refilled = record.intended.duration_since(at).as_secs_f64() * rate;
+        let tokens = (tokens + refilled).min(burst);
+        let left = if tokens >= 1.0 {
+            tokens - 1.0
+        } else {
+            over.insert(record.intended);
+            tokens
+        };
+        *bucket = Some((left, record.intended));
+    }
+    over
 }
 
 /// Judges one run.
@@ -76,6 +102,7 @@
         scenario,
         phases,
         records,
+        over_rate: over_rate(deployment, records),
     };
     let calm = judged.goodput(Kind::Calm);
     let reference = judged.goodput(Kind::Reference);
@@ -146,7 +173,8 @@
 
     fn is_inside_rate(&self, record: &Record) -> bool {
         let is_trigger = self.phases[record.phase].kind == Kind::Trigger;
-        !(is_trigger && self.scenario.over_rate() == Some(record.workspace))
+        let surges = is_trigger && self.scenario.over_rate() == Some(record.workspace);
+        !surges && !self.over_rate.contains(&record.intended)
     }
 
     /// The requests inside their workspace's rate for which there was capacity.
