--- a/crates/nutmegwheel/tests/rates.rs
+++ b/crates/nutmegwheel/tests/rates.rs
@@ -75,7 +75,10 @@
     surge(&setup, SMALL, Duration::from_secs(6)).await;
     let allowed = BURST + RATE * began.elapsed().as_secs_f64();
     let ran = runs(&setup, "zemgale");
-    assert!(f64::from(ran) <= allowed, "{ran} ran, {allowed} were allowed");
+    assert!(
+        f64::from(ran) <= allowed,
+        "{ran} ran, {allowed} were allowed"
+    );
     // What is due must also get through: the target for a workspace inside its share is 95 %, and
     // the steward's own start may take a few seconds of the six.
     assert!(ran >= 10, "only {ran} ran");
@@ -112,5 +115,8 @@
     surge(&setup, SMALL, Duration::from_secs(5)).await;
     let allowed = BURST + RATE * began.elapsed().as_secs_f64();
     let ran = runs(&setup, "zemgale");
-    assert!(f64::from(ran) <= allowed, "{ran} ran, {allowed} were allowed");
+    assert!(
+        f64::from(ran) <= allowed,
+        "{ran} ran, {allowed} were allowed"
+    );
 }
