--- a/crates/nutmegwheel-node/src/door.rs
+++ b/crates/nutmegwheel-node/src/door.rs
@@ -15,7 +15,7 @@
     running::Parent,
     serve,
     shared::Shared,
-    suspects, views,
+    views,
 };
 
 /// Answers callers.
@@ -54,7 +54,6 @@
     if let Some(workspace) = &call.context.workspace {
         shared.rates.spend(&view, workspace).await?;
     }
-    shared.suspects.check(now, suspects::fingerprint(&call))?;
     let parent = Parent::open(call.context.clone(), call.key, call.deadline);
     let id = forward::call_id(&call, None);
     forward::forward(shared, &parent, call, id).await
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -108,7 +108,9 @@
             if refusal.outcome == Outcome::MayHaveRun {
                 watched.broken();
             }
-            tokio::spawn(suspects::investigate(shared.clone(), address));
+            // The others must know of a death before the request is tried at one of them, also
+            // when the caller leaves meanwhile.
+            let _ = tokio::spawn(suspects::investigate(shared.clone(), address)).await;
         }
         Err(_) => {}
     }
@@ -132,14 +134,7 @@
         let detail = "the deadline passed before the request was begun";
         return Err(Refusal::not_run(Reason::Deadline, detail));
     }
-    let view = shared.views.current();
-    if call.key.is_some_and(|key| view.withdrawn.contains(&key)) {
-        return Err(Refusal::not_run(
-            Reason::KeyWithdrawn,
-            "the key is withdrawn",
-        ));
-    }
-    Ok(())
+    call.key.map_or(Ok(()), |key| may_serve(shared, &key))
 }
 
 /// Checks that a key may be served at this instant.
--- a/tests/support/src/backend.rs
+++ b/tests/support/src/backend.rs
@@ -10,9 +10,10 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::BodyExt as _;
 use hyper::{Request, Response, body::Incoming, service::service_fn};
 use hyper_util::rt::TokioIo;
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
 use tokio::{
     io::AsyncWriteExt as _,
     net::{TcpListener, TcpStream},
@@ -21,7 +22,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{Caller, Ledger, Run};
+use crate::{Caller, Ledger, Run, body::Body};
 
 /// The lease of an announcement.
 const LEASE: Duration = Duration::from_millis(1500);
@@ -44,8 +45,10 @@
 /// What a fake backend server does with requests; can be changed while it runs.
 #[derive(Clone, Debug, Default)]
 pub struct Behaviour {
-    /// The time that a request takes in a slot.
+    /// The time that a request takes in a slot, on average.
     pub service_time: Duration,
+    /// The part of the service time that varies, 0 to 1; it is distributed exponentially.
+    pub spread: f64,
     /// The downstream calls made for a request, by the request's path: each a path.
     pub calls: HashMap<String, Vec<String>>,
     /// How often a failed downstream call is sent again by the backend server itself.
@@ -87,6 +90,7 @@
     slots: Semaphore,
     caller: Caller,
     calls: AtomicU64,
+    rng: Mutex<SmallRng>,
     killed: CancellationToken,
 }
 
@@ -107,6 +111,7 @@
         let killed = CancellationToken::new();
         let shared = Arc::new(Inner {
             slots: Semaphore::new(opts.slots.into()),
+            rng: Mutex::new(SmallRng::seed_from_u64(seed(&opts.name))),
             opts,
             state: Mutex::new("ready"),
             behaviour: Mutex::new(behaviour),
@@ -145,6 +150,12 @@
 
 /// Access.
 impl Backend {
+    /// Its name in the ledger.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.shared.opts.name
+    }
+
     /// Where it takes requests.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -166,6 +177,11 @@
         announce(&self.shared, self.address).await;
     }
 
+    /// Announces from the next renewal on that it leaves.
+    pub fn leave(&self) {
+        *lock(&self.shared.state) = "leaving";
+    }
+
     /// Changes what it does with requests from now on.
     pub fn set_behaviour(&self, change: impl FnOnce(&mut Behaviour)) {
         change(&mut lock(&self.shared.behaviour));
@@ -224,10 +240,7 @@
         .await;
 }
 
-async fn handle(
-    shared: &Arc<Inner>,
-    req: Request<Incoming>,
-) -> anyhow::Result<Response<Full<Bytes>>> {
+async fn handle(shared: &Arc<Inner>, req: Request<Incoming>) -> anyhow::Result<Response<Body>> {
     let (head, body) = req.into_parts();
     let body = body.collect().await?.to_bytes();
     let behaviour = lock(&shared.behaviour).clone();
@@ -256,13 +269,21 @@
         body: body.to_vec(),
         began: Instant::now(),
         ended: None,
+        cancelled: false,
+        worked: Duration::ZERO,
     });
+    let _watched = Watched {
+        ledger: &shared.ledger,
+        place,
+    };
     if behaviour.fault == Fault::DieOn(body.to_vec()) {
         shared.killed.cancel();
         std::future::pending::<Infallible>().await;
     }
     let _slot = shared.slots.acquire().await?;
-    tokio::time::sleep(behaviour.service_time).await;
+    let time = service_time(&behaviour, &mut lock(&shared.rng));
+    tokio::time::sleep(time).await;
+    shared.ledger.worked(place, time);
     if behaviour.fault == Fault::Break {
         anyhow::bail!("breaks off");
     }
@@ -279,6 +300,32 @@
     Ok(finish(&behaviour, &report, &body))
 }
 
+/// Notes in the ledger when the work on a request is dropped before its end.
+struct Watched<'a> {
+    ledger: &'a Ledger,
+    place: usize,
+}
+
+impl Drop for Watched<'_> {
+    fn drop(&mut self) {
+        self.ledger.cancel(self.place);
+    }
+}
+
+/// Draws the service time of one request.
+fn service_time(behaviour: &Behaviour, rng: &mut SmallRng) -> Duration {
+    let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+    let factor = 1.0 - behaviour.spread - behaviour.spread * uniform.ln();
+    behaviour.service_time.mul_f64(factor.max(0.0))
+}
+
+/// A seed that is the same in every run, so that a run can be repeated.
+fn seed(name: &str) -> u64 {
+    name.bytes().fold(1, |seed: u64, byte| {
+        seed.wrapping_mul(31).wrapping_add(byte.into())
+    })
+}
+
 async fn downstream(
     shared: &Arc<Inner>,
     behaviour: &Behaviour,
@@ -303,8 +350,8 @@
     last
 }
 
-fn shed() -> Response<Full<Bytes>> {
-    let mut res = Response::new(Full::default());
+fn shed() -> Response<Body> {
+    let mut res = Response::new(Body::whole(Bytes::new()));
     *res.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
     let word = hyper::header::HeaderValue::from_static("not-run");
     res.headers_mut().insert("nutmegwheel-outcome", word);
@@ -312,26 +359,23 @@
 }
 
 /// A backend server whose own call failed answers 502 and what it got.
-fn failed_below(called: Option<crate::Answer>) -> Response<Full<Bytes>> {
+fn failed_below(called: Option<crate::Answer>) -> Response<Body> {
     let body = called.map(|answer| answer.body).unwrap_or_default();
-    let mut res = Response::new(Full::new(body));
+    let mut res = Response::new(Body::whole(body));
     *res.status_mut() = hyper::StatusCode::BAD_GATEWAY;
     res
 }
 
-fn finish(behaviour: &Behaviour, report: &serde_json::Value, body: &[u8]) -> Response<Full<Bytes>> {
+fn finish(behaviour: &Behaviour, report: &serde_json::Value, body: &[u8]) -> Response<Body> {
     let mut report = report.clone();
     report["echo"] = String::from_utf8_lossy(body).into();
-    let mut res = Response::new(Full::new(Bytes::from(report.to_string())));
-    match behaviour.fault {
-        Fault::Status(status) => {
-            *res.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
-        }
-        Fault::Truncate => {
-            let longer = hyper::header::HeaderValue::from_static("100000");
-            res.headers_mut().insert("content-length", longer);
-        }
-        _ => {}
+    let bytes = Bytes::from(report.to_string());
+    let mut res = Response::new(match behaviour.fault {
+        Fault::Truncate => Body::truncated(bytes),
+        _ => Body::whole(bytes),
+    });
+    if let Fault::Status(status) = behaviour.fault {
+        *res.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
     }
     res
 }
