perf(membership): compare tables by state hashes and fetch them in parts

Change: a digest is answered by a list of 4-byte state hashes, after which only records that one side lacks travel; a joiner gets its data centre at once and fetches the rest in parts from random members; news that cannot wait is passed on more often and first, also when the budget is spent; news that can wait leaves most of the budget to comparing. Tests not run yet at this commit.

--- a/crates/nutmegwheel-membership/examples/spread.rs
+++ b/crates/nutmegwheel-membership/examples/spread.rs
@@ -1,6 +1,8 @@
 //! Measures the spread over 50, 200 and 1000 members on a virtual clock.
 //!
-//! `cargo run --release -p nutmegwheel-membership --example spread [MEMBERS…]`
+//! `cargo run --release -p nutmegwheel-membership --example spread [short] [MEMBERS…]`
+//!
+//! `short` leaves the changes of a day, crashes, losses and the cut out.
 
 #[path = "../tests/sim/mod.rs"]
 mod sim;
@@ -17,19 +19,24 @@
 const DAY: (f64, f64) = (1700.0, 86_400.0);
 
 fn main() {
-    let mut sizes: Vec<usize> = std::env::args()
-        .skip(1)
+    let mut args: Vec<String> = std::env::args().skip(1).collect();
+    let is_short = args.first().is_some_and(|arg| arg == "short");
+    if is_short {
+        args.remove(0);
+    }
+    let mut sizes: Vec<usize> = args
+        .iter()
         .map(|size| size.parse().expect("a number of members"))
         .collect();
     if sizes.is_empty() {
         sizes.extend([50, 200, 1000]);
     }
     for members in sizes {
-        measure(members);
+        measure(members, is_short);
     }
 }
 
-fn measure(members: usize) {
+fn measure(members: usize, is_short: bool) {
     let shape = Shape {
         members,
         data_centres: 8,
@@ -41,13 +48,18 @@
         "\n== {members} members, 8 data centres, 5 control VMs, seed {}",
         shape.seed
     );
-    let joined = sim.run_until(LIMIT, Sim::all_know_all);
-    println!("all know all after the start of all: {}", text(joined));
-    for index in 0..members {
-        sim.announce(index, AnnouncementState::Ready);
-    }
-    sim.run_for(Duration::from_secs(30));
+    mass_start(&mut sim);
     idle(&mut sim);
+    let leaving = leavings(&mut sim, Duration::from_secs(3));
+    summary("leaving seen everywhere, settled fleet", &leaving);
+    sim.run_for(Duration::from_secs(10));
+    leavings_under_restarts(&mut sim);
+    sim.run_for(Duration::from_secs(30));
+    joiner(&mut sim);
+    if is_short {
+        restarts(&mut sim);
+        return cost(&sim);
+    }
     let mut version = 1;
     spread_times(&mut sim, &mut version);
     load(&mut sim, &mut version, 1.0, Duration::from_mins(5));
@@ -59,6 +71,96 @@
     cost(&sim);
 }
 
+/// Starts all within a second, announces all at once and lets some leave right after.
+fn mass_start(sim: &mut Sim) {
+    let joined = sim.run_until(LIMIT, Sim::all_know_all);
+    println!("all know all after the start of all: {}", text(joined));
+    bytes(sim, "mass start", sim.now.max(Duration::from_secs(1)));
+    for index in 0..sim.shape.members {
+        sim.announce(index, AnnouncementState::Ready);
+    }
+    sim.run_for(Duration::from_secs(1));
+    let leaving = leavings(sim, Duration::ZERO);
+    summary(
+        "leaving seen everywhere, right after a mass start",
+        &leaving,
+    );
+    let ready = sim.run_until(LIMIT, Sim::all_see_ready);
+    println!("all see all ready, after that: {}", text(ready));
+    sim.run_for(Duration::from_mins(1));
+}
+
+/// Lets members leave one after the other and come back.
+fn leavings(sim: &mut Sim, pause: Duration) -> Vec<Option<Duration>> {
+    let leave = |sample| {
+        let index = sim.shape.members - 1 - sample;
+        sim.leave(index);
+        let time = sim.run_until(LIMIT, |sim| sim.all_see_leaving(index));
+        sim.restart(index);
+        sim.announce(index, AnnouncementState::Ready);
+        sim.run_for(pause);
+        time
+    };
+    (0..SAMPLES).map(leave).collect()
+}
+
+/// Lets a member leave and another one restart every second; a restarted process that does not
+/// know of the leaving one sends it nothing, and so counts as having seen it.
+fn leavings_under_restarts(sim: &mut Sim) {
+    const STEP: Duration = Duration::from_millis(20);
+    const STEPS: u32 = 50;
+    let mut open: Vec<(usize, Duration)> = Vec::new();
+    let mut times = Vec::new();
+    let first = sim.shape.members - SAMPLES;
+    let others = sim.shape.control + 24..first;
+    for second in 0..SAMPLES + 10 {
+        let restarted = others.start + second % others.len();
+        sim.leave(restarted);
+        if second < SAMPLES {
+            sim.leave(first + second);
+            open.push((first + second, sim.now));
+        }
+        for step in 0..STEPS {
+            sim.run_for(STEP);
+            if step == STEPS / 2 {
+                sim.restart(restarted);
+                sim.announce(restarted, AnnouncementState::Ready);
+            }
+            open.retain(|(index, since)| {
+                let is_seen = sim.none_sees_active(*index);
+                if is_seen {
+                    times.push(Some(sim.now - *since));
+                }
+                !is_seen
+            });
+        }
+    }
+    times.extend(open.iter().map(|_| None));
+    summary("leaving seen everywhere, a restart a second", &times);
+    for index in first..first + SAMPLES {
+        sim.restart(index);
+        sim.announce(index, AnnouncementState::Ready);
+    }
+}
+
+/// Times until a process that restarts knows its data centre, and all.
+fn joiner(sim: &mut Sim) {
+    let mut near = Vec::new();
+    let mut all = Vec::new();
+    for sample in 0..SAMPLES {
+        let index = sim.shape.members - 1 - sample;
+        sim.restart(index);
+        let started = sim.now;
+        near.push(sim.run_until(LIMIT, |sim| sim.knows_own_data_centre(index)));
+        let rest = sim.run_until(LIMIT, |sim| sim.knows_all(index));
+        all.push(rest.map(|_| sim.now - started));
+        sim.announce(index, AnnouncementState::Ready);
+        sim.run_for(Duration::from_secs(3));
+    }
+    summary("a joiner knows its data centre", &near);
+    summary("a joiner knows all", &all);
+}
+
 fn idle(sim: &mut Sim) {
     sim.reset_bytes();
     let time = Duration::from_secs(30);
@@ -69,7 +171,6 @@
 /// Times until news is everywhere.
 fn spread_times(sim: &mut Sim, version: &mut u64) {
     let mut versions = Vec::new();
-    let mut leaving = Vec::new();
     let mut withdrawn = Vec::new();
     let mut in_force = Vec::new();
     for sample in 0..SAMPLES {
@@ -85,16 +186,11 @@
         in_force.push(sim.run_until(LIMIT, |sim| {
             sim.processes[0].gossip.withdrawal(&key) == WithdrawalState::InForce
         }));
-        let index = sim.shape.members - 1 - sample;
-        sim.leave(index);
-        leaving.push(sim.run_until(LIMIT, |sim| sim.all_see_leaving(index)));
-        sim.restart(index);
         sim.run_for(Duration::from_secs(3));
     }
     summary("new version everywhere", &versions);
     summary("withdrawn key held everywhere", &withdrawn);
     summary("withdrawal answered in force after its commit", &in_force);
-    summary("leaving seen everywhere", &leaving);
 }
 
 /// Bytes a second under changes, of which each fifth withdraws a key.
@@ -217,7 +313,7 @@
 }
 
 fn bytes(sim: &Sim, what: &str, time: Duration) {
-    let seconds = time.as_secs();
+    let seconds = time.as_secs().max(1);
     let sent: Vec<u64> = sim.up().map(|p| p.sent / seconds).collect();
     let received: Vec<u64> = sim.up().map(|p| p.received / seconds).collect();
     let mean = |all: &[u64]| all.iter().sum::<u64>() / u64::try_from(all.len()).unwrap();
--- a/crates/nutmegwheel-membership/src/gossip/budget.rs
+++ b/crates/nutmegwheel-membership/src/gossip/budget.rs
@@ -7,6 +7,9 @@
 /// What it may send at once after a quiet time, in bytes.
 const BURST_BYTES: i64 = 128 * 1024;
 
+/// What news that can wait leaves to the comparing of tables, which sends nothing twice, in bytes.
+const RESERVE_BYTES: i64 = 96 * 1024;
+
 /// How far urgent news may overdraw the allowance, in bytes; a second or two of the allowance.
 const DEBT_BYTES: i64 = 8 * 1024;
 
@@ -45,6 +48,16 @@
         self.left > 0
     }
 
+    /// Says whether there is enough for news that can wait.
+    pub(crate) fn has_plenty(&self) -> bool {
+        self.left > RESERVE_BYTES
+    }
+
+    /// Says whether news that cannot wait may still overdraw the allowance.
+    pub(crate) fn may_overdraw(&self) -> bool {
+        self.left > -DEBT_BYTES
+    }
+
     pub(crate) fn spend(&mut self, bytes: usize) {
         let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
         self.left = self.left.saturating_sub(bytes).max(-DEBT_BYTES);
--- a/crates/nutmegwheel-membership/src/gossip/dissemination.rs
+++ b/crates/nutmegwheel-membership/src/gossip/dissemination.rs
@@ -1,8 +1,11 @@
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use nutmegwheel_types::KeyHash;
 
+use super::membership::urgency;
 use super::{Gossip, is_due};
+use crate::rumours::{Rounds, Urgency};
 use crate::table::{BUCKETS, Remote};
 use crate::{Body, Digest, LinkAddress, Record};
 
@@ -19,11 +22,15 @@
 /// The records that travel on a probe or its answer.
 const PIGGYBACKED: usize = 4;
 /// How soon tables are compared again after a comparison that brought news.
-const COMPARE_AGAIN: Duration = Duration::from_millis(500);
-/// The records at which an exchange takes in no further bucket.
-const RECORDS_AT_ONCE: usize = 100;
-/// The records in one message of an answer to a join.
-const RECORDS_IN_JOIN: usize = 24;
+const COMPARE_AGAIN: Duration = Duration::from_millis(300);
+/// The records in one answer, at most a sixth of the bytes that a message may have.
+const RECORDS_AT_ONCE: usize = 128;
+/// The records in an answer to a join when the budget is spent: enough peers to compare with.
+const RECORDS_WITHOUT_BUDGET: usize = 12;
+/// The state hashes in one list.
+const HASHES_AT_ONCE: usize = 256;
+/// The bytes of a state hash in a message.
+const HASH_BYTES: usize = 4;
 /// The bytes of a withdrawn key in a message.
 const KEY_BYTES: usize = 34;
 
@@ -37,7 +44,7 @@
         from: Option<LinkAddress>,
     ) {
         for record in records {
-            self.rumours.urgent_record(&record.name);
+            self.rumours.record_at_once(&record.name, urgency(record));
         }
         for key in withdrawn {
             self.rumours.withdrawn(*key);
@@ -72,14 +79,14 @@
 
     /// Pushes what is on the way, as far as the budget goes.
     pub(super) fn push_rumours(&mut self, now: Instant) {
-        if self.rumours.is_empty() || !self.budget.has_left() {
+        let Some(allowed) = self.allowed() else {
             return;
-        }
-        if !is_due(&mut self.timers.pushed, now, PUSH) {
+        };
+        if self.rumours.is_empty(allowed) || !is_due(&mut self.timers.pushed, now, PUSH) {
             return;
         }
         let rounds = self.rounds();
-        let batch = self.rumours.take(rounds);
+        let batch = self.rumours.take(rounds, allowed);
         let records = self.records_of(&batch.records);
         let mut here = self.table.local().to_vec();
         for to in self.random.draw(&mut here, PUSH_TO) {
@@ -89,20 +96,35 @@
 
     /// Takes records for a probe or its answer.
     pub(super) fn piggyback(&mut self) -> Vec<Record> {
-        if self.rumours.is_empty() || !self.budget.has_left() {
+        let Some(allowed) = self.allowed() else {
             return Vec::new();
-        }
+        };
         let rounds = self.rounds();
-        let names = self.rumours.take_records(rounds, PIGGYBACKED);
+        let names = self.rumours.take_records(rounds, allowed, PIGGYBACKED);
         let records = self.records_of(&names);
         self.budget.spend(records.iter().map(Record::size).sum());
         records
     }
 
-    /// How often an item is passed on: enough for all of the data centre to get it.
-    fn rounds(&self) -> u32 {
+    /// How urgent an item must be to be passed on with what is left of the budget.
+    fn allowed(&self) -> Option<Urgency> {
+        if self.budget.has_plenty() {
+            Some(Urgency::CanWait)
+        } else if self.budget.may_overdraw() {
+            Some(Urgency::CannotWait)
+        } else {
+            None
+        }
+    }
+
+    /// How often an item is passed on: enough for nearly all of the data centre to get it, and
+    /// for all of it when it cannot wait for the comparing of tables.
+    fn rounds(&self) -> Rounds {
         let members = self.table.local().len().max(2);
-        members.ilog2().div_ceil(2)
+        Rounds {
+            can_wait: members.ilog2().div_ceil(2),
+            cannot_wait: members.ilog2(),
+        }
     }
 
     fn records_of(&self, names: &[nutmegwheel_types::ProcessName]) -> Vec<Record> {
@@ -160,7 +182,7 @@
         }
     }
 
-    /// Answers a digest with the records of some buckets that differ.
+    /// Answers a digest with a list of what this process holds in some buckets that differ.
     pub(super) fn receive_digest(&mut self, from: LinkAddress, digest: &Digest) {
         self.read_list_of(from, digest);
         let own = self.table.buckets();
@@ -175,61 +197,83 @@
         if differing.is_empty() {
             return;
         }
-        let (buckets, records) = self.choose(&mut differing);
-        self.budget.spend(records.iter().map(Record::size).sum());
-        self.send(from, Body::Sync { buckets, records });
+        let buckets = self.choose(&mut differing);
+        let listed = self.table.live_in_buckets(&buckets);
+        let hashes: Vec<u32> = listed.iter().map(|record| record.state_hash()).collect();
+        self.budget.spend(hashes.len() * HASH_BYTES);
+        self.send(from, Body::Sync { buckets, hashes });
     }
 
-    /// Draws as many of the buckets as go into one exchange, with the own records in them.
-    fn choose(&mut self, differing: &mut [u32]) -> (Vec<u32>, Vec<Record>) {
+    /// Draws as many of the buckets as go into one list.
+    fn choose(&mut self, differing: &mut [u32]) -> Vec<u32> {
         let per_bucket = self.table.all().count().div_ceil(BUCKETS as usize).max(1);
-        let count = (RECORDS_AT_ONCE / per_bucket).max(1);
-        let buckets = self.random.draw(differing, count);
-        let records = self.table.in_buckets(&buckets);
-        let records = records.into_iter().cloned().collect();
-        (buckets, records)
+        let count = (HASHES_AT_ONCE / per_bucket).max(1);
+        self.random.draw(differing, count)
     }
 
-    /// Takes the records of some buckets in and returns those that the peer lacks.
-    pub(super) fn receive_sync(
-        &mut self,
-        now: Instant,
-        from: LinkAddress,
-        buckets: &[u32],
-        records: &[Record],
-    ) {
-        let newer = self.newer_than(buckets, records);
-        let learnt = self.learn(now, from, records);
-        let is_news = learnt > 0 || !newer.is_empty();
-        if !newer.is_empty() {
-            self.push(from, newer, Vec::new());
+    /// Sends the records that the list of a peer lacks, and asks for those that it has beyond.
+    pub(super) fn receive_list(&mut self, from: LinkAddress, buckets: &[u32], theirs: &[u32]) {
+        let theirs: BTreeSet<u32> = theirs.iter().copied().collect();
+        let listed = self.table.live_in_buckets(buckets);
+        let mine: BTreeSet<u32> = listed.iter().map(|record| record.state_hash()).collect();
+        let lacking = listed
+            .into_iter()
+            .filter(|record| !theirs.contains(&record.state_hash()));
+        let lacking: Vec<Record> = lacking.cloned().collect();
+        let mut wanted: Vec<u32> = theirs.difference(&mine).copied().collect();
+        let wanted = self.random.draw(&mut wanted, RECORDS_AT_ONCE);
+        if !wanted.is_empty() {
+            self.budget.spend(wanted.len() * HASH_BYTES);
+            self.send(from, Body::Wanted(wanted));
         }
-        if is_news && self.budget.has_left() {
-            self.timers.compared = (now + COMPARE_AGAIN).checked_sub(COMPARE);
-            self.send(from, Body::Digest(self.digest()));
+        self.give(from, lacking);
+    }
+
+    pub(super) fn answer_wanted(&mut self, from: LinkAddress, hashes: &[u32]) {
+        let hashes: BTreeSet<u32> = hashes.iter().copied().collect();
+        let wanted = self
+            .table
+            .live()
+            .filter(|record| hashes.contains(&record.state_hash()));
+        let wanted = wanted.cloned().collect();
+        self.give(from, wanted);
+    }
+
+    /// Sends records as far as the budget goes, each time a part that fits into one message.
+    pub(super) fn give(&mut self, to: LinkAddress, mut records: Vec<Record>) {
+        records.truncate(RECORDS_AT_ONCE);
+        if records.is_empty() || !self.budget.has_left() {
+            return;
         }
+        self.budget.spend(records.iter().map(Record::size).sum());
+        self.send(to, Body::Records(records));
     }
 
-    fn newer_than(&self, buckets: &[u32], theirs: &[Record]) -> Vec<Record> {
-        let is_newer = |mine: &&Record| {
-            let their = theirs.iter().find(|record| record.name == mine.name);
-            match their {
-                Some(their) => their.clone().merge(mine).any(),
-                None => mine.health != crate::Health::Dead,
-            }
-        };
-        let mine = self.table.in_buckets(buckets);
-        mine.into_iter().filter(is_newer).cloned().collect()
+    /// Takes in what this process lacked, and soon compares with somebody else, so that a table is
+    /// fetched in parts from many members.
+    pub(super) fn receive_records(&mut self, now: Instant, from: LinkAddress, records: &[Record]) {
+        self.timers.is_joined |= records.iter().any(|record| record.link == from);
+        if self.learn_missed(now, from, records) > 0 {
+            self.timers.compared = (now + COMPARE_AGAIN).checked_sub(COMPARE);
+        }
     }
 
-    /// Answers a process that joins with the whole table.
+    /// Answers a process that joins with what it needs first: its own record, by which it sees
+    /// whether an earlier life is known, and the members of its data centre.
     pub(super) fn receive_join(&mut self, now: Instant, from: LinkAddress, record: &Record) {
         self.learn(now, from, std::slice::from_ref(record));
-        let all: Vec<Record> = self.table.all().cloned().collect();
-        for records in all.chunks(RECORDS_IN_JOIN) {
-            let records = records.to_vec();
-            let withdrawn = Vec::new();
-            self.send(from, Body::Rumours { records, withdrawn });
+        let is_near = |r: &&Record| r.data_centre == record.data_centre && r.name != record.name;
+        let mut near: Vec<Record> = self.table.live().filter(is_near).cloned().collect();
+        if !self.budget.has_left() {
+            near.truncate(RECORDS_WITHOUT_BUDGET);
+        }
+        let known = self.table.get(&record.name).cloned();
+        let mut answer: Vec<Record> = known.into_iter().collect();
+        answer.push(self.table.own().clone());
+        answer.extend(near);
+        for records in answer.chunks(RECORDS_AT_ONCE) {
+            self.budget.spend(records.iter().map(Record::size).sum());
+            self.send(from, Body::Records(records.to_vec()));
         }
     }
 }
--- a/crates/nutmegwheel-membership/src/gossip/membership.rs
+++ b/crates/nutmegwheel-membership/src/gossip/membership.rs
@@ -1,6 +1,7 @@
 use std::time::Instant;
 
 use super::{Event, Gossip, Outgoing};
+use crate::rumours::Urgency;
 use crate::table::Learnt;
 use crate::{Announcement, AnnouncementState, Body, Health, LinkAddress, Record, Standing};
 
@@ -45,21 +46,54 @@
     }
 }
 
+/// The records up to which an answer is taken for news that others lack too; more are a table that
+/// this process fetches.
+const NEWS_RECORDS: usize = 12;
+
 /// Says whether a delay would send work to a process that cannot take it.
-fn cannot_wait(record: &Record) -> bool {
-    record.standing == Standing::Leaving
+pub(super) fn urgency(record: &Record) -> Urgency {
+    let announcement = record.announcement.as_ref();
+    let is_leaving = record.standing == Standing::Leaving
         || record.health == Health::Dead
-        || record
-            .announcement
-            .as_ref()
-            .is_some_and(|a| a.state == AnnouncementState::Leaving)
+        || announcement.is_some_and(|a| a.state == AnnouncementState::Leaving);
+    if is_leaving {
+        Urgency::CannotWait
+    } else {
+        Urgency::CanWait
+    }
 }
 
 /// What the process learns about others.
 impl Gossip {
-    /// Takes records in and passes on at once those whose news cannot wait.
-    pub(super) fn learn(&mut self, now: Instant, from: LinkAddress, records: &[Record]) -> usize {
-        let mut urgent = Vec::new();
+    /// Takes news in and passes on at once what cannot wait.
+    pub(super) fn learn(&mut self, now: Instant, from: LinkAddress, records: &[Record]) {
+        self.take_in(now, from, records, |_, _| true);
+    }
+
+    /// Takes in what rumours missed, and passes on what others may have missed with this process.
+    pub(super) fn learn_missed(
+        &mut self,
+        now: Instant,
+        from: LinkAddress,
+        records: &[Record],
+    ) -> usize {
+        let is_news = records.len() <= NEWS_RECORDS;
+        self.take_in(now, from, records, |learnt, record| {
+            let is_known = learnt.before.is_some();
+            is_news || (is_known && urgency(record) == Urgency::CannotWait)
+        })
+    }
+
+    /// Takes records in, and returns how many of them brought something new.
+    fn take_in(
+        &mut self,
+        now: Instant,
+        from: LinkAddress,
+        records: &[Record],
+        is_passed_on: impl Fn(&Learnt, &Record) -> bool,
+    ) -> usize {
+        let mut at_once = Vec::new();
+        let mut outdated = Vec::new();
         let mut count = 0;
         for record in records {
             if record.name == self.options.name {
@@ -67,21 +101,38 @@
                 continue;
             }
             let Some(learnt) = self.table.learn(now, record) else {
+                outdated.extend(self.dead_by_now(record));
                 continue;
             };
             count += 1;
-            self.rumours.record(&record.name);
-            let is_urgent = self.report(&learnt, record);
-            if is_urgent && (cannot_wait(record) || !self.rumours.is_full()) {
-                urgent.push(record.clone());
+            let is_told_at_once = self.report(&learnt, record);
+            if !is_passed_on(&learnt, record) {
+                continue;
+            }
+            let may_wait = urgency(record) == Urgency::CanWait;
+            let is_scarce = self.rumours.is_full() || !self.budget.has_plenty();
+            self.rumours.record(&record.name, urgency(record));
+            if is_told_at_once && !(may_wait && is_scarce) {
+                at_once.push(record.clone());
             }
         }
-        if !urgent.is_empty() {
-            self.tell_at_once(&urgent, &[], Some(from));
+        if !at_once.is_empty() {
+            self.tell_at_once(&at_once, &[], Some(from));
+        }
+        if from != self.options.link {
+            self.give(from, outdated);
         }
         count
     }
 
+    /// The own record of a process that a peer takes for living although it is dead: the comparing
+    /// of tables leaves the dead out.
+    fn dead_by_now(&self, heard: &Record) -> Option<Record> {
+        let mine = self.table.get(&heard.name)?;
+        let is_newer = mine.health == Health::Dead && heard.clone().merge(mine).any();
+        is_newer.then(|| mine.clone())
+    }
+
     /// Goes on above what others hold of an earlier life or of a suspicion.
     fn refute(&mut self, heard: &Record) {
         let own = self.table.own();
--- a/crates/nutmegwheel-membership/src/gossip/receive.rs
+++ b/crates/nutmegwheel-membership/src/gossip/receive.rs
@@ -43,7 +43,9 @@
             }
             Body::Join(record) => self.receive_join(now, from, &record),
             Body::Digest(digest) => self.receive_digest(from, &digest),
-            Body::Sync { buckets, records } => self.receive_sync(now, from, &buckets, &records),
+            Body::Sync { buckets, hashes } => self.receive_list(from, &buckets, &hashes),
+            Body::Wanted(hashes) => self.answer_wanted(from, &hashes),
+            Body::Records(records) => self.receive_records(now, from, &records),
             body => self.handle_views(now, from, body),
         }
     }
--- a/crates/nutmegwheel-membership/src/message.rs
+++ b/crates/nutmegwheel-membership/src/message.rs
@@ -41,17 +41,22 @@
             /// Withdrawn keys.
             withdrawn: Vec<KeyHash>,
         },
-        /// Asks for the whole table; answered with rumours.
+        /// Asks for the records of the sender's data centre.
         Join(Record),
         /// Compares tables.
         Digest(Digest),
-        /// Sends the records of the buckets that differed, and asks for those that are newer.
+        /// Lists what the sender holds in buckets that differed, so that no record which both hold
+        /// travels.
         Sync {
             /// The buckets that differed.
             buckets: Vec<u32>,
-            /// The sender's records in them.
-            records: Vec<Record>,
+            /// The state hashes of the sender's records in them.
+            hashes: Vec<u32>,
         },
+        /// Asks for the records with these state hashes.
+        Wanted(Vec<u32>),
+        /// Answers a join, a list or a request with records that the receiver lacks.
+        Records(Vec<Record>),
         /// Asks a seed or a control VM for a confirmation.
         Renew(Renew),
         /// Answers a renewal.
--- a/crates/nutmegwheel-membership/src/rumours.rs
+++ b/crates/nutmegwheel-membership/src/rumours.rs
@@ -1,12 +1,13 @@
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
-use nutmegwheel_types::{KeyHash, ProcessName, plain};
+use nutmegwheel_types::{KeyHash, ProcessName, plain, plain_copy};
 
 plain! {
     /// What is still to be passed on, each item a bounded number of times.
     pub(crate) struct Rumours {
-        records: BTreeMap<ProcessName, u32>,
-        withdrawn: BTreeMap<KeyHash, u32>,
+        records: BTreeMap<ProcessName, Progress>,
+        withdrawn: BTreeMap<KeyHash, Progress>,
     }
 
     /// What one message carries.
@@ -16,6 +17,27 @@
     }
 }
 
+plain_copy! {
+    /// Whether an item may be left to the comparing of tables when there is too much news.
+    pub(crate) enum Urgency {
+        /// It may.
+        CanWait,
+        /// A delay would send work where it must not go.
+        CannotWait,
+    }
+
+    /// How often items are passed on.
+    pub(crate) struct Rounds {
+        pub(crate) can_wait: u32,
+        pub(crate) cannot_wait: u32,
+    }
+
+    struct Progress {
+        urgency: Urgency,
+        sent: u32,
+    }
+}
+
 /// The records in one message.
 const RECORDS_IN_BATCH: usize = 12;
 /// The records that are on the way at a time; in a mass change the rest is left to the comparing
@@ -34,32 +56,40 @@
     }
 
     /// Starts to pass a record on, from the beginning if an older one was on the way.
-    pub(crate) fn record(&mut self, name: &ProcessName) {
-        if !self.is_full() || self.records.contains_key(name) {
-            self.records.insert(name.clone(), 0);
+    pub(crate) fn record(&mut self, name: &ProcessName, urgency: Urgency) {
+        let has_place = !self.is_full() || self.records.contains_key(name);
+        if has_place || urgency == Urgency::CannotWait {
+            self.record_at_once(name, urgency);
         }
     }
 
-    /// Starts to pass a record on that cannot wait for the comparing of tables.
-    pub(crate) fn urgent_record(&mut self, name: &ProcessName) {
-        self.records.insert(name.clone(), 0);
+    /// Starts to pass a record on whose first copies are sent at once.
+    pub(crate) fn record_at_once(&mut self, name: &ProcessName, urgency: Urgency) {
+        self.records.insert(name.clone(), Progress::of(urgency));
     }
 
     /// Starts to pass a withdrawn key on.
     pub(crate) fn withdrawn(&mut self, key: KeyHash) {
-        self.withdrawn.insert(key, 0);
+        self.withdrawn
+            .insert(key, Progress::of(Urgency::CannotWait));
     }
 
     /// Takes at most `count` records for a message that carries no keys.
-    pub(crate) fn take_records(&mut self, limit: u32, count: usize) -> Vec<ProcessName> {
-        take(&mut self.records, limit, count)
+    pub(crate) fn take_records(
+        &mut self,
+        rounds: Rounds,
+        allowed: Urgency,
+        count: usize,
+    ) -> Vec<ProcessName> {
+        take(&mut self.records, rounds, allowed, count)
     }
 
-    /// Returns what was passed on least often, and drops what was passed on `limit` times.
-    pub(crate) fn take(&mut self, limit: u32) -> Batch {
+    /// Returns what was passed on least often, the urgent first, and drops what was passed on
+    /// often enough.
+    pub(crate) fn take(&mut self, rounds: Rounds, allowed: Urgency) -> Batch {
         Batch {
-            records: take(&mut self.records, limit, RECORDS_IN_BATCH),
-            withdrawn: take(&mut self.withdrawn, limit, KEYS_IN_BATCH),
+            records: take(&mut self.records, rounds, allowed, RECORDS_IN_BATCH),
+            withdrawn: take(&mut self.withdrawn, rounds, allowed, KEYS_IN_BATCH),
         }
     }
 }
@@ -70,24 +100,46 @@
         self.records.len() >= RECORDS_KEPT
     }
 
-    pub(crate) fn is_empty(&self) -> bool {
-        self.records.is_empty() && self.withdrawn.is_empty()
+    /// Says whether nothing is on the way that is as urgent as `allowed`.
+    pub(crate) fn is_empty(&self, allowed: Urgency) -> bool {
+        let mut all = self.records.values().chain(self.withdrawn.values());
+        !all.any(|progress| progress.urgency >= allowed)
+    }
+}
+
+impl Progress {
+    const fn of(urgency: Urgency) -> Self {
+        Self { urgency, sent: 0 }
+    }
+
+    const fn is_done(self, rounds: Rounds) -> bool {
+        match self.urgency {
+            Urgency::CanWait => self.sent >= rounds.can_wait,
+            Urgency::CannotWait => self.sent >= rounds.cannot_wait,
+        }
     }
 }
 
-fn take<K: Clone + Ord>(items: &mut BTreeMap<K, u32>, limit: u32, count: usize) -> Vec<K> {
-    let mut order: Vec<(u32, K)> = items
+fn take<K: Clone + Ord>(
+    items: &mut BTreeMap<K, Progress>,
+    rounds: Rounds,
+    allowed: Urgency,
+    count: usize,
+) -> Vec<K> {
+    let mut order: Vec<(Reverse<Urgency>, u32, K)> = items
         .iter()
-        .map(|(key, sent)| (*sent, key.clone()))
+        .filter(|(_, progress)| progress.urgency >= allowed)
+        .map(|(key, progress)| (Reverse(progress.urgency), progress.sent, key.clone()))
         .collect();
     order.sort();
     order.truncate(count);
-    for (sent, key) in &order {
-        if sent + 1 >= limit {
-            items.remove(key);
-        } else {
-            items.insert(key.clone(), sent + 1);
+    for (_, _, key) in &order {
+        if let Some(progress) = items.get_mut(key) {
+            progress.sent += 1;
+            if progress.is_done(rounds) {
+                items.remove(key);
+            }
         }
     }
-    order.into_iter().map(|(_, key)| key).collect()
+    order.into_iter().map(|(_, _, key)| key).collect()
 }
--- a/crates/nutmegwheel-membership/src/table.rs
+++ b/crates/nutmegwheel-membership/src/table.rs
@@ -262,9 +262,9 @@
         &self.buckets
     }
 
-    /// The records in some buckets.
-    pub(crate) fn in_buckets(&self, buckets: &[u32]) -> Vec<&Record> {
-        self.all()
+    /// The records in some buckets, but for those of the dead.
+    pub(crate) fn live_in_buckets(&self, buckets: &[u32]) -> Vec<&Record> {
+        self.live()
             .filter(|record| {
                 let bucket = u32::try_from(bucket(record)).unwrap_or(u32::MAX);
                 buckets.contains(&bucket)
--- a/crates/nutmegwheel-membership/src/wire/decode.rs
+++ b/crates/nutmegwheel-membership/src/wire/decode.rs
@@ -46,8 +46,10 @@
         shapes::Body::Digest(shape) => Body::Digest(digest(shape)?),
         shapes::Body::Sync(sync) => Body::Sync {
             buckets: sync.buckets,
-            records: records(&sync.records)?,
+            hashes: sync.hashes,
         },
+        shapes::Body::Wanted(wanted) => Body::Wanted(wanted.hashes),
+        shapes::Body::Records(shape) => Body::Records(records(&shape.records)?),
         shape => views(shape)?,
     })
 }
--- a/crates/nutmegwheel-membership/src/wire/encode.rs
+++ b/crates/nutmegwheel-membership/src/wire/encode.rs
@@ -36,8 +36,14 @@
             count: digest.count,
             keys: digest.digest,
         }),
-        Body::Sync { buckets, records } => shapes::Body::Sync(shapes::Sync {
+        Body::Sync { buckets, hashes } => shapes::Body::Sync(shapes::Sync {
             buckets: buckets.clone(),
+            hashes: hashes.clone(),
+        }),
+        Body::Wanted(hashes) => shapes::Body::Wanted(shapes::Wanted {
+            hashes: hashes.clone(),
+        }),
+        Body::Records(records) => shapes::Body::Records(shapes::Records {
             records: self::records(records),
         }),
         body => views(body),
--- a/crates/nutmegwheel-membership/src/wire/shapes.rs
+++ b/crates/nutmegwheel-membership/src/wire/shapes.rs
@@ -6,7 +6,7 @@
     pub(super) version: u64,
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
     )]
     pub(super) body: Option<Body>,
 }
@@ -43,6 +43,10 @@
     Fetch(Fetch),
     #[prost(message, tag = "16")]
     Configuration(ConfigurationPart),
+    #[prost(message, tag = "17")]
+    Wanted(Wanted),
+    #[prost(message, tag = "18")]
+    Records(Records),
 }
 
 #[derive(Clone, PartialEq, prost::Message)]
@@ -118,7 +122,19 @@
 pub(super) struct Sync {
     #[prost(uint32, repeated, tag = "1")]
     pub(super) buckets: Vec<u32>,
-    #[prost(message, repeated, tag = "2")]
+    #[prost(fixed32, repeated, tag = "3")]
+    pub(super) hashes: Vec<u32>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Wanted {
+    #[prost(fixed32, repeated, tag = "1")]
+    pub(super) hashes: Vec<u32>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+pub(super) struct Records {
+    #[prost(message, repeated, tag = "1")]
     pub(super) records: Vec<Record>,
 }
 
--- a/crates/nutmegwheel-membership/tests/sim/mod.rs
+++ b/crates/nutmegwheel-membership/tests/sim/mod.rs
@@ -9,7 +9,7 @@
 
 use nutmegwheel_membership::{
     Announcement, AnnouncementState, Change, Configuration, CutOff, Event, Gossip, Health, Message,
-    Options, Outgoing, Role, Seed, Stamp, Standing, TICK, wire,
+    Options, Outgoing, Record, Role, Seed, Stamp, Standing, TICK, wire,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -480,6 +480,42 @@
         })
     }
 
+    pub(crate) fn all_see_ready(&self) -> bool {
+        let up = self.up().count();
+        let is_ready = |record: &&Record| {
+            let announcement = record.announcement.as_ref();
+            announcement.is_some_and(|a| a.state == AnnouncementState::Ready)
+        };
+        self.up()
+            .all(|process| process.gossip.members().filter(is_ready).count() == up)
+    }
+
+    pub(crate) fn knows_all(&self, index: usize) -> bool {
+        self.known_by(index, |_| true) == self.up().count()
+    }
+
+    pub(crate) fn knows_own_data_centre(&self, index: usize) -> bool {
+        let own = &self.processes[index].options.data_centre;
+        let up = self.up().filter(|p| p.options.data_centre == *own).count();
+        self.known_by(index, |record| record.data_centre == *own) == up
+    }
+
+    fn known_by(&self, index: usize, is_counted: impl Fn(&Record) -> bool) -> usize {
+        let members = self.processes[index].gossip.members();
+        members
+            .filter(|record| record.health == Health::Alive && is_counted(record))
+            .count()
+    }
+
+    /// Whether no process holds a record of this one that would let it send work there.
+    pub(crate) fn none_sees_active(&self, index: usize) -> bool {
+        let name = name(index);
+        self.up().all(|process| {
+            let record = process.gossip.member(&name);
+            record.is_none_or(|record| record.standing == Standing::Leaving)
+        })
+    }
+
     pub(crate) fn all_hold(&self, version: u64) -> bool {
         let now = self.instant();
         self.up()
@@ -544,7 +580,8 @@
         Body::Ping { .. } | Body::Ack { .. } | Body::ProbeRequest { .. } => "probe",
         Body::Rumours { .. } => "rumours",
         Body::Join(_) => "join",
-        Body::Digest(_) | Body::Sync { .. } => "compare",
+        Body::Digest(_) | Body::Sync { .. } | Body::Wanted(_) => "compare",
+        Body::Records(_) => "records",
         Body::Renew(_) | Body::Confirmation(_) => "lease",
         Body::Pull(_) | Body::Withdrawn(_) | Body::Withdraw(_) | Body::Held(_) => "withdrawn",
         Body::Fetch { .. } | Body::Configuration(_) => "configuration",
--- a/crates/nutmegwheel-membership/tests/wire.rs
+++ b/crates/nutmegwheel-membership/tests/wire.rs
@@ -112,8 +112,10 @@
                 digest: numbers.2,
             })
         }),
-        (vec(any::<u32>(), 0..5), records())
-            .prop_map(|(buckets, records)| Body::Sync { buckets, records }),
+        (vec(any::<u32>(), 0..5), vec(any::<u32>(), 0..300))
+            .prop_map(|(buckets, hashes)| Body::Sync { buckets, hashes }),
+        vec(any::<u32>(), 0..300).prop_map(Body::Wanted),
+        records().prop_map(Body::Records),
     ]
 }
 
