--- /dev/null
+++ b/crates/nutmegwheel-membership/tests/record.rs
@@ -0,0 +1,89 @@
+//! The laws of the merge of records, on which the convergence of the fleet rests.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use nutmegwheel_membership::{Announcement, AnnouncementState, Health, Record, Role, Standing};
+use proptest::prelude::*;
+
+/// A statement as an honest owner makes it: its content follows from incarnation and counter.
+fn record() -> impl Strategy<Value = Record> {
+    let health = prop_oneof![
+        Just(Health::Alive),
+        Just(Health::Suspect),
+        Just(Health::Dead)
+    ];
+    (1..4_u64, 0..4_u64, health).prop_map(|(incarnation, counter, health)| Record {
+        name: Arc::from("process-1"),
+        data_centre: Arc::from("dc1"),
+        role: Role::Node,
+        seed: false,
+        link: SocketAddr::from(([10, 0, 0, 1], 7000)),
+        callers: None,
+        platform: None,
+        incarnation,
+        counter,
+        standing: if counter == 3 {
+            Standing::Leaving
+        } else {
+            Standing::Active
+        },
+        announcement: announcement(incarnation, counter),
+        health,
+    })
+}
+
+fn announcement(incarnation: u64, counter: u64) -> Option<Announcement> {
+    let state = match counter {
+        0 => return None,
+        1 => AnnouncementState::Starting,
+        2 => AnnouncementState::Ready,
+        _ => AnnouncementState::Leaving,
+    };
+    Some(Announcement {
+        service: Arc::from("dispatch"),
+        slots: u16::try_from(incarnation).unwrap() * 70,
+        state,
+    })
+}
+
+fn merged(mut left: Record, right: &Record) -> Record {
+    left.merge(right);
+    left
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(0x7265),
+        cases: 4096,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn merge_is_commutative(a in record(), b in record()) {
+        prop_assert_eq!(merged(a.clone(), &b), merged(b, &a));
+    }
+
+    #[test]
+    fn merge_is_associative(a in record(), b in record(), c in record()) {
+        let left = merged(merged(a.clone(), &b), &c);
+        let right = merged(a, &merged(b, &c));
+        prop_assert_eq!(left, right);
+    }
+
+    #[test]
+    fn merge_is_idempotent(a in record(), b in record()) {
+        prop_assert_eq!(merged(a.clone(), &a), a.clone());
+        let mut once = merged(a, &b);
+        let again = once.merge(&b);
+        prop_assert!(!again.any());
+    }
+
+    #[test]
+    fn merge_says_whether_it_changed_anything(a in record(), b in record()) {
+        let mut after = a.clone();
+        let merge = after.merge(&b);
+        prop_assert_eq!(merge.any(), after != a);
+    }
+}
