--- a/tests/support/examples/added.rs
+++ b/tests/support/examples/added.rs
@@ -56,6 +56,7 @@
         program,
         data_centres: vec![("riga1", 2)],
         control_vms: 1,
+        relayed: false,
     })
     .await?;
     operate(&fleet, 1, CONFIGURATION).await?;
--- a/tests/support/examples/slopes.rs
+++ b/tests/support/examples/slopes.rs
@@ -62,6 +62,7 @@
         program: program.to_owned(),
         data_centres: DATA_CENTRES.map(|name| (name, per_data_centre)).to_vec(),
         control_vms: CONTROL_VMS,
+        relayed: false,
     })
     .await?;
     let answer = fleet.operate("PUT", "/v1/changes/1", CONFIGURATION).await?;
