fix(control): entries without a command count as applied

Cause: a read waited until the state had applied the read index, but only commands moved the applied index, so after an election or a change of members every read, and with it the control VMs' word that lets fresh seeds settle, waited for the next command.

--- a/crates/nutmegwheel-control/src/log/replica_thread.rs
+++ b/crates/nutmegwheel-control/src/log/replica_thread.rs
@@ -248,6 +248,15 @@
 impl Thread {
     fn show_status(&self) {
         let status = self.replica.status();
+        // Entries without a command count as applied too, or a read after an election would wait
+        // for the next command. While the store fails, outputs are held back behind the commit.
+        if !status.storage_failed {
+            self.shown.applied.send_if_modified(|applied| {
+                let is_behind = *applied < status.commit;
+                *applied = status.commit.max(*applied);
+                is_behind
+            });
+        }
         let shown = self.shown.status.write();
         *shown.unwrap_or_else(PoisonError::into_inner) = Some(status);
     }
--- a/crates/nutmegwheel/tests/control.rs
+++ b/crates/nutmegwheel/tests/control.rs
@@ -286,3 +286,17 @@
     }
     assert_eq!(setup.ledger.runs().len(), ran, "a withdrawn key ran");
 }
+
+#[tokio::test]
+async fn a_new_leader_answers_reads_without_waiting_for_a_command() {
+    let setup = Setup::start(DATA_CENTRES, 3).await;
+    let first = leader(&setup).await;
+    setup.fleet.control[first].signal("STOP");
+    let other = (first + 1) % 3;
+    setup
+        .until("a new leader answers reads", async || {
+            held_rate(&setup, other).await == Some(10.0)
+        })
+        .await;
+    setup.fleet.control[first].signal("CONT");
+}
