fix: a stopping steward gives its lease back before its links end

So the mend shortens the gap and does not close it: from the steward's last batch to the next steward's first one, doors have nothing to give out.

--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -41,6 +41,7 @@
     web: nutmegwheel_web::Server,
     spread: Arc<Spread>,
     log: Arc<ReplicatedLog>,
+    duty: Option<Arc<Duty>>,
 }
 
 /// Starts the control role.
@@ -92,14 +93,15 @@
         let cx = cx.clone();
         async move { cx.step().await }
     });
-    if let Some(duty) = duty {
-        spawn_duty(&tree, &duty, &endpoint);
+    if let Some(duty) = &duty {
+        spawn_duty(&tree, duty, &endpoint);
     }
     let operators = Operators {
         log: log.clone(),
         metrics: Arc::new(Metrics::open()),
         members: members.clone(),
         journal: journal.clone(),
+        duty: duty.clone(),
         secret: settings.operator_secret.as_str().into(),
     };
     let web = bind_web(settings.listen.platform, operators)?;
@@ -114,6 +116,7 @@
         web,
         spread,
         log,
+        duty,
     })
 }
 
@@ -171,6 +174,9 @@
     pub async fn shutdown(self) {
         self.journal.emit(Event::ProcessLeaving, &[]);
         self.spread.leave();
+        if let Some(duty) = &self.duty {
+            duty.hand_over().await;
+        }
         self.web.stop().await;
         self.spread.stop();
         self.endpoint.shutdown().await;
--- a/crates/nutmegwheel-control/src/operators.rs
+++ b/crates/nutmegwheel-control/src/operators.rs
@@ -5,6 +5,7 @@
 use http::{Method, StatusCode, request::Parts};
 use nutmegwheel_config::Change;
 use nutmegwheel_events::{Event, Journal};
+use nutmegwheel_seeds::Duty;
 use nutmegwheel_spread::WithdrawalState;
 use nutmegwheel_types::{KeyHash, hex};
 use nutmegwheel_web::{Handler, HandlerFuture, Problem, Request, Response, authorize, json, typed};
@@ -35,6 +36,7 @@
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) members: Arc<Members>,
     pub(crate) journal: Arc<Journal>,
+    pub(crate) duty: Option<Arc<Duty>>,
     pub(crate) secret: Arc<str>,
 }
 
@@ -67,8 +69,16 @@
         }
     }
 
-    /// Ready is a control VM that holds all that is committed, which needs a quorum.
+    /// Ready is a control VM that holds all that is committed, which needs a quorum, and counts as
+    /// a seed, so that the next one may be stopped.
     async fn readiness(&self) -> Result<Response, Problem> {
+        if self.duty.as_ref().is_some_and(|duty| !duty.is_ready()) {
+            return Err(Problem::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "not-ready",
+                "the seed still learns what it may have forgotten",
+            ));
+        }
         match self.log.catch_up().await {
             Ok(()) => Ok(json(StatusCode::OK, &value!({"ok": true}))),
             Err(e) => Err(Problem::new(
--- a/crates/nutmegwheel-limits/src/lease/seed.rs
+++ b/crates/nutmegwheel-limits/src/lease/seed.rs
@@ -85,6 +85,12 @@
         self.knows_shares.then_some(self.shares)
     }
 
+    /// Whether this seed still waits out what it may have forgotten, and so grants nothing.
+    #[must_use]
+    pub fn is_recovering(&self, now: Instant) -> bool {
+        now < self.silent_until || !self.knows_shares
+    }
+
     /// Who holds this seed's grant now.
     #[must_use]
     pub fn holder(&self, now: Instant) -> Option<&Candidate> {
@@ -121,7 +127,7 @@
     }
 
     fn vote(&self, req: &LeaseRequest, now: Instant) -> Vote {
-        if now < self.silent_until || !self.knows_shares {
+        if self.is_recovering(now) {
             return Vote::Recovering(self.silent_until.saturating_duration_since(now));
         }
         if req.shares < self.shares {
--- a/crates/nutmegwheel-limits/src/steward/mod.rs
+++ b/crates/nutmegwheel-limits/src/steward/mod.rs
@@ -102,6 +102,12 @@
 
 /// Access.
 impl Steward {
+    /// Whether it holds the lease, be it that it answers asks or stops.
+    #[must_use]
+    pub fn holds_lease(&self, now: Instant) -> bool {
+        self.holder.is_valid(now)
+    }
+
     /// Whether it answers asks now.
     #[must_use]
     pub fn is_serving(&self, now: Instant) -> bool {
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -187,7 +187,7 @@
     pub async fn shutdown(self) {
         self.shared.journal.emit(Event::ProcessLeaving, &[]);
         self.shared.leave();
-        tokio::time::sleep(LEAVE_TIME).await;
+        tokio::join!(tokio::time::sleep(LEAVE_TIME), self.hand_over());
         self.drain().await;
         for server in &self.servers {
             server.stop().await;
@@ -201,6 +201,12 @@
         self.shared.journal.emit(Event::ProcessStopped, &[]);
     }
 
+    async fn hand_over(&self) {
+        if let Some(duty) = &self.shared.duty {
+            duty.hand_over().await;
+        }
+    }
+
     async fn drain(&self) {
         let end = tokio::time::Instant::now() + DRAIN_LIMIT;
         while self.shared.in_flight() > 0 && tokio::time::Instant::now() < end {
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -154,9 +154,6 @@
     pub(crate) fn leave(&self) {
         let _ = self.leaving.set(Instant::now());
         self.spread.leave();
-        if let Some(duty) = &self.duty {
-            duty.stop();
-        }
     }
 }
 
--- a/crates/nutmegwheel-seeds/src/duty.rs
+++ b/crates/nutmegwheel-seeds/src/duty.rs
@@ -24,6 +24,11 @@
 /// The time that one other process gets to answer.
 const ANSWER_LIMIT: Duration = Duration::from_secs(1);
 
+/// The longest time that a planned stop waits for the end of the steward's lease.
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(3);
+/// The time between two looks whether the lease was given back.
+const HAND_OVER_PAUSE: Duration = Duration::from_millis(20);
+
 /// What a seed does for its data centre.
 pub struct Duty {
     name: ProcessName,
@@ -70,9 +75,14 @@
         self.stewardship.step(endpoint);
     }
 
-    /// Hands out nothing more, since the process stops soon.
-    pub fn stop(&self) {
+    /// Hands out nothing more and gives the lease back, so that another steward need not wait until
+    /// it is over; [`Duty::step`] must go on being called meanwhile.
+    pub async fn hand_over(&self) {
         self.stewardship.stop();
+        let end = tokio::time::Instant::now() + HAND_OVER_LIMIT;
+        while self.stewardship.holds_lease() && tokio::time::Instant::now() < end {
+            tokio::time::sleep(HAND_OVER_PAUSE).await;
+        }
     }
 
     /// Goes on with what a restarted seed must learn before it may grant anything; to be called
@@ -138,6 +148,12 @@
         self.stewardship.is_steward()
     }
 
+    /// Whether the seed counts for its data centre again, so that another one may stop.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.is_recovering() && !self.stewardship.is_recovering()
+    }
+
     /// Whether the seed still learns what it may have forgotten.
     #[must_use]
     pub fn is_recovering(&self) -> bool {
--- a/crates/nutmegwheel-seeds/src/stewardship.rs
+++ b/crates/nutmegwheel-seeds/src/stewardship.rs
@@ -151,6 +151,14 @@
         self.steward().is_serving(Instant::now())
     }
 
+    pub(crate) fn holds_lease(&self) -> bool {
+        self.steward().holds_lease(Instant::now())
+    }
+
+    pub(crate) fn is_recovering(&self) -> bool {
+        self.voter().is_recovering(Instant::now())
+    }
+
     fn others(&self) -> impl Iterator<Item = (ProcessName, SocketAddr)> {
         let others = self.seeds.iter().filter(|(name, _)| *name != self.name);
         others.cloned()
--- a/crates/nutmegwheel/tests/common/mod.rs
+++ b/crates/nutmegwheel/tests/common/mod.rs
@@ -205,11 +205,11 @@
         })
     }
 
-    /// The VM of a node.
+    /// The VM of a process.
     pub(crate) fn vm(&self, node: &str) -> &Vm {
-        let mut nodes = self.fleet.nodes.iter();
-        let process = nodes.find(|process| process.vm.name == node);
-        &process.expect("a node of that name").vm
+        let mut all = self.fleet.nodes.iter().chain(&self.fleet.control);
+        let process = all.find(|process| process.vm.name == node);
+        &process.expect("a process of that name").vm
     }
 
     /// Does something with the backend server of that name, which is `SERVICE@NODE`.
--- a/crates/nutmegwheel/tests/stops.rs
+++ b/crates/nutmegwheel/tests/stops.rs
@@ -192,6 +192,7 @@
     ends_well(&mut setup, "control-1").await;
     some_run(&setup).await;
     setup.fleet.restart("control-1").await.expect("it starts");
+    setup.door_serves("control-1").await;
     setup.signal("control-2", "TERM");
     ends_well(&mut setup, "control-2").await;
     setup
