feat(bench): measure added and slopes, and three more scenarios

freeze stops the processes of a data centre, change withdraws a key and swaps ranks under load, slow-deep-and-crash joins two faults. Not built: silent connections, for the settings have no way to advertise a relay in place of the link address.

--- a/tools/bench/src/bed.rs
+++ b/tools/bench/src/bed.rs
@@ -14,6 +14,8 @@
 
 /// One backend server with what it takes to start it again.
 pub(crate) struct Server {
+    /// The name of its node.
+    pub(crate) node: String,
     pub(crate) service: &'static str,
     pub(crate) backend: Backend,
     place: Place,
@@ -88,6 +90,7 @@
         let opts = options(service.name, service.slots, place);
         let backend = Backend::spawn(opts, behaviour.clone(), ledger.clone()).await?;
         Ok(Self {
+            node: place.name.clone(),
             service: service.name,
             backend,
             place: place.clone(),
--- a/tools/bench/src/deployment.rs
+++ b/tools/bench/src/deployment.rs
@@ -65,8 +65,10 @@
 
 fn workspaces(names: [&'static str; 8]) -> Vec<Workspace> {
     let parts = [0.30, 0.20, 0.14, 0.10, 0.08, 0.07, 0.06, 0.05];
-    let named = names.into_iter().zip(parts);
-    named.map(|(name, part)| Workspace { name, part }).collect()
+    let with_parts = names.into_iter().zip(parts);
+    with_parts
+        .map(|(name, part)| Workspace { name, part })
+        .collect()
 }
 
 /// The small fleet of the demo.
@@ -153,6 +155,31 @@
     }
 }
 
+/// Two nodes and one service that answers at once.
+pub(crate) fn one_service() -> Deployment {
+    Deployment {
+        name: "one-service",
+        data_centres: vec!["riga1"],
+        copies: 2,
+        services: vec![service("intake", 1000, 0)],
+        classes: vec![class("entries", 0, 5000, 1.0)],
+        workspaces: vec![Workspace {
+            name: "riga",
+            part: 1.0,
+        }],
+        demand: 5000.0,
+        rate_over_demand: RATE_OVER_DEMAND,
+    }
+}
+
+/// So many nodes in three data centres, with the workspaces of Skaitītājs and no load.
+pub(crate) fn idle(nodes: usize) -> Deployment {
+    let mut deployment = skaititajs();
+    deployment.copies = nodes.div_ceil(deployment.data_centres.len());
+    deployment.services.truncate(1);
+    deployment
+}
+
 /// Access.
 impl Deployment {
     /// The service that callers ask.
--- a/tools/bench/src/load.rs
+++ b/tools/bench/src/load.rs
@@ -52,6 +52,7 @@
 pub(crate) struct Load {
     callers: Arc<Callers>,
     demand: f64,
+    doors: Arc<Vec<SocketAddr>>,
     rng: SmallRng,
     requests: JoinSet<Record>,
     phase: usize,
@@ -59,7 +60,6 @@
 
 struct Callers {
     http: Caller,
-    doors: Vec<SocketAddr>,
     keys: Vec<String>,
     /// The paths and the deadlines of the classes.
     classes: Vec<(String, Duration)>,
@@ -85,7 +85,6 @@
         let workspaces = 0..deployment.workspaces.len();
         let callers = Callers {
             http: Caller::open(),
-            doors,
             keys: workspaces
                 .map(|workspace| format!("Bearer {}", deployment.key(workspace)))
                 .collect(),
@@ -96,6 +95,7 @@
         Self {
             callers: Arc::new(callers),
             demand: deployment.demand,
+            doors: Arc::new(doors),
             rng: SmallRng::seed_from_u64(seed),
             requests: JoinSet::new(),
             phase: 0,
@@ -112,6 +112,11 @@
 
 /// Sending.
 impl Load {
+    /// Makes new requests go to these doors.
+    pub(crate) fn set_doors(&mut self, doors: Vec<SocketAddr>) {
+        self.doors = Arc::new(doors);
+    }
+
     /// Sends the usual demand of every workspace, times its factor, for a time.
     ///
     /// Returns the number of the phase, which its records carry.
@@ -143,8 +148,9 @@
                 intended,
                 seed: self.rng.random(),
             };
-            let callers = self.callers.clone();
-            self.requests.spawn(async move { callers.run(req).await });
+            let (callers, doors) = (self.callers.clone(), self.doors.clone());
+            self.requests
+                .spawn(async move { callers.run(req, &doors).await });
         }
         tokio::time::sleep_until(end.into()).await;
         phase
@@ -164,7 +170,7 @@
 }
 
 impl Callers {
-    async fn run(&self, req: Request) -> Record {
+    async fn run(&self, req: Request, doors: &[SocketAddr]) -> Record {
         let mut rng = SmallRng::seed_from_u64(req.seed);
         let (path, within) = &self.classes[req.class];
         let deadline = req.intended + *within;
@@ -181,7 +187,7 @@
         };
         while record.attempts <= RESENDS && Instant::now() < deadline {
             record.attempts += 1;
-            let door = self.doors[rng.random_range(0..self.doors.len())];
+            let door = doors[rng.random_range(0..doors.len())];
             let left = deadline.saturating_duration_since(Instant::now());
             let key = &self.keys[req.workspace];
             let answer = self.ask(door, path, key, left, req.seed).await;
--- a/tools/bench/src/main.rs
+++ b/tools/bench/src/main.rs
@@ -15,6 +15,7 @@
 mod program;
 mod score;
 mod system;
+mod usage;
 
 use std::process::ExitCode;
 
@@ -55,6 +56,7 @@
 async fn measure(cmd: MeasureCmd) -> anyhow::Result<()> {
     match cmd {
         MeasureCmd::Scenarios(flags) => measure::scenarios(&flags).await,
-        MeasureCmd::Added(_) | MeasureCmd::Slopes(_) => anyhow::bail!("not built yet"),
+        MeasureCmd::Added(flags) => measure::added::run(&flags).await,
+        MeasureCmd::Slopes(flags) => measure::slopes::run(&flags).await,
     }
 }
--- /dev/null
+++ b/tools/bench/src/measure/added.rs
@@ -0,0 +1,210 @@
+//! The time that two nodes add to a call: door, other node, backend server, and back.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use hdrhistogram::Histogram;
+use nutmegwheel_support::{Caller, Fleet, Process};
+use rand::{Rng as _, SeedableRng as _, rngs::SmallRng};
+use tokio::task::JoinSet;
+
+use crate::{
+    bed::Bed,
+    deployment::{self, Deployment},
+    flags::Added,
+    operator,
+    system::{self, System as _},
+    usage,
+};
+
+/// Calls a second at which the time is taken.
+const LOADS: [f64; 4] = [100.0, 500.0, 1000.0, 2000.0];
+/// The time of each load, each way.
+const TIME: Duration = Duration::from_secs(4);
+/// The part of each load that is not judged.
+const WARM_UP: Duration = Duration::from_secs(1);
+/// The time over which an idle node is watched.
+const IDLE_TIME: Duration = Duration::from_secs(5);
+/// The seed unless told otherwise.
+const SEED: u64 = 1;
+
+/// One load, both ways.
+struct Point {
+    load: f64,
+    direct: Histogram<u64>,
+    through: Histogram<u64>,
+    failed: u64,
+    /// Calls a second for each core that the two nodes would use up.
+    per_core: f64,
+    /// The processor time of the two nodes together, in percent of a core.
+    percent: f64,
+}
+
+/// Where and how calls are made.
+#[derive(Clone)]
+struct Way {
+    http: Caller,
+    at: SocketAddr,
+    path: String,
+    key: String,
+}
+
+/// Runs the measurement and prints it.
+pub(crate) async fn run(flags: &Added) -> anyhow::Result<()> {
+    let deployment = deployment::one_service();
+    let fleet = system::start_fleet(&deployment).await?;
+    let ids: Vec<u32> = fleet.nodes.iter().filter_map(Process::id).collect();
+    // Only the second node has a backend server, so that a call to the first goes through both.
+    let places = fleet.places();
+    let bed = Bed::start(&deployment, &places[1..]).await?;
+    operator::announced(&fleet, bed.servers.len()).await?;
+    let idle = idle_percent(&ids).await?;
+    let direct = way(&deployment, bed.servers[0].backend.address());
+    let through = way(&deployment, places[0].callers);
+    let mut rng = SmallRng::seed_from_u64(flags.seed.unwrap_or(SEED));
+    let mut points = Vec::new();
+    for load in LOADS {
+        points.push(point(load, &direct, &through, &ids, &mut rng).await?);
+    }
+    let resident = usage::mean_resident_mb(&ids)?;
+    if flags.json {
+        for point in &points {
+            println!("{}", json(point, idle, resident));
+        }
+    } else {
+        print(&points, idle, resident, flags.seed.unwrap_or(SEED));
+    }
+    drop::<Fleet>(fleet);
+    Ok(())
+}
+
+fn way(deployment: &Deployment, at: SocketAddr) -> Way {
+    let service = deployment.front().name;
+    let endpoint = deployment.classes[0].name;
+    Way {
+        http: Caller::open(),
+        at,
+        path: format!("/{service}/{endpoint}"),
+        key: format!("Bearer {}", deployment.key(0)),
+    }
+}
+
+async fn idle_percent(ids: &[u32]) -> anyhow::Result<f64> {
+    let before = usage::processor_time_of(ids)?;
+    tokio::time::sleep(IDLE_TIME).await;
+    let used = usage::processor_time_of(ids)? - before;
+    Ok(usage::percent_of_core(used, IDLE_TIME, ids.len()))
+}
+
+async fn point(
+    load: f64,
+    direct: &Way,
+    through: &Way,
+    ids: &[u32],
+    rng: &mut SmallRng,
+) -> anyhow::Result<Point> {
+    let (direct, lost) = send(load, direct, rng).await?;
+    let before = usage::processor_time_of(ids)?;
+    let (through, failed) = send(load, through, rng).await?;
+    let used = usage::processor_time_of(ids)? - before;
+    Ok(Point {
+        load,
+        direct,
+        through,
+        failed: lost + failed,
+        per_core: load * TIME.as_secs_f64() / used,
+        percent: usage::percent_of_core(used, TIME, 1),
+    })
+}
+
+/// Sends calls for a time and gives their times, in microseconds, and the number that failed.
+///
+/// The times count from the wake-up of the generator: the timer's own millisecond is not a part
+/// of the call, and a call that is slow holds back no other.
+async fn send(load: f64, way: &Way, rng: &mut SmallRng) -> anyhow::Result<(Histogram<u64>, u64)> {
+    let begun = Instant::now();
+    let mut intended = begun;
+    let mut calls = JoinSet::new();
+    loop {
+        let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+        intended += Duration::from_secs_f64(-uniform.ln() / load);
+        if intended >= begun + TIME {
+            break;
+        }
+        tokio::time::sleep_until(intended.into()).await;
+        let way = way.clone();
+        let is_judged = intended >= begun + WARM_UP;
+        let woken = Instant::now();
+        calls.spawn(async move {
+            let fields = [("authorization", way.key.as_str())];
+            let answer = way.http.call("POST", way.at, &way.path, &fields, "").await;
+            let is_good = answer.is_ok_and(|answer| answer.status == 200);
+            (is_judged, is_good, woken.elapsed())
+        });
+    }
+    let mut times = Histogram::new(3)?;
+    let mut failed = 0;
+    for (is_judged, is_good, time) in calls.join_all().await {
+        match (is_judged, is_good) {
+            (_, false) => failed += 1,
+            (true, true) => times.record(u64::try_from(time.as_micros())?)?,
+            (false, true) => {}
+        }
+    }
+    Ok((times, failed))
+}
+
+/// A quantile in milliseconds.
+fn at(times: &Histogram<u64>, quantile: f64) -> f64 {
+    let micros = u32::try_from(times.value_at_quantile(quantile)).unwrap_or(u32::MAX);
+    f64::from(micros) / 1000.0
+}
+
+fn print(points: &[Point], idle: f64, resident: f64, seed: u64) {
+    println!("added by two nodes, seed {seed}; times in ms; target: at most 1.30 for 99 in 100");
+    println!(
+        "{:>8}{:>10}{:>10}{:>10}{:>10}{:>10}{:>10}{:>8}{:>13}{:>12}",
+        "calls/s",
+        "direct 50",
+        "99",
+        "nodes 50",
+        "99",
+        "added 50",
+        "99",
+        "failed",
+        "calls/core s",
+        "% of a core"
+    );
+    for point in points {
+        let (direct, through) = (&point.direct, &point.through);
+        println!(
+            "{:>8}{:>10.2}{:>10.2}{:>10.2}{:>10.2}{:>10.2}{:>10.2}{:>8}{:>13.0}{:>12.1}",
+            point.load,
+            at(direct, 0.5),
+            at(direct, 0.99),
+            at(through, 0.5),
+            at(through, 0.99),
+            at(through, 0.5) - at(direct, 0.5),
+            at(through, 0.99) - at(direct, 0.99),
+            point.failed,
+            point.per_core,
+            point.percent,
+        );
+    }
+    println!("a node: idle {idle:.2} % of a core, {resident:.1} MB resident after the load");
+}
+
+fn json(point: &Point, idle: f64, resident: f64) -> serde_json::Value {
+    serde_json::json!({
+        "calls_per_second": point.load,
+        "direct_ms": {"p50": at(&point.direct, 0.5), "p99": at(&point.direct, 0.99)},
+        "through_ms": {"p50": at(&point.through, 0.5), "p99": at(&point.through, 0.99)},
+        "failed": point.failed,
+        "calls_per_core_second": point.per_core,
+        "percent_of_core": point.percent,
+        "idle_percent_of_core": idle,
+        "resident_mb": resident,
+    })
+}
--- a/tools/bench/src/measure/figures.rs
+++ b/tools/bench/src/measure/figures.rs
@@ -46,7 +46,9 @@
     pub(crate) reasons: BTreeMap<String, usize>,
     /// The same where capacity sufficed, by phase.
     pub(crate) wrongful_reasons: BTreeMap<String, usize>,
-    /// The times of the trigger's start and end, to be found in the time line.
+    /// The runs of a withdrawn key after its withdrawal was in force; `None` without one.
+    pub(crate) late_runs: Option<usize>,
+    /// How long the trigger lasted.
     pub(crate) lasted: Duration,
 }
 
@@ -130,6 +132,7 @@
         classes: classes.map(of_class).collect(),
         reasons: reasons(judged.of(Kind::Trigger)),
         wrongful_reasons: reasons(wrongful.into_iter()),
+        late_runs: None,
         lasted: trigger.map_or(Duration::ZERO, Phase::time),
     }
 }
@@ -173,7 +176,7 @@
 
     fn is_inside_rate(&self, record: &Record) -> bool {
         let is_trigger = self.phases[record.phase].kind == Kind::Trigger;
-        let surges = is_trigger && self.scenario.over_rate() == Some(record.workspace);
+        let surges = is_trigger && self.scenario.not_due() == Some(record.workspace);
         !surges && !self.over_rate.contains(&record.intended)
     }
 
@@ -227,7 +230,7 @@
         };
         let shares = got.into_iter().zip(due).enumerate();
         shares
-            .filter(|(workspace, _)| self.scenario.over_rate() != Some(*workspace))
+            .filter(|(workspace, _)| self.scenario.not_due() != Some(*workspace))
             .map(|(workspace, (got, due))| Share {
                 workspace,
                 got,
@@ -249,8 +252,9 @@
             .iter()
             .partition(|place| sent[**place] <= parts[**place] * level);
         if full.is_empty() {
-            rest.iter()
-                .for_each(|place| due[*place] = parts[*place] * level);
+            for place in rest {
+                due[place] = parts[place] * level;
+            }
             break;
         }
         for place in full {
--- a/tools/bench/src/measure/mod.rs
+++ b/tools/bench/src/measure/mod.rs
@@ -1,9 +1,11 @@
 //! The measurements.
 
+pub(crate) mod added;
 mod figures;
 mod report;
 mod round;
 mod scenario;
+pub(crate) mod slopes;
 
 use std::path::{Path, PathBuf};
 
@@ -79,8 +81,9 @@
             let deployment = scenario.adapt(open());
             let runs = rounds(&opts, *scenario, &deployment).await?;
             if flags.json {
-                runs.iter()
-                    .for_each(|run| println!("{}", report::json(run)));
+                for run in &runs {
+                    println!("{}", report::json(run));
+                }
             } else {
                 report::print(*scenario, &deployment, &runs);
             }
--- a/tools/bench/src/measure/report.rs
+++ b/tools/bench/src/measure/report.rs
@@ -124,6 +124,10 @@
         pooled(&ours),
         pooled(&baseline),
     );
+    if let Some(late) = ours.iter().filter_map(|figures| figures.late_runs).max() {
+        let name = "runs of a withdrawn key after it was in force";
+        println!("{name:50}{:>8}{late:>26}{:>26}", "0", "");
+    }
     for (place, class) in deployment.classes.iter().enumerate() {
         let shown = |figures: &[&Figures]| {
             spread(
@@ -192,6 +196,7 @@
         "most_retries": figures.most_retries,
         "wasted": figures.wasted,
         "top_lost": figures.top_lost,
+        "late_runs": figures.late_runs,
         "classes_in_time": figures.classes,
         "reasons": figures.reasons,
         "wrongful_reasons": figures.wrongful_reasons,
--- a/tools/bench/src/measure/round.rs
+++ b/tools/bench/src/measure/round.rs
@@ -46,6 +46,8 @@
     pub(crate) bed: Bed,
     pub(crate) load: Load,
     pub(crate) phases: Vec<Phase>,
+    /// The runs of a withdrawn key that began after the withdrawal was in force.
+    pub(crate) late_runs: Option<usize>,
 }
 
 /// The two systems that are compared.
@@ -118,15 +120,14 @@
         bed,
         load: Load::open(deployment, doors, seed),
         phases: Vec::new(),
+        late_runs: None,
     };
     scenario.play(&mut scene).await?;
     let records = scene.load.finish().await;
     let runs = scene.bed.ledger.runs();
-    Ok(figures::judge(
-        scenario,
-        deployment,
-        &scene.phases,
-        &records,
-        &runs,
-    ))
+    let judged = figures::judge(scenario, deployment, &scene.phases, &records, &runs);
+    Ok(Figures {
+        late_runs: scene.late_runs,
+        ..judged
+    })
 }
--- /dev/null
+++ b/tools/bench/src/usage.rs
@@ -0,0 +1,51 @@
+//! What a process uses, from /proc.
+
+use std::time::Duration;
+
+use anyhow::Context as _;
+
+/// The kernel's clock ticks per second in /proc/PID/stat, the same on every Linux.
+const TICKS_PER_SECOND: f64 = 100.0;
+/// The places of user and system time in /proc/PID/stat, counted after the name in parentheses.
+const USER_TIME: usize = 11;
+const SYSTEM_TIME: usize = 12;
+
+/// The processor time that a process has used so far, in seconds.
+fn processor_time(id: u32) -> anyhow::Result<f64> {
+    let path = format!("/proc/{id}/stat");
+    let text = std::fs::read_to_string(&path).with_context(|| path.clone())?;
+    let (_, fields) = text.rsplit_once(") ").context("no name in stat")?;
+    let fields: Vec<&str> = fields.split(' ').collect();
+    let ticks = |place: usize| -> anyhow::Result<f64> {
+        Ok(fields.get(place).context("a short stat")?.parse()?)
+    };
+    Ok((ticks(USER_TIME)? + ticks(SYSTEM_TIME)?) / TICKS_PER_SECOND)
+}
+
+/// The resident memory of a process, in MB.
+fn resident_mb(id: u32) -> anyhow::Result<f64> {
+    let path = format!("/proc/{id}/status");
+    let text = std::fs::read_to_string(&path).with_context(|| path.clone())?;
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next());
+    let kilobytes: f64 = kilobytes.context("no VmRSS")?.parse()?;
+    Ok(kilobytes / 1024.0)
+}
+
+/// The processor time of several processes together, in seconds.
+pub(crate) fn processor_time_of(ids: &[u32]) -> anyhow::Result<f64> {
+    ids.iter().map(|id| processor_time(*id)).sum()
+}
+
+/// The mean resident memory of several processes, in MB.
+pub(crate) fn mean_resident_mb(ids: &[u32]) -> anyhow::Result<f64> {
+    let all: anyhow::Result<f64> = ids.iter().map(|id| resident_mb(*id)).sum();
+    Ok(all? / f64::from(u32::try_from(ids.len())?.max(1)))
+}
+
+/// The part of a core that each of several processes used on average over a time, in percent.
+pub(crate) fn percent_of_core(used: f64, time: Duration, processes: usize) -> f64 {
+    #[allow(clippy::cast_precision_loss)]
+    let processes = processes.max(1) as f64;
+    100.0 * used / time.as_secs_f64() / processes
+}
