--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::VecDeque,
     sync::{
         Arc, Mutex, OnceLock, PoisonError,
         atomic::{AtomicU64, AtomicUsize, Ordering},
@@ -15,7 +16,7 @@
     retry::{RatioOptions, Ratios},
     shed::{self, Levels},
 };
-use nutmegwheel_seeds::{AttemptId, Claims, Duty, SeedLists, Started, Tokens, started};
+use nutmegwheel_seeds::{Asker, AttemptId, Claims, Duty, SeedLists, Started, Tokens, started};
 use nutmegwheel_spread::{Health, Spread};
 use nutmegwheel_types::{EndpointId, Incarnation, Priority, ProcessName, ServiceId};
 use nutmegwheel_wire as wire;
@@ -35,6 +36,9 @@
 /// The time in which others learn that this node leaves, and idle callers go elsewhere.
 pub(crate) const LEAVE_TIME: Duration = Duration::from_secs(2);
 
+/// The incarnations of this life that are kept; calls for older ones are refused as not run.
+const REFUTED_KEPT: usize = 64;
+
 /// What the listeners and tasks of a node share.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
@@ -62,6 +66,8 @@
     endpoint: OnceLock<Endpoint>,
     leaving: OnceLock<Instant>,
     lives: AtomicU64,
+    /// The incarnations that the gossip gave to this life of the node, to refute suspicions.
+    refuted: Mutex<VecDeque<Incarnation>>,
 }
 
 /// Lifecycle.
@@ -113,6 +119,7 @@
             endpoint: OnceLock::new(),
             leaving: OnceLock::new(),
             lives: AtomicU64::new(incarnation),
+            refuted: Mutex::default(),
         }
     }
 
@@ -133,20 +140,14 @@
     /// Sets the endpoint, which is opened after what it serves.
     pub(crate) fn connect(&self, endpoint: Endpoint) {
         self.spread.connect(endpoint.clone());
-        let tokens = Tokens::open(
-            self.settings.name.clone(),
-            endpoint.clone(),
-            self.duty.clone(),
-            self.seeds.clone(),
-        );
-        let _ = self.tokens.set(tokens);
-        let claims = Claims::open(
+        let asker = Asker::open(
             self.settings.name.clone(),
             endpoint.clone(),
             self.duty.clone(),
             self.seeds.clone(),
         );
-        let _ = self.claims.set(claims);
+        let _ = self.tokens.set(Tokens::open(asker.clone()));
+        let _ = self.claims.set(Claims::open(asker));
         let _ = self.endpoint.set(endpoint);
     }
 
@@ -198,6 +199,15 @@
             .is_some_and(|at| at.elapsed() > LEAVE_TIME)
     }
 
+    /// Whether what was meant for an incarnation of this node is meant for its present life.
+    ///
+    /// The gossip raises the number while the node lives on, and a greater number may also be that
+    /// of an earlier life, so only those count that this life took itself.
+    pub(crate) fn is_own_life(&self, incarnation: Incarnation) -> bool {
+        let refuted = self.refuted.lock().unwrap_or_else(PoisonError::into_inner);
+        incarnation == self.incarnation || refuted.contains(&incarnation)
+    }
+
     /// A reading of the clock, to travel with a message.
     pub(crate) fn stamp(&self) -> wire::Stamp {
         let Stamp { millis, count } = self.journal.clock().now();
@@ -225,6 +235,15 @@
         members::announce(self);
     }
 
+    /// Takes note that the gossip goes on in another incarnation in this life of the node.
+    pub(crate) fn refuted(&self, incarnation: Incarnation) {
+        let mut refuted = self.refuted.lock().unwrap_or_else(PoisonError::into_inner);
+        refuted.push_back(incarnation);
+        if refuted.len() > REFUTED_KEPT {
+            refuted.pop_front();
+        }
+    }
+
     pub(crate) fn hear(&self, stamp: wire::Stamp) {
         self.journal.clock().hear(Stamp {
             millis: stamp.millis,
