--- a/tools/bench/src/demo.rs
+++ b/tools/bench/src/demo.rs
@@ -22,7 +22,7 @@
 /// Runs the demo and fails when something is not as it should be.
 pub(crate) async fn run() -> anyhow::Result<()> {
     let deployment = deployment::demo();
-    let fleet = system::start_fleet(&deployment).await?;
+    let fleet = system::start_fleet(&deployment, false).await?;
     let bed = Bed::start(&deployment, &fleet.places()).await?;
     operator::announced(&fleet, bed.servers.len()).await?;
     println!(
--- a/tools/bench/src/measure/added.rs
+++ b/tools/bench/src/measure/added.rs
@@ -54,7 +54,7 @@
 /// Runs the measurement and prints it.
 pub(crate) async fn run(flags: &Added) -> anyhow::Result<()> {
     let deployment = deployment::one_service();
-    let fleet = system::start_fleet(&deployment).await?;
+    let fleet = system::start_fleet(&deployment, false).await?;
     let ids: Vec<u32> = fleet.nodes.iter().filter_map(Process::id).collect();
     // Only the second node has a backend server, so that a call to the first goes through both.
     let places = fleet.places();
--- a/tools/bench/src/measure/round.rs
+++ b/tools/bench/src/measure/round.rs
@@ -87,7 +87,7 @@
 ) -> anyhow::Result<Figures> {
     match system {
         SystemKind::Ours => {
-            let fleet = system::start_fleet(deployment).await?;
+            let fleet = system::start_fleet(deployment, scenario.is_relayed()).await?;
             let figures = play(scenario, deployment, fleet.places(), Some(&fleet), seed).await?;
             if let Some(path) = events {
                 std::fs::write(path, operator::events(&fleet).await)?;
--- a/tools/bench/src/measure/slopes.rs
+++ b/tools/bench/src/measure/slopes.rs
@@ -65,7 +65,7 @@
 
 async fn point(nodes: usize) -> anyhow::Result<Point> {
     let deployment = deployment::idle(nodes);
-    let fleet = system::start_fleet(&deployment).await?;
+    let fleet = system::start_fleet(&deployment, false).await?;
     let bed = Bed::start(&deployment, &fleet.places()).await?;
     operator::announced(&fleet, bed.servers.len()).await?;
     tokio::time::sleep(SETTLE_TIME).await;
--- a/tools/bench/src/system/mod.rs
+++ b/tools/bench/src/system/mod.rs
@@ -38,15 +38,15 @@
     }
 }
 
-/// Starts a fleet of our processes and configures it.
-pub(crate) async fn start_fleet(deployment: &Deployment) -> anyhow::Result<Fleet> {
+/// Starts a fleet of our processes and configures it; `relayed` puts a relay before each link.
+pub(crate) async fn start_fleet(deployment: &Deployment, relayed: bool) -> anyhow::Result<Fleet> {
     let nodes = deployment.nodes_per_data_centre();
     let data_centres = deployment.data_centres.iter();
     let fleet = Fleet::start(FleetOptions {
         program: program::locate()?,
         data_centres: data_centres.map(|name| (*name, nodes)).collect(),
         control_vms: CONTROL_VMS,
-        relayed: false,
+        relayed,
     })
     .await?;
     operator::configure(&fleet, deployment).await?;
