--- a/tests/support/examples/slopes.rs
+++ b/tests/support/examples/slopes.rs
@@ -94,12 +94,17 @@
     tokio::time::sleep(WINDOW).await;
     let after = usages(fleet)?;
     let seconds = began.elapsed().as_secs_f64();
-    for (role, processes) in [("node", &fleet.nodes), ("control", &fleet.control)] {
+    let (seeds, nodes_only): (Vec<_>, Vec<_>) = fleet.nodes.iter().partition(|p| is_seed(p));
+    let control: Vec<_> = fleet.control.iter().collect();
+    for (role, processes) in [("node", nodes_only), ("seed", seeds), ("control", control)] {
         let used: Vec<Usage> = processes
-            .iter()
+            .into_iter()
             .filter_map(Process::id)
             .map(|id| difference(before[&id], after[&id], seconds))
             .collect();
+        if used.is_empty() {
+            continue;
+        }
         println!(
             "{nodes:5} {phase:11} {role:8} {:2}  {}  {}  {}",
             used.len(),
@@ -111,6 +116,12 @@
     Ok(())
 }
 
+/// The fleet's settings name the control VM and the first two nodes of each data centre as seeds.
+fn is_seed(process: &Process) -> bool {
+    let name = &process.vm.name;
+    name.ends_with("-0") || name.ends_with("-1")
+}
+
 /// The rates between two readings; memory is that of the later one.
 fn difference(before: Usage, after: Usage, seconds: f64) -> Usage {
     Usage {
