--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -12,6 +12,7 @@
 use crate::{
     log::{self, ReplicatedLog},
     members::{Members, Offer},
+    metrics::Metrics,
     operators::Operators,
     service::ControlService,
     shares::Shares,
@@ -69,6 +70,7 @@
         data_centre: settings.data_centre.clone(),
         incarnation,
         listen: settings.listen.link,
+        advertised: settings.listen.link_advertised,
         fleet_secret: settings.fleet_secret.clone().into_bytes(),
         limits: Limits::default(),
     };
@@ -95,6 +97,7 @@
     }
     let operators = Operators {
         log: log.clone(),
+        metrics: Arc::new(Metrics::open()),
         members: members.clone(),
         journal: journal.clone(),
         secret: settings.operator_secret.as_str().into(),
--- a/crates/nutmegwheel-control/src/operators.rs
+++ b/crates/nutmegwheel-control/src/operators.rs
@@ -1,28 +1,38 @@
 //! The operators' interface; docs/INTERFACES.md, "Operators" and "Platform".
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use http::{Method, StatusCode, request::Parts};
 use nutmegwheel_config::Change;
 use nutmegwheel_events::{Event, Journal};
 use nutmegwheel_spread::WithdrawalState;
 use nutmegwheel_types::{KeyHash, hex};
-use nutmegwheel_web::{Handler, HandlerFuture, Problem, Request, Response, authorize, json};
+use nutmegwheel_web::{Handler, HandlerFuture, Problem, Request, Response, authorize, json, typed};
 use serde_json::{Value, json as value};
 
 use crate::{
-    log::{Log, LogError},
+    log::{Log as _, LogError, ReplicatedLog},
     members::Members,
+    metrics::Metrics,
     state::{ChangeNumber, Command, Verdict, Winner},
 };
 
 /// The greatest number of a change: the greatest integer that every JSON reader keeps.
 const NUMBER_MAX: ChangeNumber = 1 << 53;
 
+/// The content type of `OpenMetrics` text.
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// The time in which a read must have a quorum.
+const READ_LIMIT: Duration = Duration::from_secs(3);
+/// The pause before a read asks for a quorum again, while a leader is elected.
+const READ_PAUSE: Duration = Duration::from_millis(50);
+
 /// Answers operators and the platform on a control VM.
 #[derive(Clone)]
 pub(crate) struct Operators {
-    pub(crate) log: Arc<dyn Log>,
+    pub(crate) log: Arc<ReplicatedLog>,
+    pub(crate) metrics: Arc<Metrics>,
     pub(crate) members: Arc<Members>,
     pub(crate) journal: Arc<Journal>,
     pub(crate) secret: Arc<str>,
@@ -43,7 +53,12 @@
         let path = req.head.uri.path().to_owned();
         let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
         match (&req.head.method, segments.as_slice()) {
-            (&Method::GET, ["livez" | "readyz"]) => Ok(json(StatusCode::OK, &value!({"ok": true}))),
+            (&Method::GET, ["livez"]) => Ok(json(StatusCode::OK, &value!({"ok": true}))),
+            (&Method::GET, ["readyz"]) => self.readiness().await,
+            (&Method::GET, ["metrics"]) => {
+                let text = self.metrics.text(&self.log, &self.members.spread);
+                Ok(typed(StatusCode::OK, OPEN_METRICS, text))
+            }
             (method, ["v1", rest @ ..]) => {
                 authorize(&req.head, &self.secret)?;
                 self.operator(method, rest, &req).await
@@ -52,6 +67,18 @@
         }
     }
 
+    /// Ready is a control VM that holds all that is committed, which needs a quorum.
+    async fn readiness(&self) -> Result<Response, Problem> {
+        match self.log.catch_up().await {
+            Ok(()) => Ok(json(StatusCode::OK, &value!({"ok": true}))),
+            Err(e) => Err(Problem::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "not-ready",
+                e.to_string(),
+            )),
+        }
+    }
+
     async fn operator(
         &self,
         method: &Method,
@@ -60,8 +87,14 @@
     ) -> Result<Response, Problem> {
         match (method, route) {
             (&Method::PUT, ["changes", number]) => self.change(number, &req.body).await,
-            (&Method::GET, ["changes", number]) => self.changed(number),
-            (&Method::GET, ["configuration"]) => self.configuration(),
+            (&Method::GET, ["changes", number]) => {
+                self.catch_up().await?;
+                self.changed(number)
+            }
+            (&Method::GET, ["configuration"]) => {
+                self.catch_up().await?;
+                self.configuration()
+            }
             (&Method::PUT, ["withdrawals", hash]) => self.withdraw(read_hash(hash)?).await,
             (&Method::GET, ["withdrawals", hash]) => self.withdrawal(read_hash(hash)?),
             (&Method::GET, ["status"]) => Ok(self.status()),
@@ -90,6 +123,19 @@
         self.log.commit(command).await.map_err(|e| not_certain(&e))
     }
 
+    /// Reads answer from all that was committed before they came, or not at all: an isolated control
+    /// VM must not show an old configuration as the one in force.
+    async fn catch_up(&self) -> Result<(), Problem> {
+        let end = tokio::time::Instant::now() + READ_LIMIT;
+        loop {
+            match self.log.catch_up().await {
+                Ok(()) => return Ok(()),
+                Err(e) if tokio::time::Instant::now() >= end => return Err(not_certain(&e)),
+                Err(_) => tokio::time::sleep(READ_PAUSE).await,
+            }
+        }
+    }
+
     fn record(&self, number: ChangeNumber, verdict: &Verdict) {
         let event = match verdict {
             Verdict::Committed { first: false, .. } => return,
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -8,12 +8,14 @@
 
 mod backend;
 mod call;
+mod digest;
 mod door;
 mod forward;
 mod gate;
 mod headers;
 mod local;
 mod members;
+mod metrics;
 mod node;
 mod once;
 mod platform;
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -1,6 +1,6 @@
 use std::{
     net::SocketAddr,
-    sync::{Arc, atomic::Ordering},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -82,6 +82,7 @@
         data_centre: settings.data_centre.clone(),
         incarnation: shared.incarnation,
         listen: settings.listen.link,
+        advertised: settings.listen.link_advertised,
         fleet_secret: settings.fleet_secret.clone().into_bytes(),
         limits: Limits::default(),
     };
@@ -202,8 +203,7 @@
 
     async fn drain(&self) {
         let end = tokio::time::Instant::now() + DRAIN_LIMIT;
-        while self.shared.in_flight.load(Ordering::SeqCst) > 0 && tokio::time::Instant::now() < end
-        {
+        while self.shared.in_flight() > 0 && tokio::time::Instant::now() < end {
             tokio::time::sleep(DRAIN_PAUSE).await;
         }
     }
--- a/tools/bench/src/system/mod.rs
+++ b/tools/bench/src/system/mod.rs
@@ -46,6 +46,7 @@
         program: program::locate()?,
         data_centres: data_centres.map(|name| (*name, nodes)).collect(),
         control_vms: CONTROL_VMS,
+        relayed: false,
     })
     .await?;
     operator::configure(&fleet, deployment).await?;
