perf(node): doors ask a silent steward whether it is there after 4 s, not twice a second

Every door of a data centre asked the same process 2 times a second, 250 questions/s at 125 doors (worked out, docs/CAPACITY.md). Examples have names of their own, as cargo warns of two files of one name.

--- a/crates/nutmegwheel-limits/examples/bench.rs
+++ b/crates/nutmegwheel-limits/examples/limits_bench.rs
@@ -1,4 +1,4 @@
-//! A micro benchmark: `cargo run --release -p nutmegwheel-limits --example bench`.
+//! A micro benchmark: `cargo run --release -p nutmegwheel-limits --example limits_bench`.
 //!
 //! It prints the time of a local spend, and the messages of doors and steward under an even load, all
 //! in one thread under a virtual clock. Answers come at once.
--- a/crates/nutmegwheel-link/examples/bench.rs
+++ b/crates/nutmegwheel-link/examples/link_bench.rs
@@ -1,4 +1,4 @@
-//! Measures links over loopback: `cargo run --release -p nutmegwheel-link --example bench`.
+//! Measures links over loopback: `cargo run --release -p nutmegwheel-link --example link_bench`.
 //!
 //! Prints round trips a second and latencies at several numbers of concurrent calls of 1 KiB, with
 //! both ends on one thread, after the resident memory of idle links.
--- a/crates/nutmegwheel-node/src/rates.rs
+++ b/crates/nutmegwheel-node/src/rates.rs
@@ -27,8 +27,11 @@
 };
 
 /// How long the last answer of a steward shows that there is one.
-const STEWARD_SEEN: Duration = Duration::from_secs(3);
-/// The time between two questions whether there is a steward, while no tokens are asked for.
+const STEWARD_SEEN: Duration = Duration::from_secs(10);
+/// How long after its last answer a steward is asked whether it is there, while no tokens are
+/// wanted; every door of the data centre asks the same process.
+const PROBE_AFTER: Duration = Duration::from_secs(4);
+/// The time between two such questions.
 const PROBE_PAUSE: Duration = Duration::from_millis(500);
 
 /// What this door holds of the workspaces' tokens.
@@ -201,10 +204,10 @@
             asks.extend(output.ask.map(|ask| (data_centre.clone(), ask)));
         }
         self.tell(decisions);
-        let is_due = self
-            .probed
-            .is_none_or(|at| now.duration_since(at) >= PROBE_PAUSE);
-        if is_due {
+        let is_older = |at: Option<Instant>, age: Duration| {
+            at.is_none_or(|at| now.saturating_duration_since(at) >= age)
+        };
+        if is_older(self.steward_seen, PROBE_AFTER) && is_older(self.probed, PROBE_PAUSE) {
             self.probed = Some(now);
             asks.push((own.clone(), self.probe()));
         }
