fix(policy): a step down leaves three quarters of a small limit

Cause: 75 percent of 2 places, rounded down, is 1. With intake's 2 slots per backend server every step down on noise halved the capacity of the deep service for the time of 16 samples, so that under the surge requests of the top class were refused ("it cannot finish before its deadline"). Ruled out: windows of 32 samples, which at one place take 2 s of 64 ms each; no step down at all for small limits also after refusals, which tell of a real lack.

--- a/crates/nutmegwheel-policy/src/concurrency/gradient.rs
+++ b/crates/nutmegwheel-policy/src/concurrency/gradient.rs
@@ -136,7 +136,9 @@
     }
 
     fn step_down(&mut self, latency: Duration, is_probe: bool) {
-        let lower = percent(self.limit, self.options.step_down_percent).max(self.floor());
+        // Rounded up, for a step from 2 to 1 would halve the capacity on a suspicion.
+        let lower = (self.limit * self.options.step_down_percent).div_ceil(100);
+        let lower = lower.max(self.floor());
         if lower < self.limit {
             self.phase = Phase::SteppedDown {
                 from: self.limit,
