fix(node): a request waits while one steward follows another

A request that has the time waits for up to half of it, 4 s at most and 1024 of them at a door. Ruled out: a longer stock at doors, which costs burst; serving without tokens, which breaks the rate.

--- a/crates/nutmegwheel-node/src/door.rs
+++ b/crates/nutmegwheel-node/src/door.rs
@@ -54,7 +54,7 @@
         return Err(Refusal::not_run(Reason::Deadline, "no time was left"));
     }
     if let Some(workspace) = &call.context.workspace {
-        shared.rates.spend(&view, workspace).await?;
+        shared.rates.spend(&view, workspace, call.deadline).await?;
     }
     let parent = Parent::open(call.context.clone(), call.key, call.deadline);
     let id = forward::call_id(&call, None);
--- a/crates/nutmegwheel-node/src/rates.rs
+++ b/crates/nutmegwheel-node/src/rates.rs
@@ -4,7 +4,7 @@
     collections::{BTreeMap, BTreeSet, HashMap},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -26,6 +26,12 @@
     shared::Shared,
 };
 
+/// The longest time that a request waits while one steward follows another.
+const STEWARD_WAIT: Duration = Duration::from_secs(4);
+/// The pause before such a request asks again.
+const STEWARD_PAUSE: Duration = Duration::from_millis(50);
+/// The most requests of a door that wait so.
+const MAX_PATIENT: usize = 1024;
 /// How long the last answer of a steward shows that there is one.
 const STEWARD_SEEN: Duration = Duration::from_secs(10);
 /// How long after its last answer a steward is asked whether it is there, while no tokens are
@@ -41,6 +47,8 @@
     state: Mutex<State>,
     urgent: Notify,
     next_waiter: AtomicU64,
+    /// The requests that wait for the next steward.
+    patient: AtomicUsize,
 }
 
 struct State {
@@ -71,6 +79,7 @@
             }),
             urgent: Notify::new(),
             next_waiter: AtomicU64::new(0),
+            patient: AtomicUsize::new(0),
         }
     }
 
@@ -122,29 +131,56 @@
     }
 
     /// Spends a token of the workspace, or refuses with the time to come back.
-    pub(crate) async fn spend(&self, view: &View, workspace: &WorkspaceId) -> Result<(), Refusal> {
+    ///
+    /// While one steward follows another, a request that has the time waits for the next one, since
+    /// it is inside its rate as far as anybody knows.
+    pub(crate) async fn spend(
+        &self,
+        view: &View,
+        workspace: &WorkspaceId,
+        deadline: Instant,
+    ) -> Result<(), Refusal> {
         let data_centre = self.asked(view, workspace);
-        let waiter = self.next_waiter.fetch_add(1, Ordering::Relaxed);
-        let (key, spend, decision) = self.try_spend(&data_centre, workspace, waiter);
-        let spend = match decision {
-            Some(decision) => {
-                let _waiting = Waiting {
-                    rates: self,
-                    data_centre: &data_centre,
-                    key,
-                    waiter,
-                };
-                decision.await.unwrap_or(Spend::Waiting)
+        let now = Instant::now();
+        let patience = deadline.saturating_duration_since(now) / 2;
+        let until = now + patience.min(STEWARD_WAIT);
+        let mut patient = None;
+        loop {
+            let refused = match self.spend_once(&data_centre, workspace).await {
+                Spend::Spent => return Ok(()),
+                Spend::Refused(refused) => Some(refused),
+                Spend::Waiting => None,
+            };
+            let is_over_rate =
+                refused.is_some_and(|refused| refused.cause == RefusalCause::OverRate);
+            if is_over_rate || Instant::now() >= until || !self.has_steward() {
+                return Err(refusal(workspace, refused));
             }
-            None => spend,
-        };
-        match spend {
-            Spend::Spent => Ok(()),
-            Spend::Waiting => Err(refusal(workspace, None)),
-            Spend::Refused(refused) => Err(refusal(workspace, Some(refused))),
+            if patient.is_none() {
+                patient = Patient::enter(&self.patient);
+            }
+            if patient.is_none() {
+                return Err(refusal(workspace, refused));
+            }
+            tokio::time::sleep(STEWARD_PAUSE).await;
         }
     }
 
+    async fn spend_once(&self, data_centre: &DataCentreId, workspace: &WorkspaceId) -> Spend {
+        let waiter = self.next_waiter.fetch_add(1, Ordering::Relaxed);
+        let (key, spend, decision) = self.try_spend(data_centre, workspace, waiter);
+        let Some(decision) = decision else {
+            return spend;
+        };
+        let _waiting = Waiting {
+            rates: self,
+            data_centre,
+            key,
+            waiter,
+        };
+        decision.await.unwrap_or(Spend::Waiting)
+    }
+
     fn try_spend(
         &self,
         data_centre: &DataCentreId,
@@ -232,6 +268,25 @@
     }
 }
 
+/// One of the requests that wait for the next steward.
+struct Patient<'a>(&'a AtomicUsize);
+
+impl<'a> Patient<'a> {
+    /// Lets a request wait unless too many do already.
+    fn enter(count: &'a AtomicUsize) -> Option<Self> {
+        let entered = count.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |count| {
+            (count < MAX_PATIENT).then_some(count + 1)
+        });
+        entered.is_ok().then(|| Self(count))
+    }
+}
+
+impl Drop for Patient<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 /// Forgets a request that waits for a token when it is answered or its caller leaves.
 struct Waiting<'a> {
     rates: &'a Rates,
