--- a/tests/support/examples/slopes.rs
+++ b/tests/support/examples/idle_cost.rs
@@ -1,6 +1,6 @@
 //! What an idle fleet costs, against the number of its nodes; docs/CAPACITY.md, "Figures".
 //!
-//! `cargo run --release -p nutmegwheel-support --example slopes -- PROGRAM NODES...` starts one
+//! `cargo run --release -p nutmegwheel-support --example idle_cost -- PROGRAM NODES...` starts one
 //! fleet of the release binary after the other, three control VMs and three data centres each, and
 //! prints resident memory, processor time and the payload bytes on links for each role.
 #![forbid(unsafe_code)]
