--- a/crates/nutmegwheel-node/src/door.rs
+++ b/crates/nutmegwheel-node/src/door.rs
@@ -54,6 +54,8 @@
         return Err(Refusal::not_run(Reason::Deadline, "no time was left"));
     }
     if let Some(workspace) = &call.context.workspace {
+        // What is shed anyway must not use up the workspace's rate.
+        forward::shed_at_once(shared, &call, now)?;
         shared.rates.spend(&view, workspace, call.deadline).await?;
     }
     let parent = Parent::open(call.context.clone(), call.key, call.deadline);
--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -221,7 +221,7 @@
 }
 
 /// Refuses what every backend server would shed, here or further down the chain.
-fn shed_at_once(shared: &Shared, call: &Call, now: Instant) -> Result<(), Refusal> {
+pub(crate) fn shed_at_once(shared: &Shared, call: &Call, now: Instant) -> Result<(), Refusal> {
     let mut needed = vec![call.service.clone()];
     needed.extend(shared.needs(&call.service, &call.endpoint));
     let levels = shared.levels.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/nutmegwheel-node/src/suspects.rs
+++ b/crates/nutmegwheel-node/src/suspects.rs
@@ -25,6 +25,10 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Runs that broke off this long before a death count as in flight at it.
 const BROKEN_MEMORY: Duration = Duration::from_secs(2);
+/// How long a completed run clears the requests that are the same.
+const COMPLETED_MEMORY: Duration = Duration::from_secs(10);
+/// The most completed requests that are remembered.
+const COMPLETED_LIMIT: usize = 8192;
 /// The most suspicions of one message.
 const MESSAGE_LIMIT: usize = 4096;
 
@@ -37,6 +41,8 @@
     quarantine: Quarantine,
     running: HashMap<Fingerprint, usize>,
     broken: Vec<(Fingerprint, Instant)>,
+    /// What completed lately, which no request that brings down backend servers does.
+    completed: HashMap<Fingerprint, Instant>,
 }
 
 /// A run that is watched until it ends.
@@ -64,6 +70,7 @@
                 quarantine: Quarantine::open(Options::default()),
                 running: HashMap::new(),
                 broken: Vec::new(),
+                completed: HashMap::new(),
             }),
         }
     }
@@ -72,6 +79,9 @@
         let mut state = self.lock();
         state.quarantine.expire(now);
         state.forget_broken(now);
+        state
+            .completed
+            .retain(|_, at| now.saturating_duration_since(*at) < COMPLETED_MEMORY);
     }
 }
 
@@ -110,10 +120,12 @@
 impl Run<'_> {
     /// The backend server answered, which clears the request.
     pub(crate) fn completed(&self) -> Vec<Suspicion> {
+        let now = Instant::now();
         let mut state = self.suspects.lock();
-        state
-            .quarantine
-            .record_completion(Instant::now(), self.fingerprint)
+        if state.completed.len() < COMPLETED_LIMIT {
+            state.completed.insert(self.fingerprint, now);
+        }
+        state.quarantine.record_completion(now, self.fingerprint)
     }
 
     /// The backend server broke off, which may be its death.
@@ -146,7 +158,11 @@
         self.forget_broken(now);
         let running = self.running.keys().copied();
         let broken = self.broken.drain(..).map(|(fingerprint, _)| fingerprint);
-        running.chain(broken).collect()
+        let completed = &self.completed;
+        let in_flight = running.chain(broken);
+        in_flight
+            .filter(|fingerprint| !completed.contains_key(fingerprint))
+            .collect()
     }
 }
 
