fix: a step of the configuration is applied to its base alone

A node applied a step to whatever version it held; two peers' answers that met could have made a view of its own under a wrong number.

--- a/crates/nutmegwheel-config/src/delta.rs
+++ b/crates/nutmegwheel-config/src/delta.rs
@@ -1,4 +1,4 @@
-use nutmegwheel_types::{KeyHash, WorkspaceId, hex};
+use nutmegwheel_types::{ConfigVersion, KeyHash, WorkspaceId, hex};
 use serde::{Deserialize, Serialize};
 
 use crate::{Change, Configuration, View, ViewError};
@@ -48,6 +48,21 @@
 
 /// Moving on to the next version.
 impl View {
+    /// The next version, for a delta that leads on from `base`.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a delta whose base is another version than this view's.
+    pub fn advanced(&self, base: ConfigVersion, delta: Delta) -> Result<Self, ViewError> {
+        if base != self.version {
+            let held = self.version;
+            return Err(ViewError::Base { base, held });
+        }
+        let mut next = self.clone();
+        next.advance(delta);
+        Ok(next)
+    }
+
     /// Applies what was committed as the next version.
     pub fn advance(&mut self, delta: Delta) {
         match delta {
--- a/crates/nutmegwheel-config/src/view.rs
+++ b/crates/nutmegwheel-config/src/view.rs
@@ -29,6 +29,14 @@
     /// The configuration inside is refused.
     #[error("the configuration inside the view is refused: {0}")]
     Configuration(#[from] CheckError),
+    /// A step leads on from another version than the one held.
+    #[error("the step leads on from version {base}, but {held} is held")]
+    Base {
+        /// The version that the step leads on from.
+        base: ConfigVersion,
+        /// The version that is held.
+        held: ConfigVersion,
+    },
     /// A key's hash is not 64 hex digits.
     #[error("the hash {0:?} is not 64 hex digits")]
     Hash(String),
--- a/crates/nutmegwheel-config/tests/configuration.rs
+++ b/crates/nutmegwheel-config/tests/configuration.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 
-use nutmegwheel_config::{Change, Configuration, NoRoute, View, hash_key};
+use nutmegwheel_config::{Change, Configuration, Delta, NoRoute, View, hash_key};
 
 const GOOD: &str = r#"{
   "classes": {"crews": {"rank": 0, "finish": 0.999, "within_ms": 800}},
@@ -110,3 +110,19 @@
         assert!(View::decode(&bytes[..end]).is_err(), "cut at {end}");
     }
 }
+
+#[test]
+fn a_step_fits_its_base_alone() {
+    let mut view = View {
+        version: 7,
+        ..View::default()
+    };
+    let step = Delta::Withdraw(hash_key(b"one"));
+    let next = view.advanced(7, step.clone()).expect("the base is held");
+    assert_eq!((next.version, next.withdrawn.len()), (8, 1));
+    for base in [0, 6, 8] {
+        assert!(view.advanced(base, step.clone()).is_err(), "base {base}");
+    }
+    view.advance(step);
+    assert_eq!(view, next);
+}
--- a/crates/nutmegwheel-node/src/views.rs
+++ b/crates/nutmegwheel-node/src/views.rs
@@ -32,12 +32,15 @@
 
     /// Takes over a newer view, whole or as the step from the one held.
     pub(crate) fn take(&self, change: &Change) -> Result<Arc<View>, ViewError> {
+        let current = self.current();
+        if change.version <= current.version {
+            return Ok(current);
+        }
         let view = if change.base == 0 {
             View::decode(&change.bytes)?
         } else {
-            let mut view = View::clone(&self.current());
-            view.advance(Delta::decode(&change.bytes)?);
-            view
+            // A step fits its base alone; from any other version it would make a view of its own.
+            current.advanced(change.base, Delta::decode(&change.bytes)?)?
         };
         Ok(self.replace(view))
     }
--- a/crates/nutmegwheel/tests/control.rs
+++ b/crates/nutmegwheel/tests/control.rs
@@ -257,6 +257,11 @@
     let committed = Instant::now();
     let version = answer.json()["version"].as_u64().expect("a version");
     setup.version_everywhere(version).await;
+    if committed.elapsed() >= common::IN_FORCE {
+        for node in &setup.fleet.nodes {
+            println!("{}:\n{}", node.vm.name, setup.fleet.log(&node.vm.name));
+        }
+    }
     assert!(
         committed.elapsed() < common::IN_FORCE,
         "{:?}",
