--- a/crates/nutmegwheel-ctl/src/client.rs
+++ b/crates/nutmegwheel-ctl/src/client.rs
@@ -65,7 +65,8 @@
         let mut tried = Vec::new();
         for peer in &self.opts.at {
             match self.ask_one(*peer, method, path, body).await {
-                Ok(answer) if answer.status.is_server_error() => {
+                // A node does not know the routes of control VMs, which says nothing of the request.
+                Ok(answer) if answer.status.is_server_error() || answer.is_unknown_route() => {
                     let text = String::from_utf8_lossy(&answer.body).into_owned();
                     tried.push(format!("{peer}: {}: {text}", answer.status));
                 }
@@ -119,6 +120,12 @@
 }
 
 impl Answer {
+    fn is_unknown_route(&self) -> bool {
+        let document: Option<serde_json::Value> = serde_json::from_slice(&self.body).ok();
+        let reason = document.map(|document| document["reason"] == "unknown-route");
+        self.status == StatusCode::NOT_FOUND && reason == Some(true)
+    }
+
     pub(crate) fn read<T: serde::de::DeserializeOwned>(
         &self,
         step: &'static str,
--- a/crates/nutmegwheel-events/src/catalogue.rs
+++ b/crates/nutmegwheel-events/src/catalogue.rs
@@ -50,18 +50,12 @@
     BackendLapsed = 201, "backend-lapsed", Warn;
     /// A backend server broke off requests that it had begun.
     BackendDied = 202, "backend-died", Warn;
-    /// A backend server gets no requests for a time because too many of them failed.
-    BackendEjected = 203, "backend-ejected", Warn;
-    /// An ejected backend server gets requests again.
-    BackendReadmitted = 204, "backend-readmitted", Info;
     /// The level at which a node sheds changed.
     ShedLevelChanged = 300, "shed-level-changed", Warn;
     /// A request spent the last retry of its chain.
     RetriesSpent = 301, "retries-spent", Warn;
     /// Requests of a fingerprint are refused because they bring down backend servers.
     RequestQuarantined = 302, "request-quarantined", Error;
-    /// A workspace used up its rate.
-    WorkspaceOverRate = 303, "workspace-over-rate", Info;
     /// A newer configuration is in force in this process.
     ConfigurationInForce = 400, "configuration-in-force", Info;
     /// A configuration or view from another process was refused.
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -27,5 +27,6 @@
 mod shared;
 mod suspects;
 mod views;
+mod watch;
 
 pub use node::{Node, spawn};
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -31,6 +31,7 @@
     running::Running,
     suspects::Suspects,
     views::Views,
+    watch::Watch,
 };
 
 /// The time in which others learn that this node leaves, and idle callers go elsewhere.
@@ -55,6 +56,7 @@
     pub(crate) ratios: Mutex<Ratios>,
     needs: Mutex<Needs>,
     pub(crate) metrics: Metrics,
+    watch: Watch,
     in_flight: AtomicUsize,
     pub(crate) seeds: Arc<SeedLists>,
     pub(crate) duty: Option<Arc<Duty>>,
@@ -115,6 +117,7 @@
             local: Local::open(),
             running: Running::default(),
             metrics: Metrics::open(),
+            watch: Watch::default(),
             in_flight: AtomicUsize::new(0),
             endpoint: OnceLock::new(),
             leaving: OnceLock::new(),
@@ -270,8 +273,9 @@
         needs.learn(service, endpoint, called);
     }
 
-    /// Forgets what is too old to count.
+    /// Forgets what is too old to count, and tells of states that changed.
     pub(crate) fn expire(&self, now: Instant) {
+        self.watch.look(self);
         self.suspects.expire(now);
         let mut levels = self.levels.lock().unwrap_or_else(PoisonError::into_inner);
         levels.expire(now);
