refactor: one reading of answers, one fingerprint a call, members found by name

Found on reading the whole change again: the reply of a link and the kept answer of a claim were read by the same steps twice; each try hashed the whole body anew; finding one member cloned all of them; every committed command cloned the whole view, also when it left it as it was. Behaviour stays; only the detail of a reply with a malformed status names the field as other fields do.

--- a/crates/nutmegwheel-control/src/log/replica_thread.rs
+++ b/crates/nutmegwheel-control/src/log/replica_thread.rs
@@ -203,10 +203,12 @@
     fn apply_command(&mut self, command: &Command) -> Verdict {
         let before = self.read(|state| state.view().version);
         let verdict = self.write(|state| state.apply(command));
-        let view = self.read(|state| state.view().clone());
-        if view.version > before {
-            self.publisher.publish(&view, command.delta().as_ref());
-        }
+        self.read(|state| {
+            if state.view().version > before {
+                let delta = command.delta();
+                self.publisher.publish(state.view(), delta.as_ref());
+            }
+        });
         verdict
     }
 
--- a/crates/nutmegwheel-node/src/call.rs
+++ b/crates/nutmegwheel-node/src/call.rs
@@ -39,6 +39,21 @@
 }
 
 impl Answer {
+    /// Reads an answer as it travels and as seeds keep it.
+    pub(crate) fn from_wire(
+        status: u32,
+        fields: Vec<wire::Field>,
+        body: Bytes,
+    ) -> Result<Self, Malformed> {
+        let status = u16::try_from(status).ok();
+        let status = status.and_then(|status| StatusCode::from_u16(status).ok());
+        Ok(Self {
+            status: status.ok_or(Malformed { field: "status" })?,
+            fields: fields_from_wire(fields)?,
+            body,
+        })
+    }
+
     /// Whether callers take this answer for a failure and send the same call again.
     pub(crate) fn asks_for_repeat(&self) -> bool {
         let asks = [
--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -17,7 +17,7 @@
 use prost::Message as _;
 
 use crate::{
-    call::{self, Answer, Call},
+    call::{Answer, Call},
     digest::short_digest,
     once::{self, Begun},
     refusal::{Outcome, Reason, Refusal},
@@ -102,8 +102,9 @@
     let mut tried = Vec::new();
     let mut replaces = None;
     let mut lost = 0;
+    let fingerprint = suspects::fingerprint(call);
     loop {
-        suspects::check(shared, call)?;
+        shared.suspects.check(Instant::now(), fingerprint)?;
         let target = match choose(shared, call, &tried) {
             Ok(target) => target,
             Err(refusal) if tried.is_empty() => return Err(refusal),
@@ -122,7 +123,8 @@
         tried.push(target.key);
         lost += u32::from(may_have_killed(&refusal));
         if lost >= MAX_LOST {
-            return suspects::check(shared, call).and(Err(refusal));
+            let checked = shared.suspects.check(Instant::now(), fingerprint);
+            return checked.and(Err(refusal));
         }
         let others = shared.routes.available(&call.service) > tried.len();
         let attempt = Attempt {
@@ -366,13 +368,7 @@
     if let Some(refusal) = head.refusal {
         return Err(Refusal::from_wire(refusal));
     }
-    let status = u16::try_from(head.status).ok();
-    let status = status.and_then(|status| http::StatusCode::from_u16(status).ok());
-    Ok(Answer {
-        status: status.ok_or_else(|| malformed(&"status"))?,
-        fields: call::fields_from_wire(head.fields).map_err(|e| malformed(&e))?,
-        body,
-    })
+    Answer::from_wire(head.status, head.fields, body).map_err(|e| malformed(&e))
 }
 
 fn below_from_wire(wire: nutmegwheel_wire::Below) -> Below {
--- a/crates/nutmegwheel-node/src/members.rs
+++ b/crates/nutmegwheel-node/src/members.rs
@@ -71,17 +71,11 @@
     });
     handle(shared, shared.spread.announce(announcement));
     // The gossip tells of others only, and the door beside a backend server uses it too.
-    if let Some(own) = own_record(shared) {
+    if let Some(own) = shared.spread.member(&shared.settings.name) {
         shared.routes.learn(Instant::now(), &own);
     }
 }
 
-fn own_record(shared: &Shared) -> Option<Record> {
-    let members = shared.spread.members();
-    let own = |record: &Record| record.name == shared.settings.name;
-    members.into_iter().find(own)
-}
-
 /// What operators see of the members.
 pub(crate) fn shown(shared: &Shared) -> Vec<Value> {
     let members = shared.spread.members();
--- a/crates/nutmegwheel-node/src/once.rs
+++ b/crates/nutmegwheel-node/src/once.rs
@@ -193,8 +193,7 @@
     if target.node == shared.settings.name {
         return fence(shared, attempt, target.incarnation) == Fence::NotRun;
     }
-    let members = shared.spread.members();
-    let member = members.iter().find(|member| member.name == target.node);
+    let member = shared.spread.member(&target.node);
     let (Some(member), Some(endpoint)) = (member, shared.endpoint()) else {
         return false;
     };
@@ -292,13 +291,9 @@
         Refusal::new(Reason::AlreadyRun, Outcome::DoNotResend, detail)
     };
     let stored = wire::StoredAnswer::decode(stored).map_err(|_| lost())?;
-    let status = u16::try_from(stored.status).ok();
-    let status = status.and_then(|status| http::StatusCode::from_u16(status).ok());
-    let mut fields = call::fields_from_wire(stored.fields).map_err(|_| lost())?;
-    fields.push((headers::REPLAYED, http::HeaderValue::from_static("true")));
-    Ok(Answer {
-        status: status.ok_or_else(lost)?,
-        fields,
-        body: stored.body,
-    })
+    let answer = Answer::from_wire(stored.status, stored.fields, stored.body);
+    let mut answer = answer.map_err(|_| lost())?;
+    let replayed = http::HeaderValue::from_static("true");
+    answer.fields.push((headers::REPLAYED, replayed));
+    Ok(answer)
 }
--- a/crates/nutmegwheel-node/src/suspects.rs
+++ b/crates/nutmegwheel-node/src/suspects.rs
@@ -87,7 +87,8 @@
 
 /// Runs.
 impl Suspects {
-    fn check(&self, now: Instant, fingerprint: Fingerprint) -> Result<(), Refusal> {
+    /// Refuses what is in quarantine; cheap enough for every try.
+    pub(crate) fn check(&self, now: Instant, fingerprint: Fingerprint) -> Result<(), Refusal> {
         match self.lock().quarantine.verdict(now, fingerprint) {
             Verdict::Quarantined { .. } => Err(quarantined()),
             Verdict::Clear | Verdict::Suspect => Ok(()),
@@ -166,11 +167,6 @@
     }
 }
 
-/// Refuses what is in quarantine; cheap enough for every try.
-pub(crate) fn check(shared: &Shared, call: &Call) -> Result<(), Refusal> {
-    shared.suspects.check(Instant::now(), fingerprint(call))
-}
-
 /// Finds out whether the backend server died, and tells the fleet what was in flight then.
 pub(crate) async fn investigate(shared: Arc<Shared>, address: SocketAddr) {
     let connect = tokio::net::TcpStream::connect(address);
--- a/crates/nutmegwheel-spread/src/spread.rs
+++ b/crates/nutmegwheel-spread/src/spread.rs
@@ -156,6 +156,12 @@
         self.lock().members().cloned().collect()
     }
 
+    /// What is known of the process of that name, this one included.
+    #[must_use]
+    pub fn member(&self, name: &str) -> Option<Record> {
+        self.lock().member(name).cloned()
+    }
+
     fn lock(&self) -> MutexGuard<'_, Gossip> {
         self.gossip.lock().unwrap_or_else(PoisonError::into_inner)
     }
