--- a/crates/nutmegwheel-agreement/src/raft/election.rs
+++ b/crates/nutmegwheel-agreement/src/raft/election.rs
@@ -16,6 +16,10 @@
             self.ask_to_join();
             return;
         }
+        if self.setup.voters.is_some() {
+            // It may have been replaced while it was cut off; then only a leader can tell it.
+            self.ask_to_join();
+        }
         self.role = Role::PreCandidate {
             granted: Vec::new(),
         };
--- a/crates/nutmegwheel-agreement/src/raft/event.rs
+++ b/crates/nutmegwheel-agreement/src/raft/event.rs
@@ -69,6 +69,10 @@
         pub founding: Vec<ReplicaName>,
         /// Whether a new life of a known voter is let in without an operator.
         pub auto_repair: bool,
+        /// The number of voters that the leader keeps up by itself: any replica that asks is let in
+        /// as a learner, and learners become voters while there are fewer. `None` leaves the
+        /// membership to operators.
+        pub voters: Option<usize>,
         /// The bounds of messages, log and memory.
         pub limits: Limits,
     }
--- a/crates/nutmegwheel-agreement/src/raft/membership.rs
+++ b/crates/nutmegwheel-agreement/src/raft/membership.rs
@@ -23,7 +23,7 @@
         let known = self.membership.members().any(|m| m.name == from.name);
         let member = self.membership.contains(from);
         let own_name = from.name == self.id().name;
-        let auto = self.setup.auto_repair && known;
+        let auto = self.setup.auto_repair && known || self.setup.voters.is_some();
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
@@ -82,7 +82,11 @@
                 .get(*id)
                 .is_some_and(|p| p.matched >= commit)
         };
-        let Some(learner) = self.membership.learners.iter().find(caught_up) else {
+        let members = &self.membership;
+        let is_wanted = self.setup.voters.is_none_or(|n| members.voters.len() < n);
+        let steps_up = |id: &&ReplicaId| is_wanted || members.earlier_voter(id).is_some();
+        let mut caught_up = members.learners.iter().filter(caught_up);
+        let Some(learner) = caught_up.find(steps_up) else {
             return;
         };
         let learner = learner.clone();
@@ -96,6 +100,18 @@
         self.change_to(next);
     }
 
+    /// Whether a learner holds all that is committed, so that it could stand in for a voter.
+    #[must_use]
+    pub fn has_standby(&self, is_alive: impl Fn(&ReplicaId) -> bool) -> bool {
+        let Ok(leader) = self.ready_leader() else {
+            return false;
+        };
+        self.membership.learners.iter().any(|id| {
+            let progress = leader.progress.get(id);
+            is_alive(id) && progress.is_some_and(|p| p.matched >= self.commit)
+        })
+    }
+
     /// Returns the leader's state when it may change the membership: its term has committed an
     /// entry, and so has the change before.
     fn ready_leader(&self) -> Result<&Leader, RefusalReason> {
--- a/crates/nutmegwheel-agreement/src/replica/mod.rs
+++ b/crates/nutmegwheel-agreement/src/replica/mod.rs
@@ -3,17 +3,18 @@
 mod lease;
 mod options;
 mod output;
+mod standby;
 mod timers;
 
 use std::{collections::VecDeque, time::Instant};
 
-use self::{lease::Lease, timers::Timers};
+use self::{lease::Lease, standby::Standby, timers::Timers};
 pub use self::{
     options::{Options, Random},
     output::{Input, Output, Refusal, Status},
 };
 use crate::{
-    raft::{Core, Effects, Event, RefusalReason, Refused, Setup},
+    raft::{Change, Core, Effects, Event, RefusalReason, Refused, Setup},
     storage::{Storage, StorageError, Stored, Write},
     types::ReplicaId,
 };
@@ -57,6 +58,8 @@
     storage: Box<dyn Storage>,
     timers: Timers,
     lease: Lease,
+    standby: Option<Standby>,
+    lease_reads: bool,
     /// What could not be written yet; nothing else is done before it is.
     unwritten: Vec<Write>,
     /// What follows from it, and may not be acted upon before it is written.
@@ -86,6 +89,7 @@
             peers: options.peers.clone(),
             founding: options.sorted_founding(),
             auto_repair: options.auto_repair,
+            voters: options.voters,
             limits: options.limits,
         };
         let replica = Self {
@@ -93,6 +97,8 @@
             storage,
             lease: Lease::new(options),
             timers: Timers::start(options, random, now),
+            standby: options.voters.map(|_| Standby::open(options.replace_after)),
+            lease_reads: options.lease_reads,
             unwritten: Vec::new(),
             held: VecDeque::new(),
         };
@@ -162,16 +168,37 @@
     }
 
     fn take(&mut self, now: Instant, input: Input) {
+        if let (Input::Message(message), Some(standby)) = (&input, &mut self.standby) {
+            standby.heard(&message.from, now);
+        }
         if let Input::Read { id } = input
+            && self.lease_reads
             && let Some(index) = self.lease_read(now)
         {
             self.held.push_back(Output::ReadReady { id, index });
             return;
         }
+        let is_tick = matches!(input, Input::Tick);
         if let Some(event) = self.event(now, input) {
             let effects = self.core.step(event);
             self.absorb(now, effects);
         }
+        if is_tick {
+            self.replace_silent_voter(now);
+        }
+    }
+
+    /// Lets a learner stand in for a voter that has been silent for too long. The voter leaves
+    /// first, so that a majority of those that remain is at hand for both steps.
+    fn replace_silent_voter(&mut self, now: Instant) {
+        let Some(standby) = &mut self.standby else {
+            return;
+        };
+        let Some(silent) = standby.silent_voter(&self.core, now) else {
+            return;
+        };
+        let effects = self.core.step(Event::Change(Change::Remove(silent.name)));
+        self.absorb(now, effects);
     }
 
     fn event(&mut self, now: Instant, input: Input) -> Option<Event> {
--- a/crates/nutmegwheel-agreement/src/replica/options.rs
+++ b/crates/nutmegwheel-agreement/src/replica/options.rs
@@ -24,6 +24,14 @@
         pub founding: Vec<ReplicaName>,
         /// Whether a known member that lost its disk is let in without an operator.
         pub auto_repair: bool,
+        /// The number of voters that the leader keeps up by itself, or `None` where operators
+        /// decide on the membership; see [`Setup::voters`](crate::raft::Setup::voters).
+        pub voters: Option<usize>,
+        /// The silence after which such a leader replaces a voter by a learner that has caught up.
+        pub replace_after: Duration,
+        /// Whether the leader answers reads by its lease. Without it every read costs a round, and
+        /// depends on no clock: a suspended VM's steady clock does not count the time.
+        pub lease_reads: bool,
         /// How often a leader is heard of while nothing happens.
         pub heartbeat: Duration,
         /// How long nothing is heard of a leader before another may be elected; up to the same
@@ -48,6 +56,9 @@
             peers: Vec::new(),
             founding: Vec::new(),
             auto_repair: true,
+            voters: None,
+            replace_after: Duration::from_secs(2),
+            lease_reads: true,
             heartbeat: Duration::from_millis(100),
             election_timeout: Duration::from_millis(800),
             max_drift_percent: 5,
--- a/crates/nutmegwheel-agreement/tests/model/mod.rs
+++ b/crates/nutmegwheel-agreement/tests/model/mod.rs
@@ -380,6 +380,7 @@
             peers: NAMES.map(Into::into).to_vec(),
             founding: Vec::new(),
             auto_repair: true,
+            voters: None,
             limits: Limits::default(),
         };
         let core = Core::open(setup, disk.clone());
--- a/crates/nutmegwheel-config/src/configuration.rs
+++ b/crates/nutmegwheel-config/src/configuration.rs
@@ -1,19 +1,26 @@
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
-use nutmegwheel_types::{ClassId, ClassRank, EndpointId, ServiceId, WorkspaceId, plain_copy};
+use nutmegwheel_types::{
+    ClassId, ClassRank, EndpointId, KeyHash, ServiceId, WorkspaceId, hex, plain_copy,
+};
 use serde::Serialize;
 
 use crate::{
-    CheckError,
+    CheckError, HostRoute,
+    change::read_hash,
+    hosts,
     reader::{self, Field, Table},
 };
 
 /// The endpoint name that stands for every endpoint not named itself.
 const ANY_ENDPOINT: &str = "*";
 /// The lowest rank of a class.
-const RANK_MAX: ClassRank = 15;
+pub(crate) const RANK_MAX: ClassRank = 15;
 /// The longest target and deadline, in ms.
-const WITHIN_MAX_MS: u64 = 600_000;
+pub(crate) const WITHIN_MAX_MS: u64 = 600_000;
 /// The highest rate, in requests a second, and the largest burst.
 const RATE_MAX: f64 = 1e6;
 /// The most retries that one client request may cause.
@@ -41,6 +48,9 @@
     pub classes: BTreeMap<ClassId, Class>,
     /// The endpoints of every service.
     pub services: BTreeMap<ServiceId, BTreeMap<EndpointId, Route>>,
+    /// The routes that are found by host and path.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub hosts: Vec<HostRoute>,
     /// The workspaces with what each may use.
     pub workspaces: BTreeMap<WorkspaceId, Workspace>,
     /// The retries that one client request may cause over its whole chain.
@@ -79,6 +89,27 @@
     pub rate: f64,
     /// How many requests may come at once.
     pub burst: f64,
+    /// Its place when capacity runs short, which goes before the rank of a route.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub rank: Option<ClassRank>,
+    /// The keys that speak for it, where the configuration carries them. Then they are all keys
+    /// that are valid, and those given by changes count no more.
+    #[serde(
+        skip_serializing_if = "BTreeSet::is_empty",
+        serialize_with = "spell_keys"
+    )]
+    pub keys: BTreeSet<KeyHash>,
+}
+
+impl Workspace {
+    /// The rate and burst that stand for no limit at all.
+    pub const UNLIMITED: f64 = RATE_MAX;
+
+    /// Whether it may use as much as it asks for.
+    #[must_use]
+    pub fn is_unlimited(&self) -> bool {
+        self.rate >= Self::UNLIMITED
+    }
 }
 
 /// Why a path leads nowhere.
@@ -120,7 +151,11 @@
     }
 }
 
-fn millis<S: serde::Serializer>(time: &Duration, to: S) -> Result<S::Ok, S::Error> {
+fn spell_keys<S: serde::Serializer>(keys: &BTreeSet<KeyHash>, to: S) -> Result<S::Ok, S::Error> {
+    to.collect_seq(keys.iter().map(|key| hex::encode(key)))
+}
+
+pub(crate) fn millis<S: serde::Serializer>(time: &Duration, to: S) -> Result<S::Ok, S::Error> {
     to.serialize_u64(u64::try_from(time.as_millis()).unwrap_or(u64::MAX))
 }
 
@@ -128,6 +163,10 @@
 pub(crate) fn read(mut table: Table<'_>) -> Result<Configuration, CheckError> {
     let classes = read_classes(&table.need("classes")?)?;
     let services = read_services(&table.need("services")?, &classes)?;
+    let hosts = match table.take("hosts") {
+        Some(field) => hosts::read(&field)?,
+        None => Vec::new(),
+    };
     let workspaces = read_workspaces(&table.need("workspaces")?)?;
     let retries_per_request = match table.take("retries_per_request") {
         Some(field) => field.number(&(0..=RETRIES_MAX))?,
@@ -141,6 +180,7 @@
     Ok(Configuration {
         classes,
         services,
+        hosts,
         workspaces,
         retries_per_request,
         when_cut_off,
@@ -203,6 +243,14 @@
         let workspace = Workspace {
             rate: read_above_zero(&table.need("rate")?, RATE_MAX)?,
             burst: table.need("burst")?.number(&(1.0..=RATE_MAX))?,
+            rank: match table.take("rank") {
+                Some(field) => Some(field.number(&(0..=RANK_MAX))?),
+                None => None,
+            },
+            keys: match table.take("keys") {
+                Some(field) => read_keys(&field)?,
+                None => BTreeSet::new(),
+            },
         };
         table.finish()?;
         workspaces.insert(name.into(), workspace);
@@ -210,6 +258,10 @@
     Ok(workspaces)
 }
 
+fn read_keys(field: &Field<'_>) -> Result<BTreeSet<KeyHash>, CheckError> {
+    field.items()?.iter().map(read_hash).collect()
+}
+
 fn read_above_zero(field: &Field<'_>, max: f64) -> Result<f64, CheckError> {
     let number = field.number(&(0.0..=max))?;
     if number > 0.0 {
--- a/crates/nutmegwheel-config/src/delta.rs
+++ b/crates/nutmegwheel-config/src/delta.rs
@@ -74,6 +74,16 @@
     }
 
     fn configure(&mut self, configuration: Configuration) {
+        let carried = |configuration: &Configuration| {
+            let workspaces = configuration.workspaces.values();
+            workspaces.into_iter().any(|w| !w.keys.is_empty())
+        };
+        if carried(&configuration) || carried(&self.configuration) {
+            let workspaces = configuration.workspaces.iter();
+            self.keys = workspaces
+                .flat_map(|(name, w)| w.keys.iter().map(|key| (*key, name.clone())))
+                .collect();
+        }
         self.configuration = configuration;
     }
 
--- a/crates/nutmegwheel-config/src/settings.rs
+++ b/crates/nutmegwheel-config/src/settings.rs
@@ -1,6 +1,6 @@
-use std::{collections::HashSet, net::SocketAddr, path::PathBuf};
+use std::{collections::HashSet, net::SocketAddr, path::PathBuf, time::Duration};
 
-use nutmegwheel_types::{DataCentreId, ProcessName, plain, plain_copy};
+use nutmegwheel_types::{DataCentreId, ProcessName, ServiceId, plain, plain_copy};
 
 use crate::{
     CheckError,
@@ -11,8 +11,16 @@
 const SECRET_MIN: usize = 16;
 /// The longest secret, in bytes.
 const SECRET_MAX: usize = 256;
-/// The most seeds that a settings file names.
+/// The most seeds, contacts or data centres that a settings file names.
 const SEED_LIMIT: usize = 256;
+/// The most control VMs whose loss the fleet can be set to bear.
+const LOSSES_MAX: u32 = 3;
+/// The time in which a stop has to be over, where the settings name none.
+const STOP_WITHIN: Duration = Duration::from_secs(32);
+/// The shortest time in which a stop can be over, in ms.
+const STOP_WITHIN_MIN_MS: u64 = 1000;
+/// The longest time in which a stop has to be over, in ms.
+const STOP_WITHIN_MAX_MS: u64 = 600_000;
 
 plain_copy! {
     /// What a process does in the fleet.
@@ -22,6 +30,14 @@
         /// A VM with a disk that replicates what must survive.
         Control,
     }
+
+    /// The language that a process speaks with callers, backend servers and operators.
+    pub enum Dialect {
+        /// The interface of docs/INTERFACES.md.
+        Own,
+        /// The interface of the users' platform; docs/PLATFORM.md.
+        Platform,
+    }
 }
 
 plain! {
@@ -35,21 +51,49 @@
         pub role: Role,
         /// Where it listens.
         pub listen: Listen,
-        /// Whom it asks first for the fleet, itself possibly among them.
+        /// The language of its listeners.
+        pub dialect: Dialect,
+        /// Whom it asks first for the fleet, itself possibly among them; empty with `contacts`.
         pub seeds: Vec<Seed>,
+        /// Where the fleet can be asked for, where nobody knows its control VMs by name.
+        pub contacts: Option<Contacts>,
         /// What all processes of the fleet share, and nobody else knows.
         pub fleet_secret: String,
-        /// What operators show.
-        pub operator_secret: String,
+        /// What operators show; without it the operators' own interface is closed.
+        pub operator_secret: Option<String>,
         /// Where a control VM keeps its state.
         pub data_folder: Option<PathBuf>,
+        /// The backend server beside a node, where the settings name it.
+        pub backend_server: Option<BackendServer>,
+        /// The time after which a process that was told to stop is killed.
+        pub stop_within: Duration,
+    }
+
+    /// A few control VMs by address, possibly outdated, in place of a whole list of seeds.
+    pub struct Contacts {
+        /// The links of control VMs.
+        pub links: Vec<SocketAddr>,
+        /// Whether the fleet starts for the first time, so that the contacts found the control log.
+        pub founding: bool,
+        /// The control VMs that may be lost at a time; the log has twice as many voters and one.
+        pub lost_control_vms: u32,
+        /// The data centres of the fleet.
+        pub data_centres: Vec<DataCentreId>,
+    }
+
+    /// The backend server beside a node.
+    pub struct BackendServer {
+        /// Its service.
+        pub service: ServiceId,
+        /// Where it takes requests of its node.
+        pub address: SocketAddr,
     }
 
     /// The addresses on which a process listens; docs/INTERFACES.md, "Listeners".
     pub struct Listen {
         /// For callers; nodes only.
         pub callers: Option<SocketAddr>,
-        /// For the node's own backend server; nodes only, a loopback address.
+        /// For the node's own backend server; nodes only, a loopback address in the own dialect.
         pub backend: Option<SocketAddr>,
         /// For the platform and operators.
         pub platform: SocketAddr,
@@ -90,6 +134,30 @@
         reader::document(text, read)
     }
 
+    /// The addresses at which the fleet can be asked for.
+    #[must_use]
+    pub fn contact_links(&self) -> Vec<SocketAddr> {
+        match &self.contacts {
+            Some(contacts) => contacts.links.clone(),
+            None => self.seeds.iter().map(|seed| seed.link).collect(),
+        }
+    }
+
+    /// The data centres that the settings name, in order.
+    #[must_use]
+    pub fn data_centres(&self) -> Vec<DataCentreId> {
+        let mut names: Vec<DataCentreId> = match &self.contacts {
+            Some(contacts) => contacts.data_centres.clone(),
+            None => {
+                let seeds = self.seeds.iter();
+                seeds.map(|seed| seed.data_centre.clone()).collect()
+            }
+        };
+        names.sort();
+        names.dedup();
+        names
+    }
+
     /// The seeds that are control VMs.
     pub fn control_vms(&self) -> impl Iterator<Item = &Seed> {
         self.seeds.iter().filter(|seed| seed.control)
@@ -98,18 +166,44 @@
 
 fn read(mut table: Table<'_>) -> Result<Settings, CheckError> {
     let role = read_role(&table.need("role")?)?;
+    let dialect = match table.take("dialect") {
+        Some(field) => read_dialect(&field)?,
+        None => Dialect::Own,
+    };
+    let contacts = match table.take("contacts") {
+        Some(field) => Some(read_contacts(field.table()?)?),
+        None => None,
+    };
     let settings = Settings {
         name: table.need("name")?.name()?.into(),
         data_centre: table.need("data_centre")?.name()?.into(),
         role,
-        listen: read_listen(table.need("listen")?.table()?, role)?,
-        seeds: read_seeds(&table.need("seeds")?)?,
+        dialect,
+        listen: read_listen(table.need("listen")?.table()?, role, dialect)?,
+        seeds: match contacts {
+            Some(_) => Vec::new(),
+            None => read_seeds(&table.need("seeds")?)?,
+        },
+        contacts,
         fleet_secret: read_secret(&table.need("fleet_secret")?)?,
-        operator_secret: read_secret(&table.need("operator_secret")?)?,
+        operator_secret: read_operator_secret(&mut table, dialect)?,
         data_folder: read_data_folder(&mut table, role)?,
+        backend_server: match table.take("backend_server") {
+            Some(field) => Some(read_backend_server(field.table()?)?),
+            None => None,
+        },
+        stop_within: match table.take("stop_within_ms") {
+            Some(field) => {
+                let range = STOP_WITHIN_MIN_MS..=STOP_WITHIN_MAX_MS;
+                Duration::from_millis(field.number(&range)?)
+            }
+            None => STOP_WITHIN,
+        },
     };
     check_secrets(&settings, &table)?;
-    check_control(&settings, &table)?;
+    if settings.contacts.is_none() {
+        check_control(&settings, &table)?;
+    }
     table.finish()?;
     Ok(settings)
 }
@@ -122,7 +216,74 @@
     }
 }
 
-fn read_listen(mut table: Table<'_>, role: Role) -> Result<Listen, CheckError> {
+fn read_dialect(field: &Field<'_>) -> Result<Dialect, CheckError> {
+    match field.string()? {
+        "own" => Ok(Dialect::Own),
+        "platform" => Ok(Dialect::Platform),
+        other => Err(field.error(format!("{other:?} must be \"own\" or \"platform\""))),
+    }
+}
+
+fn read_contacts(mut table: Table<'_>) -> Result<Contacts, CheckError> {
+    let link_port: u16 = table.need("link_port")?.number(&(1..=u16::MAX))?;
+    let field = table.need("control")?;
+    let mut links = Vec::new();
+    for item in bounded(&field)? {
+        let address: SocketAddr = item.parsed("an IP address with a port")?;
+        links.push(SocketAddr::new(address.ip(), link_port));
+    }
+    links.sort_unstable();
+    links.dedup();
+    let mut data_centres: Vec<DataCentreId> = Vec::new();
+    for item in bounded(&table.need("data_centres")?)? {
+        data_centres.push(item.name()?.into());
+    }
+    let contacts = Contacts {
+        links,
+        founding: table.need("founding")?.boolean()?,
+        lost_control_vms: table
+            .need("lost_control_vms")?
+            .number(&(0..=LOSSES_MAX))?,
+        data_centres,
+    };
+    table.finish()?;
+    Ok(contacts)
+}
+
+fn bounded<'a>(field: &Field<'a>) -> Result<Vec<Field<'a>>, CheckError> {
+    let items = field.items()?;
+    if items.len() > SEED_LIMIT {
+        return Err(field.error(format!("must name {SEED_LIMIT} at most")));
+    }
+    Ok(items)
+}
+
+fn read_backend_server(mut table: Table<'_>) -> Result<BackendServer, CheckError> {
+    let backend_server = BackendServer {
+        service: table.need("service")?.name()?.into(),
+        address: table.need("address")?.parsed("an IP address with a port")?,
+    };
+    table.finish()?;
+    Ok(backend_server)
+}
+
+/// Only the project's own interface needs a secret: what a platform calls is open by its protocol.
+fn read_operator_secret(
+    table: &mut Table<'_>,
+    dialect: Dialect,
+) -> Result<Option<String>, CheckError> {
+    match (table.take("operator_secret"), dialect) {
+        (Some(field), _) => Ok(Some(read_secret(&field)?)),
+        (None, Dialect::Platform) => Ok(None),
+        (None, Dialect::Own) => Ok(Some(read_secret(&table.need("operator_secret")?)?)),
+    }
+}
+
+fn read_listen(
+    mut table: Table<'_>,
+    role: Role,
+    dialect: Dialect,
+) -> Result<Listen, CheckError> {
     let mut taken = HashSet::new();
     let mut address = |field: &Field<'_>| -> Result<SocketAddr, CheckError> {
         let address: SocketAddr = field.parsed("an IP address with a port")?;
@@ -143,7 +304,7 @@
             let callers = address(&table.need("callers")?)?;
             let field = table.need("backend")?;
             let backend = address(&field)?;
-            if !backend.ip().is_loopback() {
+            if dialect == Dialect::Own && !backend.ip().is_loopback() {
                 return Err(field.error("must be a loopback address"));
             }
             (Some(callers), Some(backend))
@@ -220,7 +381,7 @@
 }
 
 fn check_secrets(settings: &Settings, table: &Table<'_>) -> Result<(), CheckError> {
-    if settings.fleet_secret == settings.operator_secret {
+    if settings.operator_secret.as_ref() == Some(&settings.fleet_secret) {
         return Err(table.error("fleet_secret and operator_secret must differ"));
     }
     Ok(())
--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -10,6 +10,7 @@
 use nutmegwheel_types::Incarnation;
 
 use crate::{
+    dialect::Dialect,
     log::{self, ReplicatedLog},
     members::{Members, Offer},
     metrics::Metrics,
@@ -19,7 +20,7 @@
 };
 
 /// The largest body of an operator's request, in bytes.
-const BODY_LIMIT: usize = 1024 * 1024;
+const BODY_LIMIT: usize = 4 * 1024 * 1024;
 /// The time in which an operator's request must have arrived.
 const PATIENCE: Duration = Duration::from_secs(10);
 /// The time between two questions whether this control VM holds all that is committed.
@@ -53,6 +54,7 @@
     settings: Settings,
     incarnation: Incarnation,
     journal: Arc<Journal>,
+    dialect: Option<Arc<dyn Dialect>>,
 ) -> anyhow::Result<Control> {
     let tree = Supervisor::open(journal.clone());
     let spread = Arc::new(Spread::open(&settings, incarnation));
@@ -87,12 +89,10 @@
         .context("open listen.link")?;
     spread.connect(endpoint.clone());
     log.connect(endpoint.clone());
-    spawn_tasks(&tree, &members, &log);
-    let cx = shares.clone();
-    tree.spawn_interval("shares", SHARES_PAUSE, move || {
-        let cx = cx.clone();
-        async move { cx.step().await }
-    });
+    spawn_tasks(&tree, &members);
+    if settings.contacts.is_none() {
+        spawn_leases(&tree, &members, &log, &shares);
+    }
     if let Some(duty) = &duty {
         spawn_duty(&tree, duty, &endpoint);
     }
@@ -102,7 +102,8 @@
         members: members.clone(),
         journal: journal.clone(),
         duty: duty.clone(),
-        secret: settings.operator_secret.as_str().into(),
+        secret: settings.operator_secret.as_deref().map(Into::into),
+        dialect,
     };
     let web = bind_web(settings.listen.platform, operators)?;
     journal.emit(
@@ -121,12 +122,11 @@
 }
 
 fn log_options(settings: &Settings, journal: &Arc<Journal>) -> anyhow::Result<log::Options> {
-    let members = settings.control_vms();
-    let members = members.map(|seed| (seed.name.clone(), seed.link));
+    let group = log::Group::open(settings);
     let data_folder = settings.data_folder.clone();
     Ok(log::Options {
-        name: settings.name.clone(),
-        members: members.collect(),
+        name: group.own_name(settings),
+        group,
         data_folder: data_folder.context("data_folder is missing")?,
         journal: journal.clone(),
     })
@@ -145,17 +145,32 @@
     });
 }
 
-fn spawn_tasks(tree: &Supervisor, members: &Arc<Members>, log: &Arc<ReplicatedLog>) {
+fn spawn_tasks(tree: &Supervisor, members: &Arc<Members>) {
     let cx = members.clone();
     tree.spawn_interval("gossip", TICK, move || {
         let cx = cx.clone();
         async move { cx.tick() }
     });
+}
+
+/// What the freshness leases and the stewards of the data centres rest on; where the settings name
+/// contacts only, there are neither.
+fn spawn_leases(
+    tree: &Supervisor,
+    members: &Arc<Members>,
+    log: &Arc<ReplicatedLog>,
+    shares: &Arc<Shares>,
+) {
     let cx = (members.clone(), log.clone());
     tree.spawn_interval("vouch", VOUCH_PAUSE, move || {
         let (members, log) = cx.clone();
         async move { members.vouch(&log).await }
     });
+    let cx = shares.clone();
+    tree.spawn_interval("shares", SHARES_PAUSE, move || {
+        let cx = cx.clone();
+        async move { cx.step().await }
+    });
 }
 
 fn bind_web(address: SocketAddr, operators: Operators) -> anyhow::Result<nutmegwheel_web::Server> {
@@ -170,6 +185,11 @@
 
 /// Lifecycle.
 impl Control {
+    /// Takes over newer settings, as far as they may change while the process runs.
+    pub fn reload(&self, settings: &Settings) {
+        self.spread.set_contacts(settings.contact_links());
+    }
+
     /// Takes nothing new, finishes what is in flight and ends.
     pub async fn shutdown(self) {
         self.journal.emit(Event::ProcessLeaving, &[]);
--- a/crates/nutmegwheel-control/src/lib.rs
+++ b/crates/nutmegwheel-control/src/lib.rs
@@ -5,6 +5,7 @@
 #![deny(missing_docs)]
 
 mod control;
+mod dialect;
 mod log;
 mod members;
 mod metrics;
@@ -15,3 +16,5 @@
 pub mod state;
 
 pub use control::{Control, spawn};
+pub use dialect::{Dialect, Operation, Outcome, Publication};
+pub use state::Published;
--- a/crates/nutmegwheel-control/src/log/mod.rs
+++ b/crates/nutmegwheel-control/src/log/mod.rs
@@ -1,6 +1,7 @@
 //! Where the operators' commands are committed.
 
 mod error;
+mod group;
 mod replica_thread;
 mod replicated;
 
@@ -12,6 +13,7 @@
 use crate::state::{ChangeNumber, Command, Verdict, Winner};
 
 pub(crate) use error::LogError;
+pub(crate) use group::Group;
 pub(crate) use replicated::{Options, ReplicatedLog};
 
 /// The future of a verdict.
--- a/crates/nutmegwheel-control/src/log/replicated.rs
+++ b/crates/nutmegwheel-control/src/log/replicated.rs
@@ -1,5 +1,4 @@
 use std::{
-    net::SocketAddr,
     path::PathBuf,
     sync::{Arc, OnceLock, PoisonError, RwLock, mpsc},
     time::{Duration, Instant},
@@ -17,10 +16,10 @@
 use tokio::sync::{oneshot, watch};
 
 use super::{
-    Log, LogError, Publisher, VerdictFuture,
+    Group, Log, LogError, Publisher, VerdictFuture,
     replica_thread::{Job, Parts, Shown, Thread},
 };
-use crate::state::{ChangeNumber, Command, State, Verdict, Winner};
+use crate::state::{ChangeNumber, Command, Published, State, Verdict, Winner};
 
 /// The time in which a command must be committed before the operator is told to ask again.
 const COMMIT_LIMIT: Duration = Duration::from_secs(3);
@@ -36,8 +35,7 @@
 /// How a replica of the log is opened.
 pub(crate) struct Options {
     pub(crate) name: ProcessName,
-    /// All control VMs that the settings name, this one among them.
-    pub(crate) members: Vec<(ReplicaName, SocketAddr)>,
+    pub(crate) group: Group,
     pub(crate) data_folder: PathBuf,
     pub(crate) journal: Arc<Journal>,
 }
@@ -45,7 +43,7 @@
 /// The log, replicated over the control VMs.
 pub(crate) struct ReplicatedLog {
     name: ReplicaName,
-    members: Arc<Vec<(ReplicaName, SocketAddr)>>,
+    group: Arc<Group>,
     jobs: mpsc::Sender<Job>,
     shown: Arc<Shown>,
     endpoint: Arc<OnceLock<Endpoint>>,
@@ -61,16 +59,16 @@
             applied: watch::Sender::new(0),
             status: RwLock::default(),
         });
-        let members = Arc::new(opts.members);
+        let group = Arc::new(opts.group);
         let endpoint = Arc::new(OnceLock::new());
         let parts = Parts {
             jobs: received,
             shown: shown.clone(),
             publisher: Box::new(publisher),
-            send: Box::new(sender(members.clone(), endpoint.clone())),
+            send: Box::new(sender(group.clone(), endpoint.clone())),
             journal: opts.journal,
         };
-        let settings = settings(&opts.name, &members);
+        let settings = group.settings(&opts.name);
         let folder = opts.data_folder.join(FOLDER);
         let runtime = tokio::runtime::Handle::current();
         let thread = Thread::open(&folder, &settings, parts)?;
@@ -82,7 +80,7 @@
             })?;
         Ok(Self {
             name: opts.name,
-            members,
+            group,
             jobs,
             shown,
             endpoint,
@@ -145,6 +143,11 @@
         }
     }
 
+    /// What was published last, as far as this replica has applied it.
+    pub(crate) fn published(&self) -> Option<Published> {
+        self.state(|state| state.published().cloned())
+    }
+
     /// The shares that this replica has applied.
     pub(crate) fn shares(&self) -> Table {
         self.state(|state| state.shares().clone())
@@ -209,8 +212,8 @@
             step: "forward to the leader",
             detail,
         };
-        let member = self.members.iter().find(|(name, _)| name == leader);
-        let (_, address) = member.ok_or_else(|| unreachable("no address".into()))?;
+        let address = self.group.address(leader);
+        let address = address.ok_or_else(|| unreachable("no address".into()))?;
         let endpoint = self.endpoint.get();
         let endpoint = endpoint.ok_or_else(|| unreachable("the links are not up".into()))?;
         let req = Request {
@@ -218,7 +221,7 @@
             head: Bytes::new(),
             body,
         };
-        let reply = endpoint.call(*address, req, Instant::now() + FORWARD_LIMIT);
+        let reply = endpoint.call(address, req, Instant::now() + FORWARD_LIMIT);
         let reply = reply.await.map_err(|e| unreachable(e.to_string()))?;
         let answer: Result<T, String> =
             serde_json::from_slice(&reply.body).map_err(|e| unreachable(e.to_string()))?;
@@ -277,31 +280,11 @@
     }
 }
 
-fn settings(
-    name: &ProcessName,
-    members: &[(ReplicaName, SocketAddr)],
-) -> nutmegwheel_agreement::Options {
-    let names = members.iter().map(|(name, _)| name.clone());
-    let mut settings = nutmegwheel_agreement::Options::new(name.clone());
-    settings.founding = names.collect();
-    settings.peers = settings
-        .founding
-        .iter()
-        .filter(|peer| *peer != name)
-        .cloned()
-        .collect();
-    settings
-}
-
 /// Sends the messages of a replica over the links; one that cannot be sent is lost.
-fn sender(
-    members: Arc<Vec<(ReplicaName, SocketAddr)>>,
-    endpoint: Arc<OnceLock<Endpoint>>,
-) -> impl Fn(Message) + Send {
+fn sender(group: Arc<Group>, endpoint: Arc<OnceLock<Endpoint>>) -> impl Fn(Message) + Send {
     move |message| {
-        let member = members.iter().find(|(name, _)| *name == message.to);
-        if let (Some((_, address)), Some(endpoint)) = (member, endpoint.get()) {
-            endpoint.send(*address, topic::AGREEMENT, message.encode().into());
+        if let (Some(address), Some(endpoint)) = (group.address(&message.to), endpoint.get()) {
+            endpoint.send(address, topic::AGREEMENT, message.encode().into());
         }
     }
 }
--- a/crates/nutmegwheel-control/src/operators.rs
+++ b/crates/nutmegwheel-control/src/operators.rs
@@ -12,6 +12,7 @@
 use serde_json::{Value, json as value};
 
 use crate::{
+    dialect::{Dialect, Operation, Outcome, Publication},
     log::{Log as _, LogError, ReplicatedLog},
     members::Members,
     metrics::Metrics,
@@ -37,13 +38,21 @@
     pub(crate) members: Arc<Members>,
     pub(crate) journal: Arc<Journal>,
     pub(crate) duty: Option<Arc<Duty>>,
-    pub(crate) secret: Arc<str>,
+    /// What operators show; without it their interface is closed.
+    pub(crate) secret: Option<Arc<str>>,
+    /// The language of the platform's operators, beside the own interface.
+    pub(crate) dialect: Option<Arc<dyn Dialect>>,
 }
 
 impl Handler for Operators {
     fn handle(&self, req: Request) -> HandlerFuture {
         let this = self.clone();
         Box::pin(async move {
+            if let Some(dialect) = &this.dialect
+                && let Some(operation) = dialect.read(&req)
+            {
+                return dialect.answer(this.operate(operation).await);
+            }
             let answered = this.answer(req).await;
             answered.unwrap_or_else(Problem::into_response)
         })
@@ -62,7 +71,7 @@
                 Ok(typed(StatusCode::OK, OPEN_METRICS, text))
             }
             (method, ["v1", rest @ ..]) => {
-                authorize(&req.head, &self.secret)?;
+                authorize(&req.head, self.secret.as_deref())?;
                 self.operator(method, rest, &req).await
             }
             _ => Err(unknown_route()),
@@ -183,6 +192,61 @@
     }
 }
 
+/// Publications.
+impl Operators {
+    async fn operate(&self, operation: Operation) -> Outcome {
+        match operation {
+            Operation::Refused { detail } => {
+                self.journal
+                    .emit(Event::ChangeRefused, &[("detail", &detail)]);
+                Outcome::Invalid { detail }
+            }
+            Operation::Publish(publication) => self.publish(publication).await,
+            Operation::Show => match self.log.catch_up().await {
+                Ok(()) => Outcome::Shown(self.log.published()),
+                Err(e) => Outcome::NotCertain {
+                    detail: e.to_string(),
+                },
+            },
+        }
+    }
+
+    async fn publish(&self, publication: Publication) -> Outcome {
+        let version = publication.version;
+        let command = Command::Publish {
+            version,
+            base: publication.base,
+            content: publication.configuration.to_json(),
+            document: publication.document,
+        };
+        let verdict = match self.log.commit(command).await {
+            Ok(verdict) => verdict,
+            Err(e) => {
+                let detail = e.to_string();
+                self.journal.emit(
+                    Event::ChangeUncertain,
+                    &[("number", &version), ("error", &detail)],
+                );
+                return Outcome::NotCertain { detail };
+            }
+        };
+        self.record(version, &verdict);
+        match verdict {
+            Verdict::Committed { .. } => Outcome::Published { version },
+            Verdict::OtherBase { current } => Outcome::OtherBase { current },
+            Verdict::VersionTooLow { current } => Outcome::Invalid {
+                detail: format!("version {version} is not above {current}"),
+            },
+            Verdict::Refused { field, detail } => Outcome::Invalid {
+                detail: format!("{field}: {detail}"),
+            },
+            other => Outcome::NotCertain {
+                detail: format!("unexpected verdict {other:?}"),
+            },
+        }
+    }
+}
+
 /// Withdrawals.
 impl Operators {
     async fn withdraw(&self, hash: KeyHash) -> Result<Response, Problem> {
@@ -302,7 +366,10 @@
             "number-too-low".into(),
             value!({"number": number, "last_change": last_change}),
         ),
-        Verdict::FirstStart { .. } | Verdict::Shares { .. } => Err(unknown_route()),
+        Verdict::FirstStart { .. }
+        | Verdict::Shares { .. }
+        | Verdict::OtherBase { .. }
+        | Verdict::VersionTooLow { .. } => Err(unknown_route()),
         Verdict::KeyTaken => conflict("key-taken".into(), value!({"number": number})),
         Verdict::KeyWithdrawn => conflict("key-withdrawn".into(), value!({"number": number})),
         Verdict::Refused { field, detail } => Err(bad_configuration(&field, detail)),
--- a/crates/nutmegwheel-control/src/shares.rs
+++ b/crates/nutmegwheel-control/src/shares.rs
@@ -46,11 +46,10 @@
         log: Arc<ReplicatedLog>,
         journal: Arc<Journal>,
     ) -> Self {
-        let seeds = settings.seeds.iter();
         Self {
             log,
             journal,
-            data_centres: seeds.map(|seed| seed.data_centre.clone()).collect(),
+            data_centres: settings.data_centres().into_iter().collect(),
             state: Mutex::default(),
         }
     }
--- a/crates/nutmegwheel-control/src/state.rs
+++ b/crates/nutmegwheel-control/src/state.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use nutmegwheel_config::{Change, CheckError, Delta, View};
+use nutmegwheel_config::{Change, CheckError, Configuration, Delta, View};
 use nutmegwheel_limits::share::{ChangeSet, Table};
 use nutmegwheel_types::{ConfigVersion, Incarnation, KeyHash, WorkspaceId, hex, plain};
 use serde::{Deserialize, Serialize};
@@ -9,6 +9,9 @@
 /// The number that an operator chose for a change.
 pub type ChangeNumber = u64;
 
+/// The version that an operator gives a published configuration; it only goes up, with gaps.
+pub type PublishedVersion = u64;
+
 /// How many committed changes keep their answer.
 const ANSWERS_KEPT: usize = 4096;
 /// The most keys that a fleet holds, withdrawn ones included.
@@ -25,6 +28,17 @@
         /// The canonical form of the change.
         content: String,
     },
+    /// A whole configuration on top of the one published before.
+    Publish {
+        /// The version that its operator gave it.
+        version: PublishedVersion,
+        /// The version that it builds on; 0 where none is published yet.
+        base: PublishedVersion,
+        /// The canonical form of the configuration.
+        content: String,
+        /// The document as the operator wrote it.
+        document: String,
+    },
     /// The withdrawal of a key, which needs no number.
     Withdraw {
         /// The key's hash in hex digits.
@@ -58,6 +72,16 @@
             /// What was committed under it.
             winner: Winner,
         },
+        /// Another version is published than the one that the configuration builds on.
+        OtherBase {
+            /// The version that is published.
+            current: PublishedVersion,
+        },
+        /// The configuration's version is not above the published one.
+        VersionTooLow {
+            /// The version that is published.
+            current: PublishedVersion,
+        },
         /// A later number is committed, and this one never was or is forgotten.
         NumberTooLow {
             /// The last committed number.
@@ -86,6 +110,15 @@
         },
     }
 
+    /// The configuration that was published last.
+    #[derive(Serialize, Deserialize)]
+    pub struct Published {
+        /// The version that its operator gave it.
+        pub version: PublishedVersion,
+        /// The document as the operator wrote it.
+        pub document: String,
+    }
+
     /// The change that was committed under a number.
     #[derive(Serialize, Deserialize)]
     pub struct Winner {
@@ -107,6 +140,9 @@
     /// The life in which each seed served first.
     first_starts: BTreeMap<String, Incarnation>,
     shares: Table,
+    published: Option<Published>,
+    /// The SHA-256 of the documents that were published, by which a resend is known.
+    accepted: BTreeMap<PublishedVersion, String>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -116,6 +152,10 @@
     answers: BTreeMap<ChangeNumber, Winner>,
     first_starts: BTreeMap<String, Incarnation>,
     shares: Table,
+    #[serde(default)]
+    published: Option<Published>,
+    #[serde(default)]
+    accepted: BTreeMap<PublishedVersion, String>,
 }
 
 /// Access.
@@ -132,6 +172,12 @@
         &self.view
     }
 
+    /// What was published last.
+    #[must_use]
+    pub fn published(&self) -> Option<&Published> {
+        self.published.as_ref()
+    }
+
     /// The greatest committed number.
     #[must_use]
     pub fn last_change(&self) -> ChangeNumber {
@@ -157,6 +203,8 @@
             answers: self.answers.clone(),
             first_starts: self.first_starts.clone(),
             shares: self.shares.clone(),
+            published: self.published.clone(),
+            accepted: self.accepted.clone(),
         };
         serde_json::to_vec(&snapshot).unwrap_or_default()
     }
@@ -174,6 +222,8 @@
             answers: snapshot.answers,
             first_starts: snapshot.first_starts,
             shares: snapshot.shares,
+            published: snapshot.published,
+            accepted: snapshot.accepted,
         })
     }
 }
@@ -184,6 +234,12 @@
     pub fn apply(&mut self, command: &Command) -> Verdict {
         match command {
             Command::Change { number, content } => self.apply_change(*number, content),
+            Command::Publish {
+                version,
+                base,
+                content,
+                document,
+            } => self.apply_publication(*version, *base, content, document),
             Command::Withdraw { hash } => self.apply_withdrawal(hash),
             Command::FirstStart { seed, incarnation } => self.apply_first_start(seed, *incarnation),
             Command::Shares(set) => Verdict::Shares {
@@ -223,6 +279,47 @@
         }
     }
 
+    fn apply_publication(
+        &mut self,
+        version: PublishedVersion,
+        base: PublishedVersion,
+        content: &str,
+        document: &str,
+    ) -> Verdict {
+        let digest = hex::encode(&Sha256::digest(document.as_bytes()));
+        if self.accepted.get(&version) == Some(&digest) {
+            return Verdict::Committed {
+                version: self.view.version,
+                first: false,
+            };
+        }
+        let current = self.published.as_ref().map_or(0, |held| held.version);
+        if base != current {
+            return Verdict::OtherBase { current };
+        }
+        if version <= current {
+            return Verdict::VersionTooLow { current };
+        }
+        let configuration = match Configuration::parse(content) {
+            Ok(configuration) => configuration,
+            Err(e) => return e.into(),
+        };
+        self.view
+            .advance(Delta::Change(Change::Configure(configuration)));
+        self.accepted.insert(version, digest);
+        if self.accepted.len() > ANSWERS_KEPT {
+            self.accepted.pop_first();
+        }
+        self.published = Some(Published {
+            version,
+            document: document.to_owned(),
+        });
+        Verdict::Committed {
+            version: self.view.version,
+            first: true,
+        }
+    }
+
     /// Checks a change against what is committed.
     fn check(&self, change: &Change) -> Result<(), Verdict> {
         match change {
@@ -287,6 +384,9 @@
     pub fn delta(&self) -> Option<Delta> {
         match self {
             Self::Change { content, .. } => Change::parse(content).ok().map(Delta::Change),
+            Self::Publish { content, .. } => Configuration::parse(content)
+                .ok()
+                .map(|configuration| Delta::Change(Change::Configure(configuration))),
             Self::Withdraw { hash } => hex::decode(hash).map(Delta::Withdraw),
             Self::FirstStart { .. } | Self::Shares(_) => None,
         }
--- a/crates/nutmegwheel-events/src/catalogue.rs
+++ b/crates/nutmegwheel-events/src/catalogue.rs
@@ -44,12 +44,22 @@
     ProcessStopped = 102, "process-stopped", Info;
     /// A task of the supervisor tree failed and was started again.
     TaskRestarted = 103, "task-restarted", Error;
+    /// A stop was not over in time, and what was open then is cut off.
+    ProcessCutOff = 104, "process-cut-off", Warn;
+    /// The process took over newer settings.
+    SettingsReloaded = 105, "settings-reloaded", Info;
+    /// Newer settings were refused, and the old ones stay in force.
+    SettingsRefused = 106, "settings-refused", Error;
     /// A backend server announced itself or changed its state.
     BackendAnnounced = 200, "backend-announced", Info;
     /// A backend server's announcement lapsed without a renewal.
     BackendLapsed = 201, "backend-lapsed", Warn;
     /// A backend server broke off requests that it had begun.
     BackendDied = 202, "backend-died", Warn;
+    /// A backend server said that it goes.
+    BackendGone = 203, "backend-gone", Info;
+    /// A heartbeat spoke for another backend server or could not be read.
+    HeartbeatRefused = 204, "heartbeat-refused", Warn;
     /// The level at which a node sheds changed.
     ShedLevelChanged = 300, "shed-level-changed", Warn;
     /// A request spent the last retry of its chain.
@@ -92,4 +102,6 @@
     StewardElected = 507, "steward-elected", Info;
     /// This process no longer hands out tokens.
     StewardStoodDown = 508, "steward-stood-down", Info;
+    /// It is not known whether a change of an operator was committed.
+    ChangeUncertain = 509, "change-uncertain", Warn;
 }
--- a/crates/nutmegwheel-membership/src/gossip.rs
+++ b/crates/nutmegwheel-membership/src/gossip.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Takes over newer contacts, which replace the ones before.
+    pub fn set_contacts(&mut self, contacts: Vec<LinkAddress>) {
+        self.options.contacts = contacts;
+    }
+
     /// Sends a message; one to this process itself is received before the call returns.
     fn send(&mut self, to: LinkAddress, body: Body) {
         let version = self.store.version();
--- a/crates/nutmegwheel-membership/src/gossip/control.rs
+++ b/crates/nutmegwheel-membership/src/gossip/control.rs
@@ -170,7 +170,8 @@
 
     pub(super) fn watch_control(&mut self, now: Instant) {
         let is_control = self.options.role == Role::Control;
-        if !is_control && self.duty.is_none() {
+        // Without leases every node hangs on a control VM, to hear of new versions in any case.
+        if !is_control && self.duty.is_none() && self.options.needs_lease {
             return;
         }
         let known = self.table.control().to_vec();
--- a/crates/nutmegwheel-membership/src/gossip/dissemination.rs
+++ b/crates/nutmegwheel-membership/src/gossip/dissemination.rs
@@ -7,7 +7,7 @@
 use super::{Gossip, is_due};
 use crate::rumours::{Rounds, Urgency};
 use crate::table::{BUCKETS, Remote};
-use crate::{Body, Digest, LinkAddress, Record};
+use crate::{Body, Digest, LinkAddress, Record, Role};
 
 /// The peers that get news at once that cannot wait.
 const FAN_OUT: usize = 4;
@@ -21,6 +21,8 @@
 const COMPARE: Duration = Duration::from_secs(3);
 /// How often a seed compares tables with one of the contacts of its settings.
 const CONTACT: Duration = Duration::from_secs(10);
+/// How often a process without another one in its data centre does; it may have been cut off.
+const CONTACT_ALONE: Duration = Duration::from_secs(1);
 /// The records that travel on a probe or its answer.
 const PIGGYBACKED: usize = 4;
 /// How soon tables are compared again after a comparison that brought news.
@@ -160,12 +162,35 @@
                 self.compare_with_one_of(&choice);
             }
         }
-        if self.duty.is_some() && is_due(&mut self.timers.contacted, now, CONTACT) {
-            let contacts = self.options.contacts.clone();
+        if let Some(pause) = self.contact_pause()
+            && is_due(&mut self.timers.contacted, now, pause)
+        {
+            let mut contacts = self.options.contacts.clone();
+            if self.duty.is_none() {
+                contacts.extend(self.table.control());
+            }
             self.compare_with_one_of(&contacts);
         }
     }
 
+    /// How often this process compares with a contact: seeds do it for their data centre, and where
+    /// there are none, control VMs and every now and then each node.
+    fn contact_pause(&self) -> Option<Duration> {
+        if self.duty.is_some() {
+            return Some(CONTACT);
+        }
+        if self.options.needs_lease {
+            return None;
+        }
+        let is_alone = self.table.local().is_empty();
+        let is_control = self.table.own().role == Role::Control;
+        Some(match (is_alone, is_control) {
+            (true, _) => CONTACT_ALONE,
+            (false, true) => COMPARE,
+            (false, false) => CONTACT,
+        })
+    }
+
     /// Mostly the gateways of the other data centre, at times anyone there, in case they are gone.
     fn partner(&mut self, way: &Remote) -> Vec<LinkAddress> {
         const ANYONE_IN: usize = 4;
--- a/crates/nutmegwheel-membership/src/gossip/options.rs
+++ b/crates/nutmegwheel-membership/src/gossip/options.rs
@@ -32,6 +32,10 @@
         pub data_centres: Vec<DataCentreId>,
         /// What its data centre does when cut off from the control VMs.
         pub cut_off: CutOff,
+        /// Whether keyed work needs a lease of a majority of `seeds`. Without, the process serves
+        /// with the newest view that it holds, and itself looks for contacts from time to time,
+        /// since no seeds do that for its data centre.
+        pub needs_lease: bool,
     }
 
     /// A message to a peer.
--- a/crates/nutmegwheel-membership/src/gossip/views.rs
+++ b/crates/nutmegwheel-membership/src/gossip/views.rs
@@ -91,6 +91,9 @@
     /// Whether the process may start keyed work; `now` must be read right before the use.
     #[must_use]
     pub fn decide(&self, now: Instant) -> Decision {
+        if !self.options.needs_lease && self.store.version() > 0 {
+            return Decision::Serve;
+        }
         Decision::at(
             now,
             self.store.version(),
--- a/crates/nutmegwheel-membership/tests/control.rs
+++ b/crates/nutmegwheel-membership/tests/control.rs
@@ -65,6 +65,7 @@
         contacts: Vec::new(),
         data_centres: Vec::new(),
         cut_off: CutOff::Serve,
+        needs_lease: true,
     })
 }
 
--- a/crates/nutmegwheel-membership/tests/sim/mod.rs
+++ b/crates/nutmegwheel-membership/tests/sim/mod.rs
@@ -183,6 +183,7 @@
             contacts: (0..centres).map(address).collect(),
             data_centres: (0..centres).map(data_centre).collect(),
             cut_off: CutOff::Serve,
+            needs_lease: true,
         }
     }
 
--- a/crates/nutmegwheel-membership/tests/version.rs
+++ b/crates/nutmegwheel-membership/tests/version.rs
@@ -39,6 +39,7 @@
         contacts: Vec::new(),
         data_centres: Vec::new(),
         cut_off: CutOff::Serve,
+        needs_lease: true,
     })
 }
 
--- a/crates/nutmegwheel-node/src/backend.rs
+++ b/crates/nutmegwheel-node/src/backend.rs
@@ -1,11 +1,11 @@
 use std::{
     net::SocketAddr,
-    sync::{Mutex, PoisonError},
+    sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Uri};
+use http::{HeaderMap, HeaderValue, Request, Uri};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -17,6 +17,7 @@
 
 use crate::{
     call::{Answer, Call},
+    dialect::{Dialect, Hop, Verdict},
     headers,
     refusal::{Reason, Refusal},
     running::Token,
@@ -56,6 +57,8 @@
         pub(crate) state: BackendState,
         /// The number of its life, greater after every restart of it.
         pub(crate) life: Incarnation,
+        /// Its own name of this life, where its dialect has one.
+        pub(crate) instance: Option<Arc<str>>,
     }
 
     /// What the backend server announced last.
@@ -69,19 +72,21 @@
 
 /// The backend server beside this node.
 pub(crate) struct Local {
+    dialect: Option<Arc<dyn Dialect>>,
     announced: Mutex<Option<Announcement>>,
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
 /// Lifecycle.
 impl Local {
-    pub(crate) fn open() -> Self {
+    pub(crate) fn open(dialect: Option<Arc<dyn Dialect>>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_CONNECTION)
             .build(connector);
         Self {
+            dialect,
             announced: Mutex::default(),
             client,
         }
@@ -98,6 +103,11 @@
             .take_if(|announced| announced.address == address)
     }
 
+    /// Forgets the announcement of a backend server that says that it goes, and returns it.
+    pub(crate) fn withdraw(&self) -> Option<Announcement> {
+        self.lock().take()
+    }
+
     /// Forgets an announcement that was not renewed in time, and returns it.
     pub(crate) fn lapse(&self, now: Instant) -> Option<Announcement> {
         self.lock().take_if(|announced| announced.until <= now)
@@ -119,8 +129,8 @@
 
 /// Running requests.
 impl Local {
-    /// The address of the backend server when it takes new requests of a service.
-    pub(crate) fn ready(&self, service: &str) -> Result<SocketAddr, Refusal> {
+    /// The backend server when it takes new requests of a service.
+    pub(crate) fn ready(&self, service: &str) -> Result<Announcement, Refusal> {
         let refuse = |detail| Err(Refusal::not_run(Reason::NoBackendServer, detail));
         match self.announced() {
             None => refuse("this node has no backend server"),
@@ -130,26 +140,30 @@
             Some(a) if a.backend.state != BackendState::Ready => {
                 refuse("this node's backend server takes nothing new")
             }
-            Some(a) => Ok(a.address),
+            Some(a) => Ok(a),
         }
     }
 
     /// Runs a request and returns the whole answer.
     pub(crate) async fn run(
         &self,
-        address: SocketAddr,
+        server: &Announcement,
         call: &Call,
         token: Token,
     ) -> Result<Answer, Refusal> {
-        let req = request(address, call, token)?;
-        let timeout = tokio::time::timeout_at(call.deadline.into(), self.exchange(req));
+        let mut req = request(server.address, call)?;
+        match &self.dialect {
+            Some(dialect) => dialect.address(req.headers_mut(), &hop(server, call)),
+            None => set_own_fields(req.headers_mut(), call, token)?,
+        }
+        let timeout = tokio::time::timeout_at(call.deadline.into(), self.exchange(call, req));
         timeout.await.unwrap_or_else(|_| {
             let detail = "the deadline passed while the backend server worked";
             Err(Refusal::may_have_run(Reason::Deadline, detail))
         })
     }
 
-    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<Answer, Refusal> {
+    async fn exchange(&self, call: &Call, req: Request<Full<Bytes>>) -> Result<Answer, Refusal> {
         let res = self.client.request(req).await.map_err(|e| {
             let detail = format!("the backend server broke off: {e}");
             if e.is_connect() {
@@ -161,10 +175,7 @@
         let (parts, body) = res.into_parts();
         let body = Limited::new(body, ANSWER_LIMIT).collect().await;
         let body = body.map_err(|e| broken_answer(&*e))?.to_bytes();
-        if refused_unrun(&parts) {
-            let detail = "the backend server sheds load";
-            return Err(Refusal::not_run(Reason::Overloaded, detail));
-        }
+        self.judge(call, &parts)?;
         Ok(Answer {
             status: parts.status,
             fields: headers::passed_on(&parts.headers),
@@ -173,6 +184,40 @@
     }
 }
 
+/// Answers.
+impl Local {
+    /// Whether the answer is that of the call, and the backend server ran it.
+    fn judge(&self, call: &Call, parts: &http::response::Parts) -> Result<(), Refusal> {
+        let verdict = match &self.dialect {
+            Some(dialect) => dialect.judge(&call.fields, parts),
+            None if refused_unrun(parts) => Verdict::Shed,
+            None => Verdict::Answered,
+        };
+        match verdict {
+            Verdict::Answered => Ok(()),
+            Verdict::Shed => {
+                let detail = "the backend server sheds load";
+                Err(Refusal::not_run(Reason::BackendShed, detail))
+            }
+            Verdict::OtherServer => {
+                let detail = "another backend server has the address";
+                Err(Refusal::not_run(Reason::NoBackendServer, detail))
+            }
+            Verdict::OtherRequest => {
+                let detail = "the backend server answered another request";
+                Err(Refusal::may_have_run(Reason::BackendLost, detail))
+            }
+        }
+    }
+}
+
+fn hop<'a>(server: &'a Announcement, call: &Call) -> Hop<'a> {
+    Hop {
+        remaining: call.deadline.saturating_duration_since(Instant::now()),
+        instance: server.backend.instance.as_deref(),
+    }
+}
+
 fn refused_unrun(parts: &http::response::Parts) -> bool {
     let outcome = parts.headers.get(&headers::OUTCOME);
     parts.status == http::StatusCode::SERVICE_UNAVAILABLE
@@ -189,15 +234,10 @@
     }
 }
 
-fn request(
-    address: SocketAddr,
-    call: &Call,
-    token: Token,
-) -> Result<Request<Full<Bytes>>, Refusal> {
-    let bad = |detail: String| Refusal::not_run(Reason::BadRequest, detail);
+fn request(address: SocketAddr, call: &Call) -> Result<Request<Full<Bytes>>, Refusal> {
     let uri: Uri = format!("http://{address}{}", call.path)
         .parse()
-        .map_err(|e| bad(format!("the path cannot be passed on: {e}")))?;
+        .map_err(|e| unfit(format!("the path cannot be passed on: {e}")))?;
     let mut req = Request::new(Full::new(call.body.clone()));
     *req.method_mut() = call.method.clone();
     *req.uri_mut() = uri;
@@ -205,8 +245,13 @@
     for (name, value) in &call.fields {
         fields.append(name.clone(), value.clone());
     }
+    Ok(req)
+}
+
+/// The fields by which a backend server knows what it works for; docs/INTERFACES.md.
+fn set_own_fields(fields: &mut HeaderMap, call: &Call, token: Token) -> Result<(), Refusal> {
     let mut set = |name, text: String| -> Result<(), Refusal> {
-        let value = HeaderValue::try_from(text).map_err(|e| bad(e.to_string()))?;
+        let value = HeaderValue::try_from(text).map_err(|e| unfit(e.to_string()))?;
         fields.insert(name, value);
         Ok(())
     };
@@ -217,5 +262,9 @@
     if let Some(workspace) = &call.context.workspace {
         set(headers::WORKSPACE, workspace.to_string())?;
     }
-    Ok(req)
+    Ok(())
+}
+
+fn unfit(detail: String) -> Refusal {
+    Refusal::not_run(Reason::BadRequest, detail)
 }
--- a/crates/nutmegwheel-node/src/call.rs
+++ b/crates/nutmegwheel-node/src/call.rs
@@ -4,6 +4,7 @@
 use http::{HeaderName, HeaderValue, Method, StatusCode};
 use nutmegwheel_seeds::{AttemptId, attempt_from_wire, attempt_to_wire};
 use nutmegwheel_types::{Context, EndpointId, KeyHash, ServiceId, plain};
+use nutmegwheel_web::Response;
 use nutmegwheel_wire as wire;
 use nutmegwheel_wire::Malformed;
 
@@ -28,6 +29,8 @@
         pub(crate) name: Option<Name>,
         /// The try, where the call may run at most once.
         pub(crate) attempt: Option<AttemptId>,
+        /// The most backend servers that the call may be sent to, where its route bounds them.
+        pub(crate) max_servers: Option<u32>,
     }
 
     /// A backend server's whole answer.
@@ -54,6 +57,16 @@
         })
     }
 
+    /// The answer to the caller.
+    pub(crate) fn into_response(self) -> Response {
+        let mut res = Response::new(self.body);
+        *res.status_mut() = self.status;
+        for (name, value) in self.fields {
+            res.headers_mut().append(name, value);
+        }
+        res
+    }
+
     /// Whether callers take this answer for a failure and send the same call again.
     pub(crate) fn asks_for_repeat(&self) -> bool {
         let asks = [
@@ -108,6 +121,7 @@
             key,
             name: head.claim.map(name_from_wire).transpose()?,
             attempt: head.attempt.map(attempt_from_wire),
+            max_servers: None,
         })
     }
 }
--- a/crates/nutmegwheel-node/src/door.rs
+++ b/crates/nutmegwheel-node/src/door.rs
@@ -93,6 +93,7 @@
         key,
         name: None,
         attempt: None,
+        max_servers: None,
     })
 }
 
@@ -179,14 +180,7 @@
 /// Turns the result into the answer to a caller or a downstream call.
 pub(crate) fn respond(shared: &Shared, result: Result<Answer, Refusal>, root: RootId) -> Response {
     let mut res = match result {
-        Ok(answer) => {
-            let mut res = Response::new(answer.body);
-            *res.status_mut() = answer.status;
-            for (name, value) in answer.fields {
-                res.headers_mut().append(name, value);
-            }
-            res
-        }
+        Ok(answer) => answer.into_response(),
         Err(refusal) => refusal.into_problem(Some(root)).into_response(),
     };
     if let Ok(root) = HeaderValue::try_from(format!("{root:032x}")) {
--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -102,6 +102,7 @@
     let mut tried = Vec::new();
     let mut replaces = None;
     let mut lost = 0;
+    let mut reached = 0;
     let fingerprint = suspects::fingerprint(call);
     loop {
         shared.suspects.check(Instant::now(), fingerprint)?;
@@ -122,6 +123,10 @@
         };
         tried.push(target.key);
         lost += u32::from(may_have_killed(&refusal));
+        reached += u32::from(has_reached_server(&refusal));
+        if call.max_servers.is_some_and(|most| reached >= most) {
+            return Err(refusal);
+        }
         if lost >= MAX_LOST {
             let checked = shared.suspects.check(Instant::now(), fingerprint);
             return checked.and(Err(refusal));
@@ -193,6 +198,11 @@
     refusal.reason == Reason::BackendLost && refusal.outcome == Outcome::MayHaveRun
 }
 
+/// Whether a try was sent to a backend server, and not only to its node.
+fn has_reached_server(refusal: &Refusal) -> bool {
+    refusal.outcome == Outcome::MayHaveRun || refusal.reason == Reason::BackendShed
+}
+
 fn proof(refusal: &Refusal) -> Proof {
     let is_final = matches!(
         refusal.reason,
@@ -304,7 +314,10 @@
     match &served.result {
         Ok(_) => Ended::Answered,
         Err(refusal) => match refusal.reason {
-            Reason::Overloaded | Reason::NoBackendServer | Reason::Leaving => Ended::Refused,
+            Reason::Overloaded
+            | Reason::BackendShed
+            | Reason::NoBackendServer
+            | Reason::Leaving => Ended::Refused,
             Reason::BackendLost | Reason::LinkLost | Reason::AnswerTooLarge => Ended::Failed,
             Reason::Deadline if refusal.outcome == Outcome::MayHaveRun => Ended::Failed,
             _ => Ended::Cancelled,
--- /dev/null
+++ b/crates/nutmegwheel-node/src/heartbeats.rs
@@ -0,0 +1,124 @@
+//! The listener for the heartbeats of the node's own backend server, in a platform's language.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use http::StatusCode;
+use nutmegwheel_events::Event;
+use nutmegwheel_policy::registration::Verdict;
+use nutmegwheel_web::{Handler, HandlerFuture, Problem, Request};
+
+use crate::{
+    backend::{Announcement, Backend, BackendState},
+    dialect::{Alive, Dialect, Heartbeat},
+    local,
+    shared::Shared,
+};
+
+/// How long a heartbeat holds: three of the intervals that are usual for backend servers.
+const HOLDS: Duration = Duration::from_millis(5000);
+
+/// Takes the heartbeats of the node's backend server.
+pub(crate) struct HeartbeatDoor {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) dialect: Arc<dyn Dialect>,
+}
+
+impl Handler for HeartbeatDoor {
+    fn handle(&self, req: Request) -> HandlerFuture {
+        let (shared, dialect) = (self.shared.clone(), self.dialect.clone());
+        Box::pin(async move {
+            let Some(heartbeat) = dialect.heartbeat(&req) else {
+                let detail = "this listener takes heartbeats only";
+                return Problem::new(StatusCode::NOT_FOUND, "unknown-route", detail)
+                    .into_response();
+            };
+            let result = heartbeat.and_then(|heartbeat| take(&shared, heartbeat));
+            if let Err(detail) = &result {
+                shared
+                    .journal
+                    .emit(Event::HeartbeatRefused, &[("detail", detail)]);
+            }
+            dialect.acknowledge(result)
+        })
+    }
+}
+
+fn take(shared: &Arc<Shared>, heartbeat: Heartbeat) -> Result<(), String> {
+    match heartbeat {
+        Heartbeat::Alive(alive) => {
+            check(shared, &alive)?;
+            let verdict = shared.registration().heartbeat(&alive.life, alive.sequence);
+            match verdict {
+                Verdict::Outdated => {}
+                Verdict::NewLife | Verdict::Renewed => {
+                    announce(shared, alive, verdict == Verdict::NewLife);
+                }
+            }
+        }
+        Heartbeat::Gone { id, born } => {
+            if shared.registration().gone(&id, born) {
+                withdraw(shared, &id);
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Refuses what speaks for another backend server than the one beside this node.
+fn check(shared: &Shared, alive: &Alive) -> Result<(), String> {
+    let Some(expected) = &shared.settings.backend_server else {
+        return Ok(());
+    };
+    if alive.service != expected.service {
+        let service = &expected.service;
+        return Err(format!("the backend server here is of {service}"));
+    }
+    if alive.address != expected.address {
+        let address = expected.address;
+        return Err(format!("the backend server here is at {address}"));
+    }
+    Ok(())
+}
+
+fn announce(shared: &Arc<Shared>, alive: Alive, is_new: bool) {
+    let before = shared.local.announced();
+    let life = match &before {
+        Some(before) if !is_new => before.backend.life,
+        _ => shared.next_life(),
+    };
+    let backend = Backend {
+        service: alive.service,
+        slots: alive.slots,
+        state: if alive.is_ready {
+            BackendState::Ready
+        } else {
+            BackendState::Leaving
+        },
+        life,
+        instance: Some(alive.life.id),
+    };
+    let now = Instant::now();
+    shared.local.announce(Announcement {
+        backend: backend.clone(),
+        address: alive.address,
+        until: now + HOLDS,
+    });
+    if before.is_none_or(|before| before.backend != backend) {
+        shared.gate.announced(now, backend.slots, is_new);
+        local::record(shared, &backend);
+        shared.backend_changed();
+    }
+}
+
+fn withdraw(shared: &Arc<Shared>, id: &str) {
+    if let Some(gone) = shared.local.withdraw() {
+        shared.journal.emit(
+            Event::BackendGone,
+            &[("service", &gone.backend.service), ("instance", &id)],
+        );
+        shared.backend_changed();
+    }
+}
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -8,11 +8,14 @@
 
 mod backend;
 mod call;
+mod dialect;
 mod digest;
 mod door;
 mod forward;
 mod gate;
 mod headers;
+mod heartbeats;
+mod host_door;
 mod local;
 mod members;
 mod metrics;
@@ -29,4 +32,6 @@
 mod views;
 mod watch;
 
+pub use dialect::{Alive, Asked, Dialect, Fields, Heartbeat, Hop, Marks, Refused, Verdict};
 pub use node::{Node, spawn};
+pub use refusal::{Outcome, Reason};
--- a/crates/nutmegwheel-node/src/local.rs
+++ b/crates/nutmegwheel-node/src/local.rs
@@ -88,6 +88,7 @@
         slots: document.slots,
         state: document.state,
         life,
+        instance: None,
     };
     let now = Instant::now();
     shared.local.announce(Announcement {
@@ -105,7 +106,8 @@
     Ok(json(StatusCode::OK, &answer))
 }
 
-fn record(shared: &Shared, backend: &Backend) {
+/// Records what a backend server announced.
+pub(crate) fn record(shared: &Shared, backend: &Backend) {
     shared.journal.emit(
         Event::BackendAnnounced,
         &[
@@ -163,5 +165,6 @@
         key: parent.key,
         name: None,
         attempt: None,
+        max_servers: None,
     })
 }
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -14,7 +14,10 @@
 use nutmegwheel_web::{Handler, Server};
 
 use crate::{
+    dialect::Dialect,
     door::Door,
+    heartbeats::HeartbeatDoor,
+    host_door::HostDoor,
     local::LocalDoor,
     members,
     platform::Platform,
@@ -25,6 +28,8 @@
 
 /// The largest body of a request, in bytes.
 const BODY_LIMIT: usize = 1024 * 1024;
+/// The largest body of a request in a platform's language, in bytes; links carry no larger one.
+const DIALECT_BODY_LIMIT: usize = 4 * 1024 * 1024;
 /// The time in which a request must have arrived.
 const PATIENCE: Duration = Duration::from_secs(10);
 /// The time between two looks for a lapsed announcement.
@@ -35,8 +40,9 @@
 const STEWARD_PAUSE: Duration = Duration::from_millis(100);
 /// The time between two rounds of forgetting what is too old.
 const EXPIRY_PAUSE: Duration = Duration::from_secs(1);
-/// The longest time that a planned stop waits for requests in flight.
-const DRAIN_LIMIT: Duration = Duration::from_secs(30);
+/// The part of the time for a stop after which requests in flight are given up; the rest is for
+/// answering them and for closing connections.
+const DRAIN_PART: f64 = 0.9;
 /// The time between two looks whether requests are in flight.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
 
@@ -56,8 +62,10 @@
     settings: Settings,
     incarnation: Incarnation,
     journal: Arc<Journal>,
+    dialect: Option<Arc<dyn Dialect>>,
 ) -> anyhow::Result<Node> {
-    let shared = Arc::new(Shared::open(settings, incarnation, journal.clone()));
+    let shared = Shared::open(settings, incarnation, journal.clone(), dialect);
+    let shared = Arc::new(shared);
     let endpoint = bind_links(&shared).await?;
     shared.connect(endpoint);
     let tree = Supervisor::open(journal);
@@ -100,7 +108,10 @@
         let address = address.context(name)?;
         let opts = nutmegwheel_web::Options {
             address,
-            body_limit: BODY_LIMIT,
+            body_limit: match shared.dialect {
+                Some(_) => DIALECT_BODY_LIMIT,
+                None => BODY_LIMIT,
+            },
             patience: PATIENCE,
         };
         servers.push(nutmegwheel_web::bind(opts, handler).context(name)?);
@@ -112,16 +123,24 @@
         Some(listen.platform),
         Arc::new(Platform { shared: shared() }),
     )?;
-    bind(
-        "open listen.backend",
-        listen.backend,
-        Arc::new(LocalDoor { shared: shared() }),
-    )?;
-    bind(
-        "open listen.callers",
-        listen.callers,
-        Arc::new(Door { shared: shared() }),
-    )?;
+    let (backend, callers): (Arc<dyn Handler>, Arc<dyn Handler>) = match shared().dialect.clone() {
+        Some(dialect) => (
+            Arc::new(HeartbeatDoor {
+                shared: shared(),
+                dialect: dialect.clone(),
+            }),
+            Arc::new(HostDoor {
+                shared: shared(),
+                dialect,
+            }),
+        ),
+        None => (
+            Arc::new(LocalDoor { shared: shared() }),
+            Arc::new(Door { shared: shared() }),
+        ),
+    };
+    bind("open listen.backend", listen.backend, backend)?;
+    bind("open listen.callers", listen.callers, callers)?;
     Ok(servers)
 }
 
@@ -177,6 +196,7 @@
         shared
             .journal
             .emit(Event::BackendLapsed, &[("service", service)]);
+        shared.registration().lapse();
         shared.backend_changed();
     }
 }
@@ -185,10 +205,31 @@
 impl Node {
     /// Tells the fleet that it leaves, finishes what is in flight and ends.
     pub async fn shutdown(self) {
+        let limit = self.shared.settings.stop_within.mul_f64(DRAIN_PART);
+        let end = tokio::time::Instant::now() + limit;
         self.shared.journal.emit(Event::ProcessLeaving, &[]);
         self.shared.leave();
         tokio::join!(tokio::time::sleep(LEAVE_TIME), self.hand_over());
-        self.drain().await;
+        self.drain(end).await;
+        // What does not end in time is cut off by the end of the process.
+        if tokio::time::timeout_at(end, self.close()).await.is_err() {
+            let pause = &self.shared.settings.stop_within;
+            let detail = format!("connections were open after {pause:?}");
+            self.shared
+                .journal
+                .emit(Event::ProcessCutOff, &[("detail", &detail)]);
+        }
+        self.tree.stop();
+        self.tree.stopped().await;
+        self.shared.journal.emit(Event::ProcessStopped, &[]);
+    }
+
+    /// Takes over newer settings, as far as they may change while the process runs.
+    pub fn reload(&self, settings: &Settings) {
+        self.shared.spread.set_contacts(settings.contact_links());
+    }
+
+    async fn close(&self) {
         for server in &self.servers {
             server.stop().await;
         }
@@ -196,9 +237,6 @@
         if let Some(endpoint) = self.shared.endpoint() {
             endpoint.shutdown().await;
         }
-        self.tree.stop();
-        self.tree.stopped().await;
-        self.shared.journal.emit(Event::ProcessStopped, &[]);
     }
 
     async fn hand_over(&self) {
@@ -207,8 +245,7 @@
         }
     }
 
-    async fn drain(&self) {
-        let end = tokio::time::Instant::now() + DRAIN_LIMIT;
+    async fn drain(&self, end: tokio::time::Instant) {
         while self.shared.in_flight() > 0 && tokio::time::Instant::now() < end {
             tokio::time::sleep(DRAIN_PAUSE).await;
         }
--- a/crates/nutmegwheel-node/src/platform.rs
+++ b/crates/nutmegwheel-node/src/platform.rs
@@ -21,7 +21,14 @@
 impl Handler for Platform {
     fn handle(&self, req: Request) -> HandlerFuture {
         let shared = self.shared.clone();
-        Box::pin(async move { answer(&shared, &req).unwrap_or_else(Problem::into_response) })
+        Box::pin(async move {
+            if let Some(dialect) = &shared.dialect
+                && dialect.asks_for_readiness(&req.head)
+            {
+                return dialect.readiness(readiness(&shared).is_ok());
+            }
+            answer(&shared, &req).unwrap_or_else(Problem::into_response)
+        })
     }
 }
 
@@ -34,7 +41,7 @@
             Ok(typed(StatusCode::OK, OPEN_METRICS, text))
         }
         (method, path) if path.starts_with("/v1/") => {
-            authorize(&req.head, &shared.settings.operator_secret)?;
+            authorize(&req.head, shared.settings.operator_secret.as_deref())?;
             operator(shared, req, method, path)
         }
         _ => Err(unknown_route()),
@@ -46,7 +53,7 @@
         "the node is leaving"
     } else {
         match shared.spread.decide() {
-            Decision::Serve if shared.rates.has_steward() => {
+            Decision::Serve if !shared.has_stewards() || shared.rates.has_steward() => {
                 return Ok(json(StatusCode::OK, &value!({"ok": true})));
             }
             Decision::Serve => "the data centre's steward does not answer",
--- a/crates/nutmegwheel-node/src/refusal.rs
+++ b/crates/nutmegwheel-node/src/refusal.rs
@@ -12,13 +12,15 @@
     ($($(#[$doc:meta])* $name:ident = $word:literal, $status:ident;)*) => {
         plain_copy! {
             /// Why a request was refused; the words are those of docs/INTERFACES.md.
-            pub(crate) enum Reason {
+            pub enum Reason {
                 $($(#[$doc])* $name,)*
             }
         }
 
         impl Reason {
-            pub(crate) fn word(self) -> &'static str {
+            /// The stable word that programs match on.
+            #[must_use]
+            pub fn word(self) -> &'static str {
                 match self { $(Self::$name => $word,)* }
             }
 
@@ -34,31 +36,55 @@
 }
 
 reasons! {
+    /// The request is malformed.
     BadRequest = "bad-request", BAD_REQUEST;
+    /// The route needs a key.
     NoKey = "no-key", UNAUTHORIZED;
+    /// No workspace has the key.
     UnknownKey = "unknown-key", UNAUTHORIZED;
+    /// The key is withdrawn for good.
     KeyWithdrawn = "key-withdrawn", UNAUTHORIZED;
+    /// The configuration has no such service.
     UnknownService = "unknown-service", NOT_FOUND;
+    /// The service has no such endpoint.
     UnknownEndpoint = "unknown-endpoint", NOT_FOUND;
+    /// No route has the host and a prefix of the path.
+    UnknownRoute = "unknown-route", NOT_FOUND;
+    /// The workspace has used up its rate and burst.
     OverRate = "over-rate", TOO_MANY_REQUESTS;
+    /// The node cannot decide yet.
     NotReady = "not-ready", SERVICE_UNAVAILABLE;
+    /// Capacity runs short.
     Overloaded = "overloaded", SERVICE_UNAVAILABLE;
+    /// The backend server itself refused the request without running it.
+    BackendShed = "backend-shed", SERVICE_UNAVAILABLE;
+    /// No backend server of the service takes new work.
     NoBackendServer = "no-backend-server", SERVICE_UNAVAILABLE;
+    /// The node stops.
     Leaving = "leaving", SERVICE_UNAVAILABLE;
+    /// No retry is left for the request.
     RetriesSpent = "retries-spent", SERVICE_UNAVAILABLE;
+    /// The seeds that decide on a claim cannot be asked.
     ClaimUnavailable = "claim-unavailable", SERVICE_UNAVAILABLE;
+    /// Another send of the request has begun.
     InProgress = "in-progress", SERVICE_UNAVAILABLE;
+    /// The request ran before.
     AlreadyRun = "already-run", SERVICE_UNAVAILABLE;
+    /// Requests like this one brought down backend servers.
     Quarantined = "quarantined", SERVICE_UNAVAILABLE;
+    /// The backend server broke off.
     BackendLost = "backend-lost", SERVICE_UNAVAILABLE;
+    /// The link to the backend server's node broke off.
     LinkLost = "link-lost", SERVICE_UNAVAILABLE;
+    /// The answer is larger than the system takes.
     AnswerTooLarge = "answer-too-large", SERVICE_UNAVAILABLE;
+    /// The deadline passed.
     Deadline = "deadline", GATEWAY_TIMEOUT;
 }
 
 plain_copy! {
     /// Whether a refused request ran.
-    pub(crate) enum Outcome {
+    pub enum Outcome {
         /// It is proved that no backend server began it.
         NotRun,
         /// A backend server may have begun it.
@@ -111,10 +137,18 @@
         is_passing && self.outcome != Outcome::DoNotResend
     }
 
-    pub(crate) fn into_problem(mut self, root: Option<RootId>) -> Problem {
-        if self.retry_after.is_none() && self.is_worth_asking_again() {
-            self.retry_after = Some(RETRY_PAUSE.mul_f64(rand::random_range(0.5..1.5)));
+    /// When it is worth asking again, where it is.
+    pub(crate) fn retry_after(&self) -> Option<Duration> {
+        match self.retry_after {
+            None if self.is_worth_asking_again() => {
+                Some(RETRY_PAUSE.mul_f64(rand::random_range(0.5..1.5)))
+            }
+            after => after,
         }
+    }
+
+    pub(crate) fn into_problem(mut self, root: Option<RootId>) -> Problem {
+        self.retry_after = self.retry_after();
         let mut problem = Problem::new(self.reason.status(), self.reason.word(), self.detail);
         problem.outcome = Some(self.outcome.word());
         problem.retry_after = self.retry_after;
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -95,12 +95,12 @@
     let pass = shared.gate.enter(req).await?;
     // The request may have waited, so what it rests on is looked at again.
     may_begin(shared, call)?;
-    let address = shared.local.ready(&call.service)?;
+    let server = shared.local.ready(&call.service)?;
     let fingerprint = suspects::fingerprint(call);
     let watched = shared.suspects.begin(Instant::now(), fingerprint)?;
     once::arrive(shared, call)?;
     let entry = shared.running.enter(parent.clone());
-    let result = shared.local.run(address, call, entry.token).await;
+    let result = shared.local.run(&server, call, entry.token).await;
     pass.complete(completion(&result));
     match &result {
         Ok(_) => suspects::tell(shared, &watched.completed()),
@@ -110,7 +110,7 @@
             }
             // The others must know of a death before the request is tried at one of them, also
             // when the caller leaves meanwhile.
-            let _ = tokio::spawn(suspects::investigate(shared.clone(), address)).await;
+            let _ = tokio::spawn(suspects::investigate(shared.clone(), server.address)).await;
         }
         Err(_) => {}
     }
@@ -122,7 +122,7 @@
         Ok(_) => Completion::Answered,
         Err(refusal) => match refusal.reason {
             Reason::Deadline => Completion::TimedOut,
-            Reason::Overloaded => Completion::Refused,
+            Reason::BackendShed => Completion::Refused,
             _ => Completion::Uninformative,
         },
     }
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -1,7 +1,7 @@
 use std::{
     collections::VecDeque,
     sync::{
-        Arc, Mutex, OnceLock, PoisonError,
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
@@ -13,8 +13,10 @@
 use nutmegwheel_link::Endpoint;
 use nutmegwheel_policy::{
     needs::Needs,
+    registration::Registration,
     retry::{RatioOptions, Ratios},
     shed::{self, Levels},
+    split::Splits,
 };
 use nutmegwheel_seeds::{Asker, AttemptId, Claims, Duty, SeedLists, Started, Tokens, started};
 use nutmegwheel_spread::{Health, Spread};
@@ -23,6 +25,7 @@
 
 use crate::{
     backend::{BackendState, Local},
+    dialect::Dialect,
     gate::Gate,
     members,
     metrics::Metrics,
@@ -47,7 +50,11 @@
     pub(crate) journal: Arc<Journal>,
     pub(crate) views: Views,
     pub(crate) spread: Spread,
+    /// The language of the listeners, where it is not the own one.
+    pub(crate) dialect: Option<Arc<dyn Dialect>>,
     pub(crate) local: Local,
+    pub(crate) splits: Mutex<Splits>,
+    registration: Mutex<Registration>,
     pub(crate) running: Running,
     pub(crate) routes: Routes,
     pub(crate) gate: Gate,
@@ -78,6 +85,7 @@
         settings: Settings,
         incarnation: Incarnation,
         journal: Arc<Journal>,
+        dialect: Option<Arc<dyn Dialect>>,
     ) -> Self {
         let now = Instant::now();
         Self {
@@ -100,11 +108,7 @@
                     incarnation,
                 },
                 settings.data_centre.clone(),
-                settings
-                    .seeds
-                    .iter()
-                    .map(|seed| seed.data_centre.clone())
-                    .collect(),
+                settings.data_centres().into_iter().collect(),
             ),
             tokens: OnceLock::new(),
             claims: OnceLock::new(),
@@ -114,7 +118,10 @@
             incarnation,
             views: Views::open(journal.clone()),
             journal,
-            local: Local::open(),
+            local: Local::open(dialect.clone()),
+            dialect,
+            splits: Mutex::default(),
+            registration: Mutex::default(),
             running: Running::default(),
             metrics: Metrics::open(),
             watch: Watch::default(),
@@ -174,6 +181,17 @@
         self.claims.get().cloned()
     }
 
+    /// Whether the data centres have stewards, which need seeds that the settings name.
+    pub(crate) fn has_stewards(&self) -> bool {
+        self.settings.contacts.is_none()
+    }
+
+    /// The lives of the backend server beside this node.
+    pub(crate) fn registration(&self) -> MutexGuard<'_, Registration> {
+        let registration = self.registration.lock();
+        registration.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The requests and calls that are in this process.
     pub(crate) fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::SeqCst)
--- a/crates/nutmegwheel-node/src/views.rs
+++ b/crates/nutmegwheel-node/src/views.rs
@@ -1,6 +1,6 @@
 use std::sync::{Arc, PoisonError, RwLock};
 
-use nutmegwheel_config::{Delta, View, ViewError};
+use nutmegwheel_config::{Delta, Hosts, View, ViewError};
 use nutmegwheel_events::{Event, Journal};
 use nutmegwheel_spread::Change;
 use nutmegwheel_types::{ConfigVersion, KeyHash, WorkspaceId};
@@ -10,7 +10,14 @@
 /// The newest view that this node holds; its version only goes up.
 pub(crate) struct Views {
     journal: Arc<Journal>,
-    current: RwLock<Arc<View>>,
+    current: RwLock<InForce>,
+}
+
+/// A view with the index of its routes.
+#[derive(Clone, Default)]
+pub(crate) struct InForce {
+    pub(crate) view: Arc<View>,
+    pub(crate) hosts: Arc<Hosts>,
 }
 
 impl Views {
@@ -22,6 +29,10 @@
     }
 
     pub(crate) fn current(&self) -> Arc<View> {
+        self.in_force().view
+    }
+
+    pub(crate) fn in_force(&self) -> InForce {
         let current = self.current.read().unwrap_or_else(PoisonError::into_inner);
         current.clone()
     }
@@ -48,13 +59,16 @@
     /// Puts a view in force unless the one held is as new, and returns the one in force.
     fn replace(&self, view: View) -> Arc<View> {
         let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
-        if view.version > current.version {
+        if view.version > current.view.version {
             let version = view.version;
-            *current = Arc::new(view);
+            *current = InForce {
+                hosts: Arc::new(Hosts::open(&view.configuration)),
+                view: Arc::new(view),
+            };
             self.journal
                 .emit(Event::ConfigurationInForce, &[("version", &version)]);
         }
-        current.clone()
+        current.view.clone()
     }
 }
 
--- a/crates/nutmegwheel-policy/src/lib.rs
+++ b/crates/nutmegwheel-policy/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod deadline;
 pub mod needs;
 pub mod quarantine;
+pub mod registration;
 pub mod retry;
 pub mod routing;
 pub mod shed;
+pub mod split;
--- /dev/null
+++ b/crates/nutmegwheel-policy/src/split.rs
@@ -0,0 +1,78 @@
+//! The services that share the requests of a route by weight.
+//!
+//! A draw by chance misses the weights in small samples by a lot. The choice is a wheel, so that
+//! every run of requests is as close to the weights as whole requests can be. It never looks at
+//! load: what one service has no room for is refused and not moved to another one.
+
+use std::collections::HashMap;
+
+use nutmegwheel_types::RouteId;
+use rand::Rng;
+
+/// The most steps that a wheel is turned before its first choice.
+const FIRST_STEPS: u64 = 256;
+/// The most routes whose wheels are kept; past it all wheels start anew.
+const MAX_WHEELS: usize = 4096;
+
+/// The wheels of all routes that lead to several services.
+#[derive(Debug, Default)]
+pub struct Splits {
+    wheels: HashMap<RouteId, Wheel>,
+}
+
+/// Smooth weighted round robin over the parts of one route.
+#[derive(Debug)]
+struct Wheel {
+    weights: Vec<u32>,
+    credits: Vec<i64>,
+}
+
+impl Splits {
+    /// Chooses a part by its weight, or returns `None` where no weight is above 0.
+    ///
+    /// Wheels begin at a random place, so that the first requests at many doors do not all go to
+    /// the heaviest part.
+    pub fn choose(
+        &mut self,
+        route: &RouteId,
+        weights: &[u32],
+        rng: &mut impl Rng,
+    ) -> Option<usize> {
+        if weights.len() == 1 {
+            return (weights[0] > 0).then_some(0);
+        }
+        let is_turning = self.wheels.get(route).is_some_and(|w| w.weights == weights);
+        if !is_turning {
+            if self.wheels.len() >= MAX_WHEELS {
+                self.wheels.clear();
+            }
+            self.wheels.insert(route.clone(), Wheel::open(weights, rng));
+        }
+        self.wheels.get_mut(route)?.turn()
+    }
+}
+
+impl Wheel {
+    fn open(weights: &[u32], rng: &mut impl Rng) -> Self {
+        let mut wheel = Self {
+            weights: weights.to_vec(),
+            credits: vec![0; weights.len()],
+        };
+        let total: u64 = weights.iter().copied().map(u64::from).sum();
+        for _ in 0..rng.random_range(0..total.clamp(1, FIRST_STEPS)) {
+            wheel.turn();
+        }
+        wheel
+    }
+
+    fn turn(&mut self) -> Option<usize> {
+        for (credit, weight) in self.credits.iter_mut().zip(&self.weights) {
+            *credit += i64::from(*weight);
+        }
+        let total: i64 = self.weights.iter().copied().map(i64::from).sum();
+        let usable = (0..self.weights.len()).filter(|part| self.weights[*part] > 0);
+        let chosen = usable.max_by_key(|part| self.credits[*part])?;
+        self.credits[chosen] -= total;
+        Some(chosen)
+    }
+}
--- a/crates/nutmegwheel-spread/src/spread.rs
+++ b/crates/nutmegwheel-spread/src/spread.rs
@@ -129,6 +129,14 @@
     }
 }
 
+/// What this process is told.
+impl Spread {
+    /// Takes over newer contacts, which replace the ones before.
+    pub fn set_contacts(&self, contacts: Vec<std::net::SocketAddr>) {
+        self.lock().set_contacts(contacts);
+    }
+}
+
 /// Access.
 impl Spread {
     /// Whether this process may start keyed work at this instant.
@@ -190,13 +198,6 @@
         name: seed.name.clone(),
         link: seed.link,
     });
-    let mut data_centres: Vec<_> = settings
-        .seeds
-        .iter()
-        .map(|seed| seed.data_centre.clone())
-        .collect();
-    data_centres.sort();
-    data_centres.dedup();
     Options {
         name: settings.name.clone(),
         data_centre: settings.data_centre.clone(),
@@ -210,8 +211,9 @@
         incarnation,
         nonce: rand::random(),
         seeds: seeds.collect(),
-        contacts: settings.seeds.iter().map(|seed| seed.link).collect(),
-        data_centres,
+        contacts: settings.contact_links(),
+        data_centres: settings.data_centres(),
         cut_off: CutOff::Serve,
+        needs_lease: settings.contacts.is_none(),
     }
 }
--- a/crates/nutmegwheel-types/src/ids.rs
+++ b/crates/nutmegwheel-types/src/ids.rs
@@ -25,3 +25,5 @@
 /// The id that names one request over all its resends; the hash of workspace, endpoint and the
 /// caller's idempotency key.
 pub type RequestId = [u8; 32];
+/// The name of a route that is found by host and path.
+pub type RouteId = Arc<str>;
--- a/crates/nutmegwheel-types/src/lib.rs
+++ b/crates/nutmegwheel-types/src/lib.rs
@@ -13,5 +13,5 @@
 pub use context::{Context, Priority};
 pub use ids::{
     ClassId, ClassRank, ConfigVersion, DataCentreId, EndpointId, Incarnation, KeyHash, ProcessName,
-    RequestId, RootId, ServiceId, WorkspaceId,
+    RequestId, RootId, RouteId, ServiceId, WorkspaceId,
 };
--- a/crates/nutmegwheel-web/src/operator.rs
+++ b/crates/nutmegwheel-web/src/operator.rs
@@ -10,12 +10,13 @@
 ///
 /// # Errors
 ///
-/// Refuses with 401 when the secret is missing or wrong.
-pub fn authorize(head: &Parts, secret: &str) -> Result<(), Problem> {
+/// Refuses with 401 when the secret is missing or wrong, and always when the settings name none.
+pub fn authorize(head: &Parts, secret: Option<&str>) -> Result<(), Problem> {
     let refused = || {
         let detail = "the operators' secret is missing or wrong";
         Problem::new(StatusCode::UNAUTHORIZED, "no-secret", detail)
     };
+    let secret = secret.ok_or_else(refused)?;
     let shown = bearer(head).ok_or_else(refused)?;
     if bool::from(shown.as_bytes().ct_eq(secret.as_bytes())) {
         Ok(())
--- a/crates/nutmegwheel/src/role.rs
+++ b/crates/nutmegwheel/src/role.rs
@@ -1,15 +1,21 @@
-use std::{path::Path, sync::Arc};
+use std::{
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
 
 use anyhow::Context as _;
-use nutmegwheel_config::{Role, Settings};
-use nutmegwheel_events::{Clock, Journal, Options, SystemTime, WallTime as _};
+use nutmegwheel_config::{Dialect, Role, Settings};
+use nutmegwheel_events::{Clock, Event, Journal, Options, SystemTime, WallTime as _};
 use simplelog::{ConfigBuilder, LevelFilter, SimpleLogger};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// How many events a process keeps for the time line.
 const EVENTS_KEPT: usize = 8192;
 /// The threads that serve links; HTTP listeners have their own.
 const THREADS: usize = 2;
+/// The time between two looks at the settings file, which may change without a signal.
+const LOOK_PAUSE: Duration = Duration::from_secs(2);
 /// The settings or the start were refused.
 const REFUSED: u8 = 1;
 
@@ -66,35 +72,120 @@
         .worker_threads(THREADS)
         .enable_all()
         .build()?;
-    runtime.block_on(serve(settings, journal))
+    runtime.block_on(serve(path, settings, journal))
 }
 
-async fn serve(settings: Settings, journal: Arc<Journal>) -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let told_to_stop = async {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-    };
+async fn serve(path: &Path, settings: Settings, journal: Arc<Journal>) -> anyhow::Result<()> {
+    let mut stop = Stop::open()?;
+    let mut reload = Reload::open(path)?;
     // A restarted process has a greater number, which tells its lives apart.
     let incarnation = SystemTime.millis();
-    match settings.role {
+    let role = settings.role;
+    let is_foreign = settings.dialect == Dialect::Platform;
+    match role {
         Role::Node => {
-            let node = nutmegwheel_node::spawn(settings, incarnation, journal).await?;
-            told_to_stop.await;
+            let dialect = is_foreign.then(|| Arc::new(nutmegwheel_platform::Node) as _);
+            let journal_here = journal.clone();
+            let node = nutmegwheel_node::spawn(settings, incarnation, journal, dialect).await?;
+            loop {
+                tokio::select! {
+                    () = stop.told() => break,
+                    read = reload.next() => {
+                        record_reload(&journal_here, read.map(|new| node.reload(&new)));
+                    }
+                }
+            }
             node.shutdown().await;
         }
         Role::Control => {
-            let control = nutmegwheel_control::spawn(settings, incarnation, journal).await?;
-            told_to_stop.await;
+            let dialect = is_foreign.then(|| Arc::new(nutmegwheel_platform::Control) as _);
+            let journal_here = journal.clone();
+            let control = nutmegwheel_control::spawn(settings, incarnation, journal, dialect);
+            let control = control.await?;
+            loop {
+                tokio::select! {
+                    () = stop.told() => break,
+                    read = reload.next() => {
+                        record_reload(&journal_here, read.map(|new| control.reload(&new)));
+                    }
+                }
+            }
             control.shutdown().await;
         }
     }
     Ok(())
 }
 
+/// The signals that end a process.
+struct Stop {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Stop {
+    fn open() -> anyhow::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn told(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+/// Reads the settings again on SIGHUP, and whenever the file has other content than before.
+struct Reload {
+    path: PathBuf,
+    hang_up: Signal,
+    text: String,
+}
+
+impl Reload {
+    fn open(path: &Path) -> anyhow::Result<Self> {
+        Ok(Self {
+            path: path.to_owned(),
+            hang_up: signal(SignalKind::hangup())?,
+            text: std::fs::read_to_string(path).unwrap_or_default(),
+        })
+    }
+
+    /// Waits for newer settings and reads them.
+    async fn next(&mut self) -> anyhow::Result<Settings> {
+        loop {
+            let is_told = tokio::select! {
+                _ = self.hang_up.recv() => true,
+                () = tokio::time::sleep(LOOK_PAUSE) => false,
+            };
+            let text = std::fs::read_to_string(&self.path)
+                .with_context(|| format!("{}: read the settings", self.path.display()));
+            let text = match text {
+                Ok(text) => text,
+                Err(e) if is_told => return Err(e),
+                // The file may be missing while it is replaced; the next look finds it.
+                Err(_) => continue,
+            };
+            if text == self.text && !is_told {
+                continue;
+            }
+            let parsed = Settings::parse(&text).with_context(|| self.path.display().to_string());
+            self.text = text;
+            return parsed;
+        }
+    }
+}
+
+fn record_reload(journal: &Journal, reloaded: anyhow::Result<()>) {
+    match reloaded {
+        Ok(()) => journal.emit(Event::SettingsReloaded, &[]),
+        Err(e) => journal.emit(Event::SettingsRefused, &[("error", &format!("{e:#}"))]),
+    }
+}
+
 fn log_to_stderr() -> anyhow::Result<()> {
     let config = ConfigBuilder::new()
         .set_time_format_rfc3339()
