feat(node): calls of backend servers belong to the request that they are made for

Cause: on the platform a call carries no context, so it counted as a new request: own rank, own retries, and doors never learnt what a request needs further down.

Ruled out: matching by the time left (it collides at 13 requests at a time).

--- a/crates/nutmegwheel-node/src/backend.rs
+++ b/crates/nutmegwheel-node/src/backend.rs
@@ -184,6 +184,15 @@
     }
 }
 
+/// Calls.
+impl Local {
+    /// The id that its caller gave a call, where the dialect has such.
+    pub(crate) fn id<'a>(&self, call: &'a Call) -> Option<&'a str> {
+        let id = self.dialect.as_ref()?.id(&call.fields)?;
+        id.to_str().ok()
+    }
+}
+
 /// Answers.
 impl Local {
     /// Whether the answer is that of the call, and the backend server ran it.
--- a/crates/nutmegwheel-node/src/dialect.rs
+++ b/crates/nutmegwheel-node/src/dialect.rs
@@ -16,6 +16,8 @@
         pub host: String,
         /// The caller's id of this attempt.
         pub id: HeaderValue,
+        /// The id of the request that this one is a call of, where it may be one.
+        pub parent: Option<String>,
         /// The time that the caller waits.
         pub deadline: Option<Duration>,
         /// The hash of the key that it shows.
@@ -120,6 +122,8 @@
     fn asked(&self, head: &request::Parts) -> Result<Asked, String>;
     /// Replaces the fields that belong to the system by its own.
     fn mark(&self, fields: &mut Fields, marks: &Marks<'_>);
+    /// The caller's id among the fields of a request.
+    fn id<'a>(&self, fields: &'a [(HeaderName, HeaderValue)]) -> Option<&'a HeaderValue>;
     /// Writes the fields of the last hop.
     fn address(&self, fields: &mut HeaderMap, hop: &Hop<'_>);
     /// Says what an answer means to the request with these fields.
--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -116,6 +116,14 @@
         settled.unspent = None;
         let served = attempt(shared, call, &target, &mut replaces).await;
         settled.unspent = served.unspent;
+        if let Some(report) = &served.report {
+            let level = report.shed_level;
+            parent.note([Below {
+                service: call.service.clone(),
+                node: target.node.clone(),
+                level,
+            }]);
+        }
         parent.note(served.below);
         let refusal = match served.result {
             Ok(answer) => return Ok(answer),
--- a/crates/nutmegwheel-node/src/host_door.rs
+++ b/crates/nutmegwheel-node/src/host_door.rs
@@ -13,7 +13,7 @@
 use crate::{
     call::{Answer, Call},
     dialect::{Asked, Dialect, Marks, Refused},
-    forward, headers,
+    forward, headers, local,
     refusal::{Reason, Refusal},
     running::Parent,
     shared::Shared,
@@ -60,11 +60,16 @@
         let detail = "this node stops; ask another one";
         return Err(Refusal::not_run(Reason::Leaving, detail));
     }
-    let call = admit(shared, dialect, req, &asked, now)?;
-    forward::shed_at_once(shared, &call, now)?;
-    let parent = Parent::open(call.context.clone(), call.key, call.deadline);
+    let parent = asked.parent.as_deref();
+    let parent = parent.and_then(|parent| shared.running.parent_of(parent));
+    let call = admit(shared, dialect, req, &asked, parent.as_deref(), now)?;
     let id = forward::call_id(&call, None);
-    forward::forward(shared, &parent, call, id).await
+    if let Some(parent) = parent {
+        return forward::forward(shared, &parent, call, id).await;
+    }
+    forward::shed_at_once(shared, &call, now)?;
+    let root = Parent::open(call.context.clone(), call.key, call.deadline);
+    forward::forward(shared, &root, call, id).await
 }
 
 /// Makes the call of a caller's request, or tells why there is none.
@@ -73,6 +78,7 @@
     dialect: &dyn Dialect,
     req: Request,
     asked: &Asked,
+    parent: Option<&Parent>,
     now: Instant,
 ) -> Result<Call, Refusal> {
     let in_force = shared.views.in_force();
@@ -100,6 +106,10 @@
         },
     );
     let time = asked.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let context = match parent {
+        Some(parent) => child_context(parent, route, time)?,
+        None => context(view, route, workspace, time),
+    };
     Ok(Call {
         service,
         endpoint: route.name.clone(),
@@ -107,8 +117,8 @@
         path: whole.to_owned(),
         fields,
         body: req.body,
-        deadline: now + time,
-        context: context(view, route, workspace, time),
+        deadline: parent.map_or(now + time, |parent| parent.deadline.min(now + time)),
+        context,
         key: None,
         name: None,
         attempt: None,
@@ -160,14 +170,26 @@
             root_hash: u16::try_from(root >> 112).unwrap_or_default(),
         },
         remaining,
-        // Open routes are those of the calls that backend servers make; work was done for them.
-        depth: u8::from(workspace.is_none()),
+        depth: 0,
         workspace,
         retry_tokens: view.configuration.retries_per_request,
         non_idempotent: route.non_idempotent,
     }
 }
 
+/// The context of a call that the backend server here makes for a request that it works on.
+fn child_context(
+    parent: &Parent,
+    route: &HostRoute,
+    remaining: Duration,
+) -> Result<Context, Refusal> {
+    let mut context = parent.context.clone();
+    local::descend(&mut context)?;
+    context.remaining = remaining;
+    context.non_idempotent = route.non_idempotent;
+    Ok(context)
+}
+
 /// Turns the result into the answer to the caller.
 fn respond(
     shared: &Shared,
--- a/crates/nutmegwheel-node/src/local.rs
+++ b/crates/nutmegwheel-node/src/local.rs
@@ -8,7 +8,7 @@
 
 use http::{Method, StatusCode};
 use nutmegwheel_events::Event;
-use nutmegwheel_types::RootId;
+use nutmegwheel_types::{Context, RootId};
 use nutmegwheel_web::{Handler, HandlerFuture, Problem, Request, Response, json};
 use serde::Deserialize;
 
@@ -141,16 +141,22 @@
     forward::forward(shared, parent, call, id).await
 }
 
-fn child(shared: &Shared, req: Request, parent: &Parent) -> Result<Call, Refusal> {
-    let path = Path::read(&req.head.uri)?;
-    let view = shared.views.current();
-    let route = door::find_route(&view, path.service, path.endpoint)?;
-    let mut context = parent.context.clone();
+/// Goes one call deeper in a chain.
+pub(crate) fn descend(context: &mut Context) -> Result<(), Refusal> {
     if context.depth >= DEPTH_MAX {
         let detail = format!("the chain is more than {DEPTH_MAX} calls deep");
         return Err(Refusal::not_run(Reason::BadRequest, detail));
     }
     context.depth += 1;
+    Ok(())
+}
+
+fn child(shared: &Shared, req: Request, parent: &Parent) -> Result<Call, Refusal> {
+    let path = Path::read(&req.head.uri)?;
+    let view = shared.views.current();
+    let route = door::find_route(&view, path.service, path.endpoint)?;
+    let mut context = parent.context.clone();
+    descend(&mut context)?;
     let marked = headers::non_idempotent(&req.head.headers)?;
     context.non_idempotent = marked || route.non_idempotent;
     Ok(Call {
--- a/crates/nutmegwheel-node/src/running.rs
+++ b/crates/nutmegwheel-node/src/running.rs
@@ -1,6 +1,6 @@
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Instant,
 };
 
@@ -81,40 +81,69 @@
 /// The requests that the backend server works on.
 #[derive(Default)]
 pub(crate) struct Running {
-    parents: Mutex<HashMap<Token, Arc<Parent>>>,
+    state: Mutex<Named>,
+}
+
+#[derive(Default)]
+struct Named {
+    parents: HashMap<Token, Arc<Parent>>,
+    /// The tokens by the caller's ids, where the dialect has such.
+    tokens: HashMap<Box<str>, Token>,
 }
 
 /// Names a parent until it is dropped.
 pub(crate) struct Entry<'a> {
     running: &'a Running,
+    id: Option<Box<str>>,
     pub(crate) token: Token,
 }
 
 impl Running {
-    pub(crate) fn enter(&self, parent: Arc<Parent>) -> Entry<'_> {
+    /// Names a parent by a token, and by its caller's id where there is one.
+    pub(crate) fn enter(&self, parent: Arc<Parent>, id: Option<&str>) -> Entry<'_> {
         let token = rand::random();
-        self.lock().insert(token, parent);
+        let id: Option<Box<str>> = id.map(Into::into);
+        let mut named = self.lock();
+        named.parents.insert(token, parent);
+        if let Some(id) = &id {
+            named.tokens.insert(id.clone(), token);
+        }
+        drop(named);
         Entry {
             running: self,
+            id,
             token,
         }
     }
 
     pub(crate) fn parent(&self, token: Token) -> Option<Arc<Parent>> {
-        self.lock().get(&token).cloned()
+        self.lock().parents.get(&token).cloned()
+    }
+
+    /// The parent that its caller named `id`.
+    pub(crate) fn parent_of(&self, id: &str) -> Option<Arc<Parent>> {
+        let named = self.lock();
+        let token = named.tokens.get(id)?;
+        named.parents.get(token).cloned()
     }
 
     pub(crate) fn count(&self) -> usize {
-        self.lock().len()
+        self.lock().parents.len()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<Token, Arc<Parent>>> {
-        self.parents.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Named> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Drop for Entry<'_> {
     fn drop(&mut self) {
-        self.running.lock().remove(&self.token);
+        let mut named = self.running.lock();
+        named.parents.remove(&self.token);
+        if let Some(id) = &self.id
+            && named.tokens.get(id) == Some(&self.token)
+        {
+            named.tokens.remove(id);
+        }
     }
 }
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -99,7 +99,7 @@
     let fingerprint = suspects::fingerprint(call);
     let watched = shared.suspects.begin(Instant::now(), fingerprint)?;
     once::arrive(shared, call)?;
-    let entry = shared.running.enter(parent.clone());
+    let entry = shared.running.enter(parent.clone(), shared.local.id(call));
     let result = shared.local.run(&server, call, entry.token).await;
     pass.complete(completion(&result));
     match &result {
