feat(limits): limits of workspaces are divided by a hub, and lent where a part is too small

Besides: limits found from latencies began at a tenth of the slots and idled them, an estimate made of timed-out requests refused free slots, and levels could not cut inside a class of deep work.

--- a/crates/nutmegwheel-config/src/lib.rs
+++ b/crates/nutmegwheel-config/src/lib.rs
@@ -19,5 +19,5 @@
 pub use delta::Delta;
 pub use error::CheckError;
 pub use hosts::{HostRoute, Hosts, Share};
-pub use settings::{BackendServer, Contacts, Dialect, Listen, Role, Seed, Settings};
+pub use settings::{BackendServer, Concurrency, Contacts, Dialect, Listen, Role, Seed, Settings};
 pub use view::{View, ViewError, hash_key};
--- a/crates/nutmegwheel-config/src/settings.rs
+++ b/crates/nutmegwheel-config/src/settings.rs
@@ -31,6 +31,14 @@
         Control,
     }
 
+    /// How many requests a backend server gets at a time.
+    pub enum Concurrency {
+        /// As many as its outcomes show that it can work on, at most the announced slots.
+        Found,
+        /// As many as it announces, but for a few slots.
+        Announced,
+    }
+
     /// The language that a process speaks with callers, backend servers and operators.
     pub enum Dialect {
         /// The interface of docs/INTERFACES.md.
@@ -87,6 +95,8 @@
         pub service: ServiceId,
         /// Where it takes requests of its node.
         pub address: SocketAddr,
+        /// How many requests it gets at a time.
+        pub concurrency: Concurrency,
     }
 
     /// The addresses on which a process listens; docs/INTERFACES.md, "Listeners".
@@ -262,11 +272,23 @@
     let backend_server = BackendServer {
         service: table.need("service")?.name()?.into(),
         address: table.need("address")?.parsed("an IP address with a port")?,
+        concurrency: match table.take("concurrency") {
+            Some(field) => read_concurrency(&field)?,
+            None => Concurrency::Found,
+        },
     };
     table.finish()?;
     Ok(backend_server)
 }
 
+fn read_concurrency(field: &Field<'_>) -> Result<Concurrency, CheckError> {
+    match field.string()? {
+        "found" => Ok(Concurrency::Found),
+        "announced" => Ok(Concurrency::Announced),
+        other => Err(field.error(format!("{other:?} must be \"found\" or \"announced\""))),
+    }
+}
+
 /// Only the project's own interface needs a secret: what a platform calls is open by its protocol.
 fn read_operator_secret(
     table: &mut Table<'_>,
--- /dev/null
+++ b/crates/nutmegwheel-control/src/allotments.rs
@@ -0,0 +1,136 @@
+//! The leading control VM as the hub of limits, where no data centre has a steward.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Instant,
+};
+
+use bytes::Bytes;
+use nutmegwheel_limits::{
+    Limit,
+    allotment::{Borrowed, Hub, Item, Report},
+};
+use nutmegwheel_spread::Spread;
+use nutmegwheel_types::WorkspaceId;
+use nutmegwheel_wire as wire;
+use prost::Message as _;
+
+use crate::{log::ReplicatedLog, shares};
+
+/// Divides the limits of workspaces among doors while this control VM leads.
+pub(crate) struct Allotments {
+    log: Arc<ReplicatedLog>,
+    spread: Arc<Spread>,
+    /// The hub, and the term in which it was opened.
+    office: Mutex<Option<(u64, Hub)>>,
+}
+
+/// Lifecycle.
+impl Allotments {
+    pub(crate) fn open(log: Arc<ReplicatedLog>, spread: Arc<Spread>) -> Self {
+        Self {
+            log,
+            spread,
+            office: Mutex::default(),
+        }
+    }
+}
+
+/// Answering doors.
+impl Allotments {
+    /// Answers a report; where another control VM leads, with its address.
+    pub(crate) fn report(&self, head: Bytes) -> Option<Bytes> {
+        let report = report_from_wire(wire::AllotmentReport::decode(head).ok()?);
+        let doors = self.spread.count_doors();
+        let answer = self.in_office(|hub| {
+            hub.report(Instant::now(), &report, doors, |workspace| {
+                self.limit(workspace)
+            })
+        });
+        let answer = match answer {
+            Some(answer) => wire::AllotmentAnswer {
+                parts: answer
+                    .parts
+                    .into_iter()
+                    .map(|(workspace, part)| (workspace.to_string(), part))
+                    .collect(),
+                is_hub: true,
+                hub: String::new(),
+            },
+            None => wire::AllotmentAnswer {
+                hub: self.leader(),
+                ..Default::default()
+            },
+        };
+        Some(answer.encode_to_vec().into())
+    }
+
+    /// Lends a token; where another control VM leads, answers with its address.
+    pub(crate) fn borrow(&self, head: Bytes) -> Option<Bytes> {
+        let workspace: WorkspaceId = wire::Borrow::decode(head).ok()?.workspace.into();
+        let doors = self.spread.count_doors();
+        let limit = self.limit(&workspace).unwrap_or(Limit::ZERO);
+        let borrowed =
+            self.in_office(|hub| hub.borrow(Instant::now(), &workspace, limit, doors));
+        let answer = match borrowed {
+            Some(Borrowed::Granted) => wire::BorrowAnswer {
+                granted: true,
+                is_hub: true,
+                ..Default::default()
+            },
+            Some(Borrowed::Denied { retry_after }) => wire::BorrowAnswer {
+                retry_after_us: u64::try_from(retry_after.as_micros()).unwrap_or(u64::MAX),
+                is_hub: true,
+                ..Default::default()
+            },
+            None => wire::BorrowAnswer {
+                hub: self.leader(),
+                ..Default::default()
+            },
+        };
+        Some(answer.encode_to_vec().into())
+    }
+
+    /// Works with the hub of this term, or returns `None` while another control VM leads.
+    fn in_office<T>(&self, work: impl FnOnce(&mut Hub) -> T) -> Option<T> {
+        let term = self.log.leads();
+        let mut office = self.office();
+        let Some(term) = term else {
+            *office = None;
+            return None;
+        };
+        if office.as_ref().is_none_or(|(since, _)| *since != term) {
+            *office = Some((term, Hub::open(Instant::now())));
+        }
+        office.as_mut().map(|(_, hub)| work(hub))
+    }
+
+    fn limit(&self, workspace: &WorkspaceId) -> Option<Limit> {
+        self.log.with_view(|view| {
+            let configured = view.configuration.workspaces.get(workspace)?;
+            let burst = shares::whole(configured.burst);
+            Some(Limit::from_config(configured.rate, burst))
+        })
+    }
+
+    fn leader(&self) -> String {
+        let leader = self.log.leader_address();
+        leader.map(|address| address.to_string()).unwrap_or_default()
+    }
+
+    fn office(&self) -> MutexGuard<'_, Option<(u64, Hub)>> {
+        self.office.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn report_from_wire(wire: wire::AllotmentReport) -> Report {
+    let items = wire.items.into_iter().map(|item| Item {
+        workspace: item.workspace.into(),
+        demand: item.demand,
+        part: item.part,
+    });
+    Report {
+        door: wire.door.into(),
+        items: items.collect(),
+    }
+}
--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -10,6 +10,7 @@
 use nutmegwheel_types::Incarnation;
 
 use crate::{
+    allotments::Allotments,
     dialect::Dialect,
     log::{self, ReplicatedLog},
     members::{Members, Offer},
@@ -83,6 +84,7 @@
         log: log.clone(),
         duty: duty.clone(),
         shares: shares.clone(),
+        allotments: Arc::new(Allotments::open(log.clone(), spread.clone())),
     });
     let endpoint = Endpoint::bind(opts, service)
         .await
--- a/crates/nutmegwheel-control/src/lib.rs
+++ b/crates/nutmegwheel-control/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod allotments;
 mod control;
 mod dialect;
 mod log;
--- a/crates/nutmegwheel-control/src/log/replicated.rs
+++ b/crates/nutmegwheel-control/src/log/replicated.rs
@@ -1,4 +1,5 @@
 use std::{
+    net::SocketAddr,
     path::PathBuf,
     sync::{Arc, OnceLock, PoisonError, RwLock, mpsc},
     time::{Duration, Instant},
@@ -160,6 +161,17 @@
         leads.then_some(status.term)
     }
 
+    /// Looks at the newest view that this replica has applied, without a copy of it.
+    pub(crate) fn with_view<T>(&self, work: impl FnOnce(&View) -> T) -> T {
+        self.state(|state| work(state.view()))
+    }
+
+    /// Where the leader takes links, as far as this replica knows.
+    pub(crate) fn leader_address(&self) -> Option<SocketAddr> {
+        let leader = self.replica_status()?.leader?;
+        self.group.address(&leader.name)
+    }
+
     async fn commit_within(&self, command: Bytes, limit: Duration) -> Result<Verdict, LogError> {
         let end = Instant::now() + limit;
         loop {
--- a/crates/nutmegwheel-control/src/service.rs
+++ b/crates/nutmegwheel-control/src/service.rs
@@ -7,6 +7,7 @@
 use prost::Message as _;
 
 use crate::{
+    allotments::Allotments,
     log::{Log as _, ReplicatedLog},
     members::Members,
     shares::Shares,
@@ -19,16 +20,19 @@
     pub(crate) log: Arc<ReplicatedLog>,
     pub(crate) duty: Option<Arc<Duty>>,
     pub(crate) shares: Arc<Shares>,
+    pub(crate) allotments: Arc<Allotments>,
 }
 
 impl Service for ControlService {
     fn serve(&self, _peer: Peer, req: Request) -> ServeFuture {
         let (log, duty) = (self.log.clone(), self.duty.clone());
-        let shares = self.shares.clone();
+        let (shares, allotments) = (self.shares.clone(), self.allotments.clone());
         Box::pin(async move {
             match req.topic {
                 topic::COMMIT | topic::READ_INDEX => log.serve(req.topic, req.body).await,
                 topic::FIRST_START => reply(first_start(&log, req.head).await),
+                topic::ALLOTMENT => reply(allotments.report(req.head)),
+                topic::BORROW => reply(allotments.borrow(req.head)),
                 topic::RENEWAL => reply(shares.renew(req.head).await),
                 topic => reply(duty.map(|duty| duty.serve(topic, req.head))),
             }
--- a/crates/nutmegwheel-control/src/shares.rs
+++ b/crates/nutmegwheel-control/src/shares.rs
@@ -184,6 +184,6 @@
 
 /// A burst of the configuration in whole tokens.
 #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn whole(burst: f64) -> u32 {
+pub(crate) fn whole(burst: f64) -> u32 {
     burst.clamp(1.0, f64::from(u32::MAX)) as u32
 }
--- a/crates/nutmegwheel-events/src/catalogue.rs
+++ b/crates/nutmegwheel-events/src/catalogue.rs
@@ -66,6 +66,14 @@
     RetriesSpent = 301, "retries-spent", Warn;
     /// Requests of a fingerprint are refused because they bring down backend servers.
     RequestQuarantined = 302, "request-quarantined", Error;
+    /// A caller's request was refused or failed.
+    RequestFailed = 310, "request-failed", Warn;
+    /// A call was refused or failed at the node of its backend server.
+    CallFailed = 311, "call-failed", Warn;
+    /// A try failed, and the call is sent again.
+    CallRetried = 312, "call-retried", Info;
+    /// The hub of limits did not answer a door that wanted to borrow.
+    HubSilent = 313, "hub-silent", Warn;
     /// A newer configuration is in force in this process.
     ConfigurationInForce = 400, "configuration-in-force", Info;
     /// A configuration or view from another process was refused.
--- a/crates/nutmegwheel-events/src/journal.rs
+++ b/crates/nutmegwheel-events/src/journal.rs
@@ -1,6 +1,7 @@
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, HashMap, VecDeque},
     sync::{Mutex, PoisonError},
+    time::{Duration, Instant},
 };
 
 use nutmegwheel_types::{ProcessName, plain};
@@ -35,11 +36,25 @@
     }
 }
 
+/// The time over which decisions of one kind are counted.
+const WINDOW: Duration = Duration::from_secs(1);
+/// The decisions of one kind that are told one by one in a window; the rest is told as a count.
+const TOLD_IN_WINDOW: u64 = 40;
+
 /// The newest events of a process, which are also written to the log.
 pub struct Journal {
     opts: Options,
     clock: Clock,
     records: Mutex<Records>,
+    windows: Mutex<HashMap<Event, Window>>,
+}
+
+/// The decisions of one kind in the present window.
+struct Window {
+    began: Instant,
+    count: u64,
+    /// Those that were not told one by one, of this window and the ones before.
+    untold: u64,
 }
 
 #[derive(Default)]
@@ -57,6 +72,7 @@
             opts,
             clock,
             records: Mutex::default(),
+            windows: Mutex::default(),
         }
     }
 }
@@ -65,11 +81,50 @@
 impl Journal {
     /// Records an event and writes it to the log.
     pub fn emit(&self, event: Event, fields: &[(&str, &dyn ToString)]) {
-        let fields: BTreeMap<String, String> = fields
+        let fields = fields
             .iter()
             .map(|(name, value)| ((*name).to_owned(), value.to_string()))
             .collect();
-        log::log!(event.level(), "{}", line(event, &fields));
+        self.write(event, fields);
+    }
+
+    /// Records a decision about one request. Under load only so many of a kind are told one by one,
+    /// and the next one that is carries the number of those between in its field `untold`.
+    pub fn decide(&self, event: Event, fields: &[(&str, &dyn ToString)]) {
+        let Some(untold) = self.may_tell(event, Instant::now()) else {
+            return;
+        };
+        let told = fields.iter();
+        let mut fields: BTreeMap<String, String> = told
+            .map(|(name, value)| ((*name).to_owned(), value.to_string()))
+            .collect();
+        if untold > 0 {
+            fields.insert("untold".to_owned(), untold.to_string());
+        }
+        self.write(event, fields);
+    }
+
+    /// Whether a decision is told, with the number of those before it that were not.
+    fn may_tell(&self, event: Event, now: Instant) -> Option<u64> {
+        let mut windows = self.windows.lock().unwrap_or_else(PoisonError::into_inner);
+        let window = windows.entry(event).or_insert(Window {
+            began: now,
+            count: 0,
+            untold: 0,
+        });
+        if now.saturating_duration_since(window.began) >= WINDOW {
+            window.began = now;
+            window.count = 0;
+        }
+        window.count += 1;
+        if window.count > TOLD_IN_WINDOW {
+            window.untold += 1;
+            return None;
+        }
+        Some(std::mem::take(&mut window.untold))
+    }
+
+    fn write(&self, event: Event, fields: BTreeMap<String, String>) {
         let stamp = self.clock.now();
         let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
         records.next += 1;
@@ -81,6 +136,10 @@
             event: event.word().to_owned(),
             fields,
         };
+        if log::log_enabled!(event.level()) {
+            let line = serde_json::to_string(&record);
+            log::log!(event.level(), "{}", line.unwrap_or_default());
+        }
         records.kept.push_back(record);
         if records.kept.len() > self.opts.capacity {
             records.kept.pop_front();
@@ -102,12 +161,3 @@
         newer.cloned().collect()
     }
 }
-
-fn line(event: Event, fields: &BTreeMap<String, String>) -> String {
-    use std::fmt::Write as _;
-    let mut line = format!("[{}] {}", event.number(), event.word());
-    for (name, value) in fields {
-        let _ = write!(line, " {name}={value:?}");
-    }
-    line
-}
--- a/crates/nutmegwheel-events/src/lib.rs
+++ b/crates/nutmegwheel-events/src/lib.rs
@@ -7,9 +7,11 @@
 mod catalogue;
 mod clock;
 mod journal;
+mod output;
 mod timeline;
 
 pub use catalogue::Event;
 pub use clock::{Clock, Stamp, SystemTime, WallTime};
 pub use journal::{Journal, Options, Record};
+pub use output::Output;
 pub use timeline::{merge, render};
--- /dev/null
+++ b/crates/nutmegwheel-events/src/output.rs
@@ -0,0 +1,88 @@
+//! Log lines on their way to an output that may be slow, blocked or closed.
+
+use std::{
+    io::{self, Write},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
+};
+
+/// The lines that wait for the output; further ones are dropped and counted.
+const QUEUE: usize = 4096;
+/// The longest line in bytes; what is longer is cut.
+const LINE_LIMIT: usize = 16 * 1024;
+
+/// Takes whole lines without ever waiting; a thread of its own writes them.
+pub struct Output {
+    lines: SyncSender<Vec<u8>>,
+    line: Vec<u8>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl Output {
+    /// Starts the thread that writes to `out`, and returns the output with its count of lines that
+    /// were dropped because `out` took them too slowly or not at all.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the thread cannot be started.
+    pub fn open(out: impl Write + Send + 'static) -> io::Result<(Self, Arc<AtomicU64>)> {
+        let (lines, received) = sync_channel(QUEUE);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let dropped_here = dropped.clone();
+        std::thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || write_all(out, &received, &dropped_here))?;
+        let output = Self {
+            lines,
+            line: Vec::new(),
+            dropped: dropped.clone(),
+        };
+        Ok((output, dropped))
+    }
+
+    fn end_line(&mut self) {
+        let line = std::mem::take(&mut self.line);
+        if self.lines.try_send(line).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Write for Output {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        for part in buf.split_inclusive(|byte| *byte == b'\n') {
+            let is_end = part.ends_with(b"\n");
+            let room = LINE_LIMIT.saturating_sub(self.line.len());
+            self.line.extend_from_slice(&part[..part.len().min(room)]);
+            if is_end {
+                if !self.line.ends_with(b"\n") {
+                    self.line.push(b'\n');
+                }
+                self.end_line();
+            }
+        }
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Writes what has gathered with one call, since each call to the system costs.
+fn write_all(mut out: impl Write, lines: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+    while let Ok(mut batch) = lines.recv() {
+        let mut count = 1;
+        while let Ok(line) = lines.try_recv() {
+            batch.extend_from_slice(&line);
+            count += 1;
+        }
+        // A closed output loses its lines; the process goes on, and the count shows it.
+        if out.write_all(&batch).and_then(|()| out.flush()).is_err() {
+            dropped.fetch_add(count, Ordering::Relaxed);
+        }
+    }
+}
--- a/crates/nutmegwheel-limits/src/lib.rs
+++ b/crates/nutmegwheel-limits/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+pub mod allotment;
 mod amount;
 pub mod bucket;
 pub mod lease;
--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -155,6 +155,18 @@
         match decide(shared, parent, call, settled.child, &attempt) {
             Decision::Retry { backoff, tokens } => {
                 shared.metrics.count_retry();
+                shared.journal.decide(
+                    Event::CallRetried,
+                    &[
+                        ("id", &shared.local.id(call).unwrap_or_default()),
+                        ("service", &call.service),
+                        ("failed_at", &target.node),
+                        ("reason", &refusal.reason.word()),
+                        ("detail", &refusal.detail),
+                        ("tokens_left", &tokens),
+                        ("backoff_ms", &backoff.as_millis()),
+                    ],
+                );
                 call.context.retry_tokens = tokens;
                 tokio::time::sleep(backoff).await;
             }
--- a/crates/nutmegwheel-node/src/gate.rs
+++ b/crates/nutmegwheel-node/src/gate.rs
@@ -6,11 +6,12 @@
     time::{Duration, Instant},
 };
 
+use nutmegwheel_config::Concurrency;
 use nutmegwheel_policy::{
     admission::{
         Completion, Event, Offer, Options, Queue, Reason as Why, Refusal as Shed, Request, Ticket,
     },
-    concurrency::{self, Gradient},
+    concurrency::{self, Fixed, Gradient, Limiter},
     routing::LoadReport,
 };
 use tokio::sync::{Notify, oneshot};
@@ -19,6 +20,9 @@
 
 /// The slots that are assumed before the backend server announced itself.
 const UNKNOWN_SLOTS: u32 = 1;
+/// The part of announced slots that is used. Backend servers slow down from 95 % on by their
+/// deployment's sheet, and hold a slot for health checks and new connections.
+const ANNOUNCED_PART_PERCENT: u32 = 94;
 /// The longest sleep of the pump when nothing waits.
 const IDLE_SLEEP: Duration = Duration::from_secs(1);
 
@@ -44,9 +48,17 @@
 
 /// Lifecycle.
 impl Gate {
-    pub(crate) fn open(now: Instant) -> Self {
-        let limiter = Gradient::open(now, UNKNOWN_SLOTS, concurrency::Options::default());
-        let queue = Queue::open(now, Box::new(limiter), Options::default());
+    pub(crate) fn open(now: Instant, concurrency: Concurrency) -> Self {
+        let limiter: Box<dyn Limiter> = match concurrency {
+            Concurrency::Found => {
+                let opts = concurrency::Options::default();
+                Box::new(Gradient::open(now, UNKNOWN_SLOTS, opts))
+            }
+            Concurrency::Announced => {
+                Box::new(Fixed::with_part(UNKNOWN_SLOTS, ANNOUNCED_PART_PERCENT))
+            }
+        };
+        let queue = Queue::open(now, limiter, Options::default());
         Self {
             state: Mutex::new(State {
                 queue,
--- a/crates/nutmegwheel-node/src/host_door.rs
+++ b/crates/nutmegwheel-node/src/host_door.rs
@@ -7,6 +7,7 @@
 
 use http::{HeaderValue, header};
 use nutmegwheel_config::{HostRoute, View};
+use nutmegwheel_events::Event;
 use nutmegwheel_types::{ClassRank, Context, Priority, RootId, ServiceId, WorkspaceId};
 use nutmegwheel_web::{Handler, HandlerFuture, Request, Response};
 
@@ -14,6 +15,7 @@
     call::{Answer, Call},
     dialect::{Asked, Dialect, Marks, Refused},
     forward, headers, local,
+    quotas::Quotas,
     refusal::{Reason, Refusal},
     running::Parent,
     shared::Shared,
@@ -44,11 +46,28 @@
                 Err(detail) => Err(Refusal::not_run(Reason::BadRequest, detail)),
             };
             shared.metrics.count(&result, began.elapsed());
+            if let (Err(refusal), Some(id)) = (&result, &id) {
+                record(&shared, refusal, id, began);
+            }
             respond(&shared, &*dialect, result, id.as_ref())
         })
     }
 }
 
+fn record(shared: &Shared, refusal: &Refusal, id: &HeaderValue, began: Instant) {
+    shared.journal.decide(
+        Event::RequestFailed,
+        &[
+            ("id", &id.to_str().unwrap_or_default()),
+            ("reason", &refusal.reason.word()),
+            ("outcome", &refusal.outcome.word()),
+            ("detail", &refusal.detail),
+            ("version", &shared.views.version()),
+            ("after_ms", &began.elapsed().as_millis()),
+        ],
+    );
+}
+
 async fn take(
     shared: &Arc<Shared>,
     dialect: &dyn Dialect,
@@ -67,7 +86,11 @@
     if let Some(parent) = parent {
         return forward::forward(shared, &parent, call, id).await;
     }
+    // What is shed anyway must not use up the workspace's rate.
     forward::shed_at_once(shared, &call, now)?;
+    if let Some(workspace) = &call.context.workspace {
+        Quotas::spend(shared, &shared.views.current(), workspace).await?;
+    }
     let root = Parent::open(call.context.clone(), call.key, call.deadline);
     forward::forward(shared, &root, call, id).await
 }
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -22,6 +22,7 @@
 mod node;
 mod once;
 mod platform;
+mod quotas;
 mod rates;
 mod refusal;
 mod routes;
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -21,6 +21,7 @@
     local::LocalDoor,
     members,
     platform::Platform,
+    quotas::Quotas,
     rates::Rates,
     serve::NodeService,
     shared::{LEAVE_TIME, Shared},
@@ -179,10 +180,17 @@
         }
     });
     let cx = shared.clone();
-    tree.spawn("rates", move || {
-        let cx = cx.clone();
-        async move { Rates::keep(&cx).await }
-    });
+    if shared.has_stewards() {
+        tree.spawn("rates", move || {
+            let cx = cx.clone();
+            async move { Rates::keep(&cx).await }
+        });
+    } else {
+        tree.spawn("quotas", move || {
+            let cx = cx.clone();
+            async move { Quotas::keep(&cx).await }
+        });
+    }
     let cx = shared.clone();
     tree.spawn("gate", move || {
         let cx = cx.clone();
--- /dev/null
+++ b/crates/nutmegwheel-node/src/quotas.rs
@@ -0,0 +1,219 @@
+//! The limits of workspaces at this door, where no data centre has a steward.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use nutmegwheel_config::{View, Workspace};
+use nutmegwheel_events::Event;
+use nutmegwheel_limits::{
+    Limit,
+    allotment::{Answer, Borrowed, Door, REPORT_INTERVAL, Report, Spend},
+};
+use nutmegwheel_link::{Request, Topic};
+use nutmegwheel_types::WorkspaceId;
+use nutmegwheel_wire::{self as wire, topic};
+use prost::Message;
+
+use crate::{
+    refusal::{Reason, Refusal},
+    shared::Shared,
+};
+
+/// The time that the hub gets to answer; a request that borrows waits no longer.
+const ANSWER_LIMIT: Duration = Duration::from_millis(250);
+/// How often a question is passed on to the hub that an answer names.
+const MAX_REDIRECTS: usize = 2;
+/// When to come back where the hub does not answer.
+const NO_HUB_PAUSE: Duration = Duration::from_millis(300);
+
+/// What this door holds of the workspaces' limits.
+pub(crate) struct Quotas {
+    door: Mutex<Door>,
+    /// The hub that answered last.
+    hub: Mutex<Option<SocketAddr>>,
+}
+
+/// Lifecycle.
+impl Quotas {
+    pub(crate) fn open(now: Instant) -> Self {
+        Self {
+            door: Mutex::new(Door::open(now)),
+            hub: Mutex::default(),
+        }
+    }
+
+    /// Reports to the hub; runs as long as the node.
+    pub(crate) async fn keep(shared: &Arc<Shared>) {
+        loop {
+            let sent = Instant::now();
+            let report = shared
+                .quotas
+                .door()
+                .report(sent, shared.settings.name.clone());
+            let message = report_to_wire(report);
+            let answer: Option<wire::AllotmentAnswer> =
+                ask(shared, topic::ALLOTMENT, &message).await;
+            if let Some(answer) = answer {
+                let parts = answer.parts.into_iter();
+                let parts = parts.map(|(workspace, part)| (workspace.into(), part));
+                let answer = Answer {
+                    parts: parts.collect(),
+                };
+                shared.quotas.door().answered(sent, &answer);
+            }
+            tokio::time::sleep(REPORT_INTERVAL).await;
+        }
+    }
+}
+
+/// Spending.
+impl Quotas {
+    /// Spends a token of the workspace, or refuses with the time to come back.
+    pub(crate) async fn spend(
+        shared: &Arc<Shared>,
+        view: &View,
+        workspace: &WorkspaceId,
+    ) -> Result<(), Refusal> {
+        let configured = view.configuration.workspaces.get(workspace);
+        let Some(configured) = configured.filter(|w| !w.is_unlimited()) else {
+            return Ok(());
+        };
+        let limit = limit(configured);
+        let doors = shared.spread.count_doors();
+        let quotas = &shared.quotas;
+        let now = Instant::now();
+        let spend = quotas.door().spend(now, workspace, limit, doors);
+        let retry_after = match spend {
+            Spend::Spent => return Ok(()),
+            Spend::Refused { retry_after } => retry_after,
+            Spend::Borrow => match quotas.borrow(shared, workspace).await {
+                Some(Borrowed::Granted) => return Ok(()),
+                Some(Borrowed::Denied { retry_after }) => retry_after,
+                None => {
+                    let now = Instant::now();
+                    let mut door = quotas.door();
+                    door.unanswered(now);
+                    match door.spend(now, workspace, limit, doors) {
+                        Spend::Spent => return Ok(()),
+                        Spend::Refused { retry_after } => retry_after,
+                        Spend::Borrow => NO_HUB_PAUSE,
+                    }
+                }
+            },
+        };
+        let detail = format!("{workspace} has used up its rate and burst");
+        Err(Refusal::not_run(Reason::OverRate, detail).after(spread_out(retry_after)))
+    }
+
+    /// Asks the hub for a token; `None` where it does not answer.
+    async fn borrow(&self, shared: &Shared, workspace: &WorkspaceId) -> Option<Borrowed> {
+        let message = wire::Borrow {
+            workspace: workspace.to_string(),
+        };
+        let answer: Option<wire::BorrowAnswer> =
+            ask(shared, topic::BORROW, &message).await;
+        let borrowed = match answer {
+            Some(answer) if answer.granted => Borrowed::Granted,
+            Some(answer) => Borrowed::Denied {
+                retry_after: Duration::from_micros(answer.retry_after_us),
+            },
+            None => {
+                let event = Event::HubSilent;
+                shared.journal.decide(event, &[("workspace", workspace)]);
+                return None;
+            }
+        };
+        self.door().borrowed(Instant::now(), workspace, borrowed);
+        Some(borrowed)
+    }
+
+    fn door(&self) -> MutexGuard<'_, Door> {
+        self.door.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn hub(&self) -> MutexGuard<'_, Option<SocketAddr>> {
+        self.hub.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// An answer that is the hub's, or tells where the hub is.
+trait HubAnswer: Message + Default {
+    fn is_hub(&self) -> bool;
+    fn hub(&self) -> &str;
+}
+
+macro_rules! hub_answer {
+    ($($name:ident)*) => {$(
+        impl HubAnswer for wire::$name {
+            fn is_hub(&self) -> bool {
+                self.is_hub
+            }
+
+            fn hub(&self) -> &str {
+                &self.hub
+            }
+        }
+    )*};
+}
+
+hub_answer! { AllotmentAnswer BorrowAnswer }
+
+/// Asks the hub, or any control VM for it while it is not known.
+async fn ask<T: HubAnswer>(shared: &Shared, topic: Topic, message: &impl Message) -> Option<T> {
+    let endpoint = shared.endpoint()?;
+    let deadline = Instant::now() + ANSWER_LIMIT;
+    let head = Bytes::from(message.encode_to_vec());
+    let mut to = match *shared.quotas.hub() {
+        Some(hub) => hub,
+        None => any_of(&shared.spread.control_links())?,
+    };
+    for _ in 0..=MAX_REDIRECTS {
+        let req = Request {
+            topic,
+            head: head.clone(),
+            body: Bytes::new(),
+        };
+        let reply = endpoint.call(to, req, deadline).await;
+        let answer = reply.ok().and_then(|reply| T::decode(reply.body).ok());
+        *shared.quotas.hub() = None;
+        let answer = answer?;
+        if answer.is_hub() {
+            *shared.quotas.hub() = Some(to);
+            return Some(answer);
+        }
+        to = answer.hub().parse().ok()?;
+    }
+    None
+}
+
+fn any_of(links: &[SocketAddr]) -> Option<SocketAddr> {
+    let count = links.len();
+    (count > 0).then(|| links[rand::random_range(0..count)])
+}
+
+/// Spreads the return of those refused together over half as long a time again.
+fn spread_out(time: Duration) -> Duration {
+    time.mul_f64(rand::random_range(1.0..1.5))
+}
+
+fn limit(configured: &Workspace) -> Limit {
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let burst = configured.burst.clamp(1.0, f64::from(u32::MAX)) as u32;
+    Limit::from_config(configured.rate, burst)
+}
+
+fn report_to_wire(report: Report) -> wire::AllotmentReport {
+    let items = report.items.into_iter().map(|item| wire::AllotmentItem {
+        workspace: item.workspace.to_string(),
+        demand: item.demand,
+        part: item.part,
+    });
+    wire::AllotmentReport {
+        door: report.door.to_string(),
+        items: items.collect(),
+    }
+}
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -1,6 +1,7 @@
 use std::{sync::Arc, time::Instant};
 
 use bytes::Bytes;
+use nutmegwheel_events::Event;
 use nutmegwheel_link::{Peer, Reply, Request, ServeFuture, Service, Topic};
 use nutmegwheel_policy::{
     admission::{self, Completion},
@@ -78,7 +79,11 @@
     let _in_flight = shared.enter();
     let parent = Parent::open(call.context.clone(), call.key, call.deadline);
     let parent = Arc::new(parent);
+    let began = Instant::now();
     let result = run(shared, call, &parent).await;
+    if let Err(refusal) = &result {
+        record(shared, call, refusal, began);
+    }
     Served {
         result,
         unspent: Some(parent.chain(|chain| chain.left())),
@@ -87,6 +92,33 @@
     }
 }
 
+fn record(shared: &Shared, call: &Call, refusal: &Refusal, began: Instant) {
+    let load = shared.gate.report();
+    let level = load
+        .shed_level
+        .map(|level| (level.rank, level.root_hash >> 12));
+    shared.journal.decide(
+        Event::CallFailed,
+        &[
+            ("id", &shared.local.id(call).unwrap_or_default()),
+            ("root", &format!("{:032x}", call.context.root)),
+            ("service", &call.service),
+            ("endpoint", &call.endpoint),
+            ("reason", &refusal.reason.word()),
+            ("outcome", &refusal.outcome.word()),
+            ("detail", &refusal.detail),
+            ("rank", &call.context.priority.rank),
+            ("depth", &call.context.depth),
+            ("after_ms", &began.elapsed().as_millis()),
+            ("left_ms", &call.deadline.saturating_duration_since(began).as_millis()),
+            ("running", &load.running),
+            ("waiting", &load.waiting),
+            ("limit", &load.limit),
+            ("shed_level", &format!("{level:?}")),
+        ],
+    );
+}
+
 async fn run(shared: &Arc<Shared>, call: &Call, parent: &Arc<Parent>) -> Result<Answer, Refusal> {
     may_begin(shared, call)?;
     shared.local.ready(&call.service)?;
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use nutmegwheel_config::Settings;
+use nutmegwheel_config::{Concurrency, Settings};
 use nutmegwheel_events::{Journal, Stamp};
 use nutmegwheel_limits::messages::DoorId;
 use nutmegwheel_link::Endpoint;
@@ -29,6 +29,7 @@
     gate::Gate,
     members,
     metrics::Metrics,
+    quotas::Quotas,
     rates::Rates,
     routes::Routes,
     running::Running,
@@ -69,6 +70,7 @@
     pub(crate) duty: Option<Arc<Duty>>,
     pub(crate) started: Mutex<Started>,
     pub(crate) rates: Rates,
+    pub(crate) quotas: Quotas,
     tokens: OnceLock<Tokens>,
     claims: OnceLock<Claims>,
     attempts: AtomicU64,
@@ -90,7 +92,13 @@
         let now = Instant::now();
         Self {
             routes: Routes::open(settings.data_centre.clone()),
-            gate: Gate::open(now),
+            gate: Gate::open(
+                now,
+                settings
+                    .backend_server
+                    .as_ref()
+                    .map_or(Concurrency::Found, |server| server.concurrency),
+            ),
             suspects: Suspects::open(),
             levels: Mutex::new(Levels::open(shed::Options::default())),
             ratios: Mutex::new(Ratios::open(now, RatioOptions::default())),
@@ -110,6 +118,7 @@
                 settings.data_centre.clone(),
                 settings.data_centres().into_iter().collect(),
             ),
+            quotas: Quotas::open(now),
             tokens: OnceLock::new(),
             claims: OnceLock::new(),
             attempts: AtomicU64::new(0),
--- a/crates/nutmegwheel-policy/src/admission/level.rs
+++ b/crates/nutmegwheel-policy/src/admission/level.rs
@@ -41,15 +41,6 @@
         }
     }
 
-    /// Deep work counts as the most important of its class, for the level keeps it until then.
-    fn of_deep(priority: Priority) -> Self {
-        Self {
-            class: priority.rank,
-            over_share: 0,
-            hash: 0,
-        }
-    }
-
     fn least_important(self) -> Priority {
         let below = (1_u16 << HASH_SHIFT) - 1;
         Priority {
@@ -99,12 +90,10 @@
         }
     }
 
-    pub(crate) fn count_arrival(&mut self, now: Instant, priority: Priority, is_deep: bool) {
-        let bucket = if is_deep {
-            Bucket::of_deep(priority)
-        } else {
-            Bucket::of(priority)
-        };
+    /// Counts an arrival. Deep work counts where its root stands, although it is kept to the end of
+    /// its class, since it is at the doors that a level inside a class takes load off.
+    pub(crate) fn count_arrival(&mut self, now: Instant, priority: Priority) {
+        let bucket = Bucket::of(priority);
         if let Some(seen) = self.buckets.get_mut(&bucket) {
             seen.arrivals = seen.arrivals.saturating_add(1);
             seen.at = now;
--- a/crates/nutmegwheel-policy/src/admission/queue.rs
+++ b/crates/nutmegwheel-policy/src/admission/queue.rs
@@ -83,7 +83,7 @@
     /// Offers a request: it starts, waits or is refused at once.
     pub fn offer(&mut self, now: Instant, req: Request, rng: &mut impl Rng) -> Offer {
         self.level.roll(now, self.waiting.len());
-        self.level.count_arrival(now, req.priority, req.is_deep);
+        self.level.count_arrival(now, req.priority);
         let priority = req.priority;
         match self.try_offer(now, req, rng) {
             Ok(offer) => offer,
@@ -191,10 +191,10 @@
         if req.deadline <= now {
             return Err(Reason::Expired);
         }
-        let latest_start = self.latest_start(now, &req);
         if self.has_free_slot() && self.waiting.is_empty() {
-            return self.start_at_once(now, req, latest_start);
+            return self.start_at_once(now, req);
         }
+        let latest_start = self.latest_start(now, &req);
         self.check_level(&req)?;
         let rank = Rank::of(&req);
         self.check_wait(now, rank, latest_start)?;
@@ -209,15 +209,14 @@
         left.checked_sub(service).map(|spare| now + spare)
     }
 
-    /// Starts a request in a free slot. When nothing else runs it starts even against the
-    /// estimate, for otherwise a wrong estimate would never be corrected.
-    fn start_at_once(
-        &mut self,
-        now: Instant,
-        req: Request,
-        latest_start: Option<Instant>,
-    ) -> Result<Offer, Reason> {
-        if latest_start.is_none() && self.running > 0 {
+    /// Starts a request in a free slot unless it is hopeless. The estimate is made of what ended,
+    /// requests that ran out of time among it, so it refuses nobody a slot that nobody else wants:
+    /// whole spells of idleness would follow. When nothing else runs a request starts against any
+    /// estimate, for otherwise a wrong one would never be corrected.
+    fn start_at_once(&mut self, now: Instant, req: Request) -> Result<Offer, Reason> {
+        let left = req.deadline.saturating_duration_since(now);
+        let is_hopeless = left < self.service_times.at_best(now, &req.endpoint);
+        if is_hopeless && self.running > 0 {
             return Err(Reason::CannotFinish);
         }
         self.running += 1;
--- a/crates/nutmegwheel-policy/src/admission/service_time.rs
+++ b/crates/nutmegwheel-policy/src/admission/service_time.rs
@@ -54,6 +54,11 @@
         self.mean / (1 << self.halvings(now))
     }
 
+    fn at_best(&self, now: Instant) -> Duration {
+        let spread = (self.deviation * DEVIATIONS).max(self.mean / 2);
+        self.mean.saturating_sub(spread) / (1 << self.halvings(now))
+    }
+
     fn likely(&self, now: Instant) -> Duration {
         (self.mean + self.deviation * DEVIATIONS) / (1 << self.halvings(now))
     }
@@ -96,6 +101,13 @@
         estimate.map_or(self.assumed, |estimate| estimate.likely(now))
     }
 
+    /// The time in which hardly a request of an endpoint finishes: two deviations below the mean,
+    /// and half of the mean at most.
+    pub(crate) fn at_best(&self, now: Instant, endpoint: &EndpointId) -> Duration {
+        let estimate = self.by_endpoint.get(endpoint);
+        estimate.map_or(self.assumed, |estimate| estimate.at_best(now))
+    }
+
     /// The mean over all endpoints.
     pub(crate) fn mean(&self, now: Instant) -> Duration {
         self.all
--- a/crates/nutmegwheel-spread/src/spread.rs
+++ b/crates/nutmegwheel-spread/src/spread.rs
@@ -7,8 +7,8 @@
 use nutmegwheel_config::{Settings, View, WhenCutOff};
 use nutmegwheel_link::{Endpoint, Peer};
 use nutmegwheel_membership::{
-    Announcement, Configuration, CutOff, Event, Gossip, Options, Outgoing, Record, Role, Seed,
-    Stamp, WithdrawalState, freshness::Decision, wire,
+    Announcement, Configuration, CutOff, Event, Gossip, Health, Options, Outgoing, Record, Role,
+    Seed, Stamp, Standing, WithdrawalState, freshness::Decision, wire,
 };
 use nutmegwheel_types::{Incarnation, KeyHash};
 use nutmegwheel_wire::topic;
@@ -164,6 +164,27 @@
         self.lock().members().cloned().collect()
     }
 
+    /// The nodes of the fleet but for those that left: one that does not answer may go on behind a
+    /// cut.
+    #[must_use]
+    pub fn count_doors(&self) -> usize {
+        let gossip = self.lock();
+        let is_gone = |record: &Record| {
+            record.health == Health::Dead && record.standing == Standing::Leaving
+        };
+        let nodes = gossip.members().filter(|record| record.role == Role::Node);
+        nodes.filter(|record| !is_gone(record)).count()
+    }
+
+    /// The links of the control VMs that are not known to be dead.
+    #[must_use]
+    pub fn control_links(&self) -> Vec<std::net::SocketAddr> {
+        let gossip = self.lock();
+        let control = gossip.members().filter(|r| r.role == Role::Control);
+        let living = control.filter(|record| record.health != Health::Dead);
+        living.map(|record| record.link).collect()
+    }
+
     /// What is known of the process of that name, this one included.
     #[must_use]
     pub fn member(&self, name: &str) -> Option<Record> {
--- a/crates/nutmegwheel-wire/src/topic.rs
+++ b/crates/nutmegwheel-wire/src/topic.rs
@@ -33,3 +33,8 @@
 /// A request to the leading control VM: [`crate::RenewalRequest`] and [`crate::Renewal`]; any other
 /// process answers with nothing.
 pub const RENEWAL: Topic = Topic(17);
+/// A request of a door to the hub of limits: [`crate::AllotmentReport`] and
+/// [`crate::AllotmentAnswer`].
+pub const ALLOTMENT: Topic = Topic(18);
+/// A request of a door to the hub of limits: [`crate::Borrow`] and [`crate::BorrowAnswer`].
+pub const BORROW: Topic = Topic(19);
--- a/crates/nutmegwheel/src/role.rs
+++ b/crates/nutmegwheel/src/role.rs
@@ -6,8 +6,8 @@
 
 use anyhow::Context as _;
 use nutmegwheel_config::{Dialect, Role, Settings};
-use nutmegwheel_events::{Clock, Event, Journal, Options, SystemTime, WallTime as _};
-use simplelog::{ConfigBuilder, LevelFilter, SimpleLogger};
+use nutmegwheel_events::{Clock, Event, Journal, Options, Output, SystemTime, WallTime as _};
+use simplelog::{ConfigBuilder, LevelFilter, WriteLogger};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 /// How many events a process keeps for the time line.
@@ -62,7 +62,7 @@
         "{}: role: the settings are for another role",
         path.display()
     );
-    log_to_stderr()?;
+    open_log()?;
     let opts = Options {
         process: settings.name.clone(),
         capacity: EVENTS_KEPT,
@@ -186,10 +186,16 @@
     }
 }
 
-fn log_to_stderr() -> anyhow::Result<()> {
+/// Events are lines of JSON on standard output; each says its own time, number and process.
+fn open_log() -> anyhow::Result<()> {
     let config = ConfigBuilder::new()
-        .set_time_format_rfc3339()
+        .set_time_level(LevelFilter::Off)
+        .set_max_level(LevelFilter::Off)
+        .set_target_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
         .add_filter_allow_str("nutmegwheel")
         .build();
-    SimpleLogger::init(LevelFilter::Info, config).context("open the log")
+    let (output, _dropped) = Output::open(std::io::stdout()).context("open the log")?;
+    WriteLogger::init(LevelFilter::Info, config, output).context("open the log")
 }
