--- a/crates/nutmegwheel-limits/src/allotment/door.rs
+++ b/crates/nutmegwheel-limits/src/allotment/door.rs
@@ -10,6 +10,8 @@
 
 /// The workspaces that a door keeps in mind.
 const MAX_ACCOUNTS: usize = 65_536;
+/// The workspaces that get a part before their first request.
+const MAX_PREPARED: usize = 256;
 /// The weight of the newest interval in the demand, 1 in this many.
 const SMOOTHING: u64 = 3;
 /// How long a denial is taken to hold for those that come after, at most.
@@ -54,6 +56,8 @@
     /// In thousandths of a request per second.
     demand: u64,
     denied_until: Option<(Instant, Duration)>,
+    /// The whole limit of the workspace.
+    whole: Limit,
     /// Whether it spends from an equal part, the hub being out of touch.
     is_alone: bool,
 }
@@ -73,7 +77,19 @@
     }
 
     /// What the hub is to be told; to be sent every [`REPORT_INTERVAL`](super::REPORT_INTERVAL).
-    pub fn report(&mut self, now: Instant, door: ProcessName) -> Report {
+    ///
+    /// The first of the `limited` workspaces get a part before their first request, so that a burst
+    /// finds it full.
+    pub fn report<'a>(
+        &mut self,
+        now: Instant,
+        door: ProcessName,
+        limited: impl Iterator<Item = (&'a WorkspaceId, Limit)>,
+    ) -> Report {
+        for (workspace, limit) in limited.take(MAX_PREPARED) {
+            let account = self.accounts.entry(workspace.clone());
+            account.or_insert_with(|| Account::open(now)).whole = limit;
+        }
         let elapsed = now.saturating_duration_since(self.reported).as_millis();
         let elapsed = u64::try_from(elapsed).unwrap_or(u64::MAX).max(1);
         self.reported = now;
@@ -82,24 +98,22 @@
             let present = account.arrivals * MILLI * MILLI / elapsed;
             account.arrivals = 0;
             account.demand = (account.demand * (SMOOTHING - 1) + present) / SMOOTHING;
-            if account.demand > 0 || account.part > 0 {
-                items.push(Item {
-                    workspace: workspace.clone(),
-                    demand: account.demand,
-                    part: account.part,
-                });
-            }
+            items.push(Item {
+                workspace: workspace.clone(),
+                demand: account.demand,
+                part: account.part,
+            });
         }
         Report { door, items }
     }
 
     /// Takes over what the hub answered to a report that was sent at `sent`.
-    pub fn answered(&mut self, sent: Instant, answer: &Answer) {
+    pub fn answered(&mut self, now: Instant, sent: Instant, answer: &Answer) {
         self.answered = self.answered.max(Some(sent));
         self.silent_until = None;
         for (workspace, part) in &answer.parts {
             if let Some(account) = self.accounts.get_mut(workspace) {
-                account.part = *part;
+                account.take_part(now, *part);
             }
         }
     }
@@ -124,6 +138,7 @@
         let account = self.accounts.entry(workspace.clone());
         let account = account.or_insert_with(|| Account::open(now));
         account.arrivals += 1;
+        account.whole = limit;
         match (is_in_touch, is_opening) {
             (true, _) => account.spend_from(now, part_of(limit, account.part)),
             (false, true) => account.spend_from(now, Limit::ZERO),
@@ -177,10 +192,20 @@
             arrivals: 0,
             demand: 0,
             denied_until: None,
+            whole: Limit::ZERO,
             is_alone: false,
         }
     }
 
+    /// The bucket fills by the new part from now on, although its limit is set when it is used.
+    fn take_part(&mut self, now: Instant, part: Part) {
+        if self.part != part && !self.is_alone {
+            let limit = self.whole;
+            self.bucket.set_limit(part_of(limit, part), now);
+        }
+        self.part = part;
+    }
+
     fn spend_from(&mut self, now: Instant, limit: Limit) {
         self.is_alone = false;
         self.bucket.set_limit(limit, now);
--- a/crates/nutmegwheel-limits/src/allotment/hub.rs
+++ b/crates/nutmegwheel-limits/src/allotment/hub.rs
@@ -14,7 +14,7 @@
 /// fallen back to their equal parts by then.
 const LEARNING: Duration = Duration::from_millis(2500);
 /// What is dealt out in equal parts, in percent of what is dealt out.
-const EQUAL_PERCENT: u64 = 25;
+const EQUAL_PERCENT: u64 = 15;
 /// The least tokens that each door's part has to hold; smaller limits are lent as a whole.
 const LEAST_BURST: u64 = 2 * TOKEN;
 /// When to come back where the limit allows nothing at all.
@@ -103,10 +103,11 @@
         doors: usize,
     ) -> Borrowed {
         self.forget_silent(now);
-        let shared = self.shared(limit, doors);
-        let reserve = part_of(limit, self.in_touch(doors) - shared);
+        let dealt = self.dealt(workspace);
+        let reserve = part_of(limit, self.in_touch(doors).saturating_sub(dealt));
         let bucket = self.reserves.entry(workspace.clone());
-        let bucket = bucket.or_insert_with(|| Bucket::empty(reserve, now));
+        // It has filled since the hub was opened, as if it had been there from the beginning.
+        let bucket = bucket.or_insert_with(|| Bucket::empty(reserve, self.opened));
         bucket.set_limit(reserve, now);
         if bucket.take(TOKEN, now) {
             return Borrowed::Granted;
@@ -121,6 +122,12 @@
             .retain(|_, known| now.saturating_duration_since(known.heard) < TOUCH);
     }
 
+    /// What the doors in touch hold in standing parts.
+    fn dealt(&self, workspace: &WorkspaceId) -> Part {
+        let items = self.doors.values().map(|known| known.items.get(workspace));
+        items.flatten().map(|held| held.part).sum::<Part>().min(WHOLE)
+    }
+
     /// What all doors in touch may use together.
     fn in_touch(&self, doors: usize) -> Part {
         let live = self.doors.len();
--- a/crates/nutmegwheel-limits/src/allotment/mod.rs
+++ b/crates/nutmegwheel-limits/src/allotment/mod.rs
@@ -24,7 +24,7 @@
 /// The whole of a limit.
 pub const WHOLE: Part = 1_000_000;
 /// What the hub keeps back to be lent, in percent of what the doors in touch may use.
-const RESERVE_PERCENT: Part = 40;
+const RESERVE_PERCENT: Part = 50;
 /// The silence after which door and hub take each other to be out of touch.
 pub const TOUCH: Duration = Duration::from_secs(2);
 /// How often a door reports; several reports may be lost before the two are out of touch.
--- a/crates/nutmegwheel-node/src/quotas.rs
+++ b/crates/nutmegwheel-node/src/quotas.rs
@@ -50,11 +50,7 @@
     pub(crate) async fn keep(shared: &Arc<Shared>) {
         loop {
             let sent = Instant::now();
-            let report = shared
-                .quotas
-                .door()
-                .report(sent, shared.settings.name.clone());
-            let message = report_to_wire(report);
+            let message = report_to_wire(shared.quotas.report(shared, sent));
             let answer: Option<wire::AllotmentAnswer> =
                 ask(shared, topic::ALLOTMENT, &message).await;
             if let Some(answer) = answer {
@@ -63,7 +59,8 @@
                 let answer = Answer {
                     parts: parts.collect(),
                 };
-                shared.quotas.door().answered(sent, &answer);
+                let now = Instant::now();
+                shared.quotas.door().answered(now, sent, &answer);
             }
             tokio::time::sleep(REPORT_INTERVAL).await;
         }
@@ -72,6 +69,15 @@
 
 /// Spending.
 impl Quotas {
+    fn report(&self, shared: &Shared, now: Instant) -> Report {
+        let view = shared.views.current();
+        let workspaces = view.configuration.workspaces.iter();
+        let limited = workspaces.filter(|(_, configured)| !configured.is_unlimited());
+        let limited = limited.map(|(workspace, configured)| (workspace, limit(configured)));
+        let name = shared.settings.name.clone();
+        self.door().report(now, name, limited)
+    }
+
     /// Spends a token of the workspace, or refuses with the time to come back.
     pub(crate) async fn spend(
         shared: &Arc<Shared>,
