test: the platform's stand-in, real processes, tables of every message, loads of limits and admission

Found on the way and mended: a new hub of limits refused everything until its doors had reported; of two idle backend servers the first always got the request.

--- a/crates/nutmegwheel-config/src/settings.rs
+++ b/crates/nutmegwheel-config/src/settings.rs
@@ -156,12 +156,11 @@
     /// The data centres that the settings name, in order.
     #[must_use]
     pub fn data_centres(&self) -> Vec<DataCentreId> {
-        let mut names: Vec<DataCentreId> = match &self.contacts {
-            Some(contacts) => contacts.data_centres.clone(),
-            None => {
-                let seeds = self.seeds.iter();
-                seeds.map(|seed| seed.data_centre.clone()).collect()
-            }
+        let mut names: Vec<DataCentreId> = if let Some(contacts) = &self.contacts {
+            contacts.data_centres.clone()
+        } else {
+            let seeds = self.seeds.iter();
+            seeds.map(|seed| seed.data_centre.clone()).collect()
         };
         names.sort();
         names.dedup();
@@ -251,9 +250,7 @@
     let contacts = Contacts {
         links,
         founding: table.need("founding")?.boolean()?,
-        lost_control_vms: table
-            .need("lost_control_vms")?
-            .number(&(0..=LOSSES_MAX))?,
+        lost_control_vms: table.need("lost_control_vms")?.number(&(0..=LOSSES_MAX))?,
         data_centres,
     };
     table.finish()?;
@@ -301,11 +298,7 @@
     }
 }
 
-fn read_listen(
-    mut table: Table<'_>,
-    role: Role,
-    dialect: Dialect,
-) -> Result<Listen, CheckError> {
+fn read_listen(mut table: Table<'_>, role: Role, dialect: Dialect) -> Result<Listen, CheckError> {
     let mut taken = HashSet::new();
     let mut address = |field: &Field<'_>| -> Result<SocketAddr, CheckError> {
         let address: SocketAddr = field.parsed("an IP address with a port")?;
--- a/crates/nutmegwheel-config/tests/settings.rs
+++ b/crates/nutmegwheel-config/tests/settings.rs
@@ -78,3 +78,71 @@
     }
     insta::assert_snapshot!(shown);
 }
+
+const WITH_CONTACTS: &str = r#"{
+  "name": "n1", "data_centre": "riga1", "role": "node", "dialect": "platform",
+  "listen": {
+    "callers": "10.1.0.11:8548", "backend": "10.1.0.11:8540",
+    "platform": "10.1.0.11:8546", "link": "10.1.0.11:7000"
+  },
+  "contacts": {
+    "control": ["10.1.0.32:8540", "10.2.0.28:8540"], "link_port": 7000,
+    "founding": true, "lost_control_vms": 1, "data_centres": ["riga1", "riga2"]
+  },
+  "backend_server": {
+    "service": "intake", "address": "10.1.0.11:8547", "concurrency": "announced"
+  },
+  "stop_within_ms": 6000,
+  "fleet_secret": "secret-of-the-fleet-01"
+}"#;
+
+#[test]
+fn contacts_stand_in_for_a_list_of_seeds() {
+    let settings = Settings::parse(WITH_CONTACTS).expect("good");
+    assert!(settings.seeds.is_empty());
+    let links: Vec<String> = settings
+        .contact_links()
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    assert_eq!(links, ["10.1.0.32:7000", "10.2.0.28:7000"]);
+    assert_eq!(settings.data_centres().len(), 2);
+    assert_eq!(
+        settings.operator_secret, None,
+        "the own interface is closed"
+    );
+}
+
+#[test]
+fn faults_in_contacts_are_named_by_field() {
+    let cases = [
+        ("\"10.2.0.28:8540\"", "\"10.2.0.28\"", "contacts.control[1]"),
+        (
+            "\"link_port\": 7000",
+            "\"link_port\": 0",
+            "contacts.link_port",
+        ),
+        ("\"founding\": true", "\"founding\": 1", "contacts.founding"),
+        (
+            "\"lost_control_vms\": 1",
+            "\"lost_control_vms\": 9",
+            "contacts.lost_control_vms",
+        ),
+        ("\"announced\"", "\"many\"", "backend_server.concurrency"),
+        ("6000", "5", "stop_within_ms"),
+        ("\"platform\",", "\"other\",", "dialect"),
+    ];
+    for (old, new, field) in cases {
+        let fault = Settings::parse(&WITH_CONTACTS.replacen(old, new, 1)).expect_err(old);
+        assert_eq!(fault.field, field, "{old} -> {new}");
+    }
+}
+
+#[test]
+fn the_own_dialect_needs_the_operators_secret() {
+    let text = WITH_CONTACTS
+        .replace("\"dialect\": \"platform\",", "")
+        .replace("10.1.0.11:8540", "127.0.0.1:8540");
+    let fault = Settings::parse(&text).expect_err("no secret");
+    assert_eq!(fault.field, "operator_secret");
+}
--- a/crates/nutmegwheel-control/src/allotments.rs
+++ b/crates/nutmegwheel-control/src/allotments.rs
@@ -70,8 +70,7 @@
         let workspace: WorkspaceId = wire::Borrow::decode(head).ok()?.workspace.into();
         let doors = self.spread.count_doors();
         let limit = self.limit(&workspace).unwrap_or(Limit::ZERO);
-        let borrowed =
-            self.in_office(|hub| hub.borrow(Instant::now(), &workspace, limit, doors));
+        let borrowed = self.in_office(|hub| hub.borrow(Instant::now(), &workspace, limit, doors));
         let answer = match borrowed {
             Some(Borrowed::Granted) => wire::BorrowAnswer {
                 granted: true,
@@ -115,7 +114,9 @@
 
     fn leader(&self) -> String {
         let leader = self.log.leader_address();
-        leader.map(|address| address.to_string()).unwrap_or_default()
+        leader
+            .map(|address| address.to_string())
+            .unwrap_or_default()
     }
 
     fn office(&self) -> MutexGuard<'_, Option<(u64, Hub)>> {
--- a/crates/nutmegwheel-control/src/log/group.rs
+++ b/crates/nutmegwheel-control/src/log/group.rs
@@ -18,14 +18,12 @@
 impl Group {
     /// Reads the group from the settings of a control VM.
     pub(crate) fn open(settings: &Settings) -> Self {
-        match &settings.contacts {
-            Some(contacts) => Self::Contacts(contacts.clone()),
-            None => {
-                let members = settings.control_vms();
-                let members = members.map(|seed| (seed.name.clone(), seed.link));
-                Self::Named(members.collect())
-            }
+        if let Some(contacts) = &settings.contacts {
+            return Self::Contacts(contacts.clone());
         }
+        let members = settings.control_vms();
+        let members = members.map(|seed| (seed.name.clone(), seed.link));
+        Self::Named(members.collect())
     }
 
     /// The name of the replica of this process.
--- a/crates/nutmegwheel-control/tests/state.rs
+++ b/crates/nutmegwheel-control/tests/state.rs
@@ -114,3 +114,77 @@
         Verdict::NumberTooLow { last_change: 5999 }
     );
 }
+
+fn publish(version: u64, base: u64, timeout_ms: u64) -> Command {
+    let content = format!(
+        r#"{{"classes": {{}}, "services": {{}}, "workspaces": {{}}, "hosts": [{{
+            "name": "r", "host": "a.example", "prefix": "/", "open": true,
+            "split": [{{"service": "intake", "weight": 1}}], "non_idempotent": false,
+            "rank": 0, "timeout_ms": {timeout_ms}, "within_ms": 10, "attempts": 1}}]}}"#
+    );
+    Command::Publish {
+        version,
+        base,
+        document: format!("as written: {content}"),
+        content,
+    }
+}
+
+#[test]
+fn publications_build_on_the_newest_one_alone() {
+    let mut state = State::default();
+    let first = Verdict::Committed {
+        version: 1,
+        first: true,
+    };
+    assert_eq!(state.apply(&publish(4, 0, 100)), first);
+    let stale = Verdict::OtherBase { current: 4 };
+    assert_eq!(state.apply(&publish(9, 3, 100)), stale, "another base");
+    assert_eq!(state.apply(&publish(9, 0, 100)), stale, "none");
+    let low = Verdict::VersionTooLow { current: 4 };
+    assert_eq!(state.apply(&publish(4, 4, 200)), low, "the same version");
+    assert!(matches!(
+        state.apply(&publish(9, 4, 200)),
+        Verdict::Committed { first: true, .. }
+    ));
+    assert_eq!(state.published().map(|p| p.version), Some(9));
+}
+
+#[test]
+fn of_two_publications_on_one_base_the_first_wins() {
+    let mut state = State::default();
+    state.apply(&publish(1, 0, 100));
+    state.apply(&publish(5, 1, 200));
+    let other = state.apply(&publish(5, 1, 300));
+    assert_eq!(other, Verdict::OtherBase { current: 5 }, "equal numbers");
+    let other = state.apply(&publish(6, 1, 300));
+    assert_eq!(other, Verdict::OtherBase { current: 5 }, "other numbers");
+}
+
+#[test]
+fn a_publication_that_is_sent_again_is_acknowledged_also_after_others_and_a_restart() {
+    let mut state = State::default();
+    state.apply(&publish(1, 0, 100));
+    state.apply(&publish(5, 1, 200));
+    state.apply(&publish(7, 5, 300));
+    let mut restored = State::decode(&state.encode()).expect("its own snapshot");
+    assert_eq!(restored, state);
+    for again in [publish(1, 0, 100), publish(5, 1, 200), publish(7, 5, 300)] {
+        let verdict = restored.apply(&again);
+        assert!(
+            matches!(verdict, Verdict::Committed { first: false, .. }),
+            "{verdict:?}"
+        );
+    }
+    assert_eq!(restored.published().map(|p| p.version), Some(7));
+}
+
+#[test]
+fn an_invalid_publication_changes_nothing() {
+    let mut state = State::default();
+    state.apply(&publish(1, 0, 100));
+    let before = state.clone();
+    let refused = state.apply(&publish(2, 1, 0));
+    assert!(matches!(refused, Verdict::Refused { .. }), "{refused:?}");
+    assert_eq!(state, before);
+}
--- a/crates/nutmegwheel-limits/src/allotment/hub.rs
+++ b/crates/nutmegwheel-limits/src/allotment/hub.rs
@@ -5,14 +5,15 @@
 
 use nutmegwheel_types::{ProcessName, WorkspaceId};
 
-use super::{
-    Answer, Borrowed, Part, RESERVE_PERCENT, Report, TOUCH, WHOLE, equal_part, part_of,
-};
+use super::{Answer, Borrowed, Part, RESERVE_PERCENT, Report, TOUCH, WHOLE, equal_part, part_of};
 use crate::{Limit, TOKEN, bucket::Bucket};
 
 /// The time in which a new hub only learns what the doors hold: those out of touch with it have
 /// fallen back to their equal parts by then.
 const LEARNING: Duration = Duration::from_millis(2500);
+/// The time for which a new hub takes the reserve to have filled already; its predecessor has been
+/// silent for longer, an election timeout at least.
+const HEAD_START: Duration = Duration::from_millis(500);
 /// What is dealt out in equal parts, in percent of what is dealt out.
 const EQUAL_PERCENT: u64 = 15;
 /// The least tokens that each door's part has to hold; smaller limits are lent as a whole.
@@ -103,11 +104,18 @@
         doors: usize,
     ) -> Borrowed {
         self.forget_silent(now);
-        let dealt = self.dealt(workspace);
-        let reserve = part_of(limit, self.in_touch(doors).saturating_sub(dealt));
+        let kept_back = if now < self.opened + LEARNING {
+            // Which doors are in touch shows only by their reports, and parts take no more than
+            // the rest.
+            WHOLE / 100 * RESERVE_PERCENT
+        } else {
+            self.in_touch(doors).saturating_sub(self.dealt(workspace))
+        };
+        let reserve = part_of(limit, kept_back);
         let bucket = self.reserves.entry(workspace.clone());
-        // It has filled since the hub was opened, as if it had been there from the beginning.
-        let bucket = bucket.or_insert_with(|| Bucket::empty(reserve, self.opened));
+        // Nobody lent in the time before this hub was opened.
+        let since = self.opened.checked_sub(HEAD_START).unwrap_or(self.opened);
+        let bucket = bucket.or_insert_with(|| Bucket::empty(reserve, since));
         bucket.set_limit(reserve, now);
         if bucket.take(TOKEN, now) {
             return Borrowed::Granted;
@@ -125,7 +133,11 @@
     /// What the doors in touch hold in standing parts.
     fn dealt(&self, workspace: &WorkspaceId) -> Part {
         let items = self.doors.values().map(|known| known.items.get(workspace));
-        items.flatten().map(|held| held.part).sum::<Part>().min(WHOLE)
+        items
+            .flatten()
+            .map(|held| held.part)
+            .sum::<Part>()
+            .min(WHOLE)
     }
 
     /// What all doors in touch may use together.
--- a/crates/nutmegwheel-node/src/heartbeats.rs
+++ b/crates/nutmegwheel-node/src/heartbeats.rs
@@ -18,7 +18,7 @@
 };
 
 /// How long a heartbeat holds: three of the intervals that are usual for backend servers.
-const HOLDS: Duration = Duration::from_millis(5000);
+const HOLDS: Duration = Duration::from_secs(5);
 
 /// Takes the heartbeats of the node's backend server.
 pub(crate) struct HeartbeatDoor {
--- a/crates/nutmegwheel-node/src/quotas.rs
+++ b/crates/nutmegwheel-node/src/quotas.rs
@@ -120,8 +120,7 @@
         let message = wire::Borrow {
             workspace: workspace.to_string(),
         };
-        let answer: Option<wire::BorrowAnswer> =
-            ask(shared, topic::BORROW, &message).await;
+        let answer: Option<wire::BorrowAnswer> = ask(shared, topic::BORROW, &message).await;
         let borrowed = match answer {
             Some(answer) if answer.granted => Borrowed::Granted,
             Some(answer) => Borrowed::Denied {
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -110,7 +110,10 @@
             ("rank", &call.context.priority.rank),
             ("depth", &call.context.depth),
             ("after_ms", &began.elapsed().as_millis()),
-            ("left_ms", &call.deadline.saturating_duration_since(began).as_millis()),
+            (
+                "left_ms",
+                &call.deadline.saturating_duration_since(began).as_millis(),
+            ),
             ("running", &load.running),
             ("waiting", &load.waiting),
             ("limit", &load.limit),
--- a/crates/nutmegwheel-policy/src/routing/choose.rs
+++ b/crates/nutmegwheel-policy/src/routing/choose.rs
@@ -79,7 +79,11 @@
         rng: &mut impl Rng,
     ) -> Option<Candidate> {
         let is_eligible = |key: BackendKey| self.is_eligible(now, key, req, ejected);
-        let pair = draw_two(pool, is_eligible, rng);
+        let mut pair = draw_two(pool, is_eligible, rng);
+        // Of two that are equally loaded the first one is taken, and a small pool has an order.
+        if rng.random() {
+            pair.swap(0, 1);
+        }
         pair.into_iter()
             .flatten()
             .map(|key| Candidate {
--- /dev/null
+++ b/crates/nutmegwheel-policy/tests/admission_timeouts.rs
@@ -0,0 +1,111 @@
+//! The load pattern: a slow spell further down makes requests run out of time, and then it ends.
+//! What is learnt from the requests that ran out of time must not keep slots idle afterwards.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use nutmegwheel_policy::{
+    admission::{Completion, Offer, Options, Queue, Request},
+    concurrency::Fixed,
+};
+use nutmegwheel_types::Priority;
+use rand::{SeedableRng as _, rngs::StdRng};
+
+/// The time that callers wait.
+const TIMEOUT: Duration = Duration::from_millis(800);
+const SLOTS: u32 = 64;
+
+fn request(now: Instant, rank: u8, root_hash: u16, is_deep: bool) -> Request {
+    Request {
+        priority: Priority {
+            rank,
+            over_share: 0,
+            root_hash,
+        },
+        is_deep,
+        endpoint: Arc::from("tally"),
+        deadline: now + TIMEOUT,
+    }
+}
+
+#[test]
+fn free_slots_are_used_although_everything_ran_out_of_time_before() {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut now = Instant::now();
+    let mut queue = Queue::open(now, Box::new(Fixed::open(SLOTS)), Options::default());
+    for _ in 0..40 {
+        let offer = queue.offer(now, request(now, 0, 0, false), &mut rng);
+        now += TIMEOUT;
+        if let Offer::Started(ticket) = offer {
+            queue.finish(now, ticket, Completion::TimedOut);
+        }
+    }
+    let started = (0..SLOTS)
+        .filter(|_| {
+            let offer = queue.offer(now, request(now, 0, 0, false), &mut rng);
+            matches!(offer, Offer::Started(_))
+        })
+        .count();
+    assert_eq!(started, SLOTS as usize);
+}
+
+#[test]
+fn a_request_that_has_no_chance_is_not_started_beside_others() {
+    let mut rng = StdRng::seed_from_u64(2);
+    let mut now = Instant::now();
+    let mut queue = Queue::open(now, Box::new(Fixed::open(SLOTS)), Options::default());
+    for _ in 0..40 {
+        let offer = queue.offer(now, request(now, 0, 0, false), &mut rng);
+        now += Duration::from_millis(200);
+        if let Offer::Started(ticket) = offer {
+            queue.finish(now, ticket, Completion::Answered);
+        }
+    }
+    queue.offer(now, request(now, 0, 0, false), &mut rng);
+    let mut late = request(now, 0, 0, false);
+    late.deadline = now + Duration::from_millis(20);
+    let offer = queue.offer(now, late, &mut rng);
+    assert!(matches!(offer, Offer::Refused(_)), "{offer:?}");
+}
+
+/// The load pattern: a service far down gets calls of one class only, a fifth more than it can do.
+/// Its level must cut inside that class, or doors refuse all of it.
+#[test]
+fn a_level_cuts_inside_a_class_of_deep_work() {
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut now = Instant::now();
+    let mut queue = Queue::open(now, Box::new(Fixed::open(8)), Options::default());
+    let mut running = std::collections::VecDeque::new();
+    let mut levels = Vec::new();
+    for step in 0_u32..4000 {
+        now += Duration::from_micros(1042);
+        let hash = u16::try_from(step.wrapping_mul(40_503) % 65_536).expect("16 bits");
+        if let Offer::Started(ticket) = queue.offer(now, request(now, 2, hash, true), &mut rng) {
+            running.push_back((now, ticket));
+        }
+        while let Some((since, ticket)) = running.front().copied() {
+            if now < since + Duration::from_millis(10) {
+                break;
+            }
+            running.pop_front();
+            queue.finish(now, ticket, Completion::Answered);
+        }
+        while let Some(event) = queue.poll(now, &mut rng) {
+            if let nutmegwheel_policy::admission::Event::Started(ticket) = event {
+                running.push_back((now, ticket));
+            }
+        }
+        levels.extend(queue.report().shed_level);
+    }
+    let inside = levels
+        .iter()
+        .filter(|l| l.rank == 2 && l.root_hash > 0x0fff);
+    let share = inside.count() * 100 / levels.len().max(1);
+    assert!(!levels.is_empty(), "the overload is noticed");
+    assert!(
+        share > 50,
+        "{share} % of the levels leave a part of the class"
+    );
+}
--- a/crates/nutmegwheel-policy/tests/routing.rs
+++ b/crates/nutmegwheel-policy/tests/routing.rs
@@ -249,3 +249,25 @@
         }
     }
 }
+
+/// The load pattern: so little load that nearly every request finds all backend servers idle.
+#[test]
+fn idle_backend_servers_share_the_requests() {
+    for count in 2..6 {
+        let now = Instant::now();
+        let mut rng = StdRng::seed_from_u64(count as u64);
+        let (mut table, keys) = table(now, 0, count);
+        let mut chosen = vec![0; count];
+        for _ in 0..count * 100 {
+            let req = Request {
+                priority: TOP,
+                tried: &[],
+            };
+            let key = table.choose(now, &req, &mut rng).expect("a choice");
+            let place = keys.iter().position(|k| *k == key);
+            chosen[place.expect("a known key")] += 1;
+            table.finish(now, key, Outcome::Answered, None);
+        }
+        assert!(chosen.iter().all(|n| (60..=140).contains(n)), "{chosen:?}");
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-policy/tests/split.rs
@@ -0,0 +1,58 @@
+//! Weights of a split hold in small samples, and every part of the fleet begins elsewhere.
+
+use std::sync::Arc;
+
+use nutmegwheel_policy::split::Splits;
+use nutmegwheel_types::RouteId;
+use rand::{SeedableRng as _, rngs::StdRng};
+
+fn counts(weights: &[u32], requests: usize, seed: u64) -> Vec<usize> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let route: RouteId = Arc::from("reports");
+    let mut splits = Splits::default();
+    let mut counts = vec![0; weights.len()];
+    for _ in 0..requests {
+        let part = splits.choose(&route, weights, &mut rng);
+        counts[part.expect("a part")] += 1;
+    }
+    counts
+}
+
+#[test]
+fn thirty_requests_are_within_one_of_their_weights() {
+    for seed in 0..50 {
+        let counts = counts(&[90, 10], 30, seed);
+        assert!((26..=28).contains(&counts[0]), "{seed}: {counts:?}");
+    }
+}
+
+#[test]
+fn many_doors_with_few_requests_each_add_up_to_the_weights() {
+    let light: usize = (0..200).map(|door| counts(&[90, 10], 3, door)[1]).sum();
+    assert!(
+        (40..=80).contains(&light),
+        "{light} of 600 at a weight of 0.1"
+    );
+}
+
+#[test]
+fn a_part_without_weight_gets_nothing() {
+    assert_eq!(counts(&[0, 7], 20, 1), [0, 20]);
+    let mut rng = StdRng::seed_from_u64(1);
+    let none = Splits::default().choose(&Arc::from("r"), &[0, 0], &mut rng);
+    assert_eq!(none, None);
+}
+
+#[test]
+fn changed_weights_hold_at_once() {
+    let mut rng = StdRng::seed_from_u64(3);
+    let route: RouteId = Arc::from("reports");
+    let mut splits = Splits::default();
+    for _ in 0..10 {
+        splits.choose(&route, &[1, 1], &mut rng);
+    }
+    let after: Vec<_> = (0..10)
+        .map(|_| splits.choose(&route, &[0, 1], &mut rng))
+        .collect();
+    assert!(after.iter().all(|part| *part == Some(1)));
+}
--- a/crates/nutmegwheel-spread/src/spread.rs
+++ b/crates/nutmegwheel-spread/src/spread.rs
@@ -169,9 +169,8 @@
     #[must_use]
     pub fn count_doors(&self) -> usize {
         let gossip = self.lock();
-        let is_gone = |record: &Record| {
-            record.health == Health::Dead && record.standing == Standing::Leaving
-        };
+        let is_gone =
+            |record: &Record| record.health == Health::Dead && record.standing == Standing::Leaving;
         let nodes = gossip.members().filter(|record| record.role == Role::Node);
         nodes.filter(|record| !is_gone(record)).count()
     }
--- a/crates/nutmegwheel/tests/platform.rs
+++ b/crates/nutmegwheel/tests/platform.rs
@@ -1,73 +1,263 @@
-//! Liveness, readiness and metrics of both roles, and the operators' secret.
-
-mod common;
-
-use common::{KEY, Setup};
-
-#[tokio::test]
-async fn metrics_count_answers_and_refusals_by_reason() {
-    let setup = Setup::start(&[("riga1", 2)], 1).await;
-    setup.backend("riga1-1", "tally-portal", |_| {}).await;
-    setup.serving(&["tally-portal"]).await;
-    let path = "/tally-portal/count";
-    for _ in 0..3 {
-        let answer = setup
-            .call("riga1-0", path, &[("authorization", KEY)], "")
-            .await;
-        assert_eq!(answer.status, 200, "{}", answer.text());
+//! Real processes on the users' platform, of which a stand-in speaks the published protocol.
+
+#[path = "../../../platform/tests/stand_in/mod.rs"]
+mod stand_in;
+
+use std::time::{Duration, Instant};
+
+use nutmegwheel_support::Answer;
+use stand_in::{Fault, Fleet, KEY, LIMIT, Vm, document};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_nutmegwheel");
+const SERVERS: &[(&str, &str)] = &[("riga1", "portal"), ("riga2", "portal"), ("riga3", "desk")];
+
+async fn start() -> Fleet {
+    let fleet = Fleet::start(PROGRAM, SERVERS).await;
+    assert_eq!(fleet.publish(1, 0, &document()).await, 200);
+    await_portals(&fleet).await;
+    fleet
+}
+
+/// Waits until the door of the last node knows both backend servers of the portal.
+async fn await_portals(fleet: &Fleet) {
+    let end = Instant::now() + LIMIT;
+    let node = fleet.nodes[2].clone();
+    loop {
+        call(fleet, &node, "GET", "/safe/warm").await;
+        let runs = fleet.runs_of("/safe/warm");
+        let has_run = |n: usize| runs.iter().any(|run| run.server == fleet.servers[n].id);
+        if has_run(0) && has_run(1) {
+            return;
+        }
+        assert!(Instant::now() < end, "{}", fleet.log(&node.name));
     }
-    setup.call("riga1-0", path, &[], "").await;
-    let at = setup.fleet.nodes[0].vm.platform;
-    let answer = setup
-        .fleet
-        .caller
-        .call("GET", at, "/metrics", &[], "")
+}
+
+async fn call(fleet: &Fleet, node: &Vm, method: &str, path: &str) -> Answer {
+    let key = [("authorization", KEY)];
+    fleet
+        .call_at(node, method, "portal.example", path, &key)
+        .await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_runs_once_with_the_fields_of_the_system() {
+    let fleet = start().await;
+    let forged = [
+        ("authorization", KEY),
+        ("x-nutmegwheel-tenant", "zemgale"),
+        ("x-nutmegwheel-caller-service", "forged"),
+        ("x-custom", "kept"),
+    ];
+    let node = &fleet.nodes[2];
+    let answer = fleet
+        .call_at(node, "POST", "portal.example", "/once/1?q=2", &forged)
         .await;
-    let answer = answer.expect("the platform listener answers");
-    assert!(answer.fields["content-type"].starts_with("application/openmetrics-text"));
-    let text = answer.text();
-    for line in [
-        "nutmegwheel_requests_answered_total 3",
-        "nutmegwheel_requests_refused_total{reason=\"no-key\",outcome=\"not-run\"} 1",
-        "nutmegwheel_configuration_version 2",
-        "nutmegwheel_members 3",
-        "# EOF",
-    ] {
-        assert!(text.contains(line), "no {line:?} in:\n{text}");
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    assert!(answer.fields["x-nutmegwheel-server-seal"].starts_with("seal-of-i-node-"));
+    let runs = fleet.runs_of("/once/1");
+    assert_eq!(runs.len(), 1, "{runs:?}");
+    let fields = &runs[0].fields;
+    assert_eq!(fields["x-nutmegwheel-tenant"], "vidzeme");
+    assert_eq!(fields["x-nutmegwheel-caller-service"], "desk");
+    assert_eq!(fields["x-nutmegwheel-target-instance"], runs[0].server);
+    assert_eq!(fields["x-custom"], "kept");
+    assert!(
+        !fields.contains_key("authorization"),
+        "the key is not shown"
+    );
+    let left: u64 = fields["x-nutmegwheel-request-deadline-ms"]
+        .parse()
+        .expect("ms");
+    assert!(
+        (1000..=2000).contains(&left),
+        "{left}: the route's time limit goes first"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_not_allowed_is_refused_and_does_not_run() {
+    let fleet = start().await;
+    let node = &fleet.nodes[0];
+    let cases: [(&str, &str, &[(&str, &str)], u16); 4] = [
+        ("portal.example", "/safe/x", &[], 401),
+        (
+            "portal.example",
+            "/safe/x",
+            &[("authorization", "Token nobody-has-this")],
+            401,
+        ),
+        ("portal.example", "/other/x", &[("authorization", KEY)], 404),
+        ("nowhere.example", "/safe/x", &[("authorization", KEY)], 404),
+    ];
+    for (host, path, fields, status) in cases {
+        let answer = fleet.call_at(node, "GET", host, path, fields).await;
+        assert_eq!(answer.status, status, "{host}{path}");
     }
-    let at = setup.fleet.control[0].vm.platform;
-    let answer = setup
-        .fleet
-        .caller
-        .call("GET", at, "/metrics", &[], "")
-        .await;
-    let text = answer.expect("the platform listener answers").text();
-    assert!(text.contains("nutmegwheel_leads 1"), "{text}");
+    assert!(fleet.runs_of("/safe/x").is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_of_a_backend_server_has_no_workspace_and_fails_its_parent() {
+    let fleet = start().await;
+    for server in &fleet.servers[..2] {
+        server.set_calls("desk.example", "/inner/call");
+    }
+    let node = fleet.nodes[0].clone();
+    assert_eq!(call(&fleet, &node, "GET", "/safe/parent").await.status, 200);
+    let inner = fleet.runs_of("/inner/call");
+    assert_eq!(inner.len(), 1);
+    assert!(!inner[0].fields.contains_key("x-nutmegwheel-tenant"));
+    assert_eq!(inner[0].fields["x-nutmegwheel-caller-service"], "portal");
+    fleet.servers[2].set_fault(Fault::Shed);
+    let answer = call(&fleet, &node, "GET", "/safe/parent").await;
+    assert_eq!(answer.status, 500, "the backend server's own answer");
+    assert!(answer.fields.contains_key("x-nutmegwheel-server-seal"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answers_are_repeated_only_where_that_is_safe() {
+    let fleet = start().await;
+    let node = fleet.nodes[2].clone();
+    for fault in [Fault::Break, Fault::Foreign] {
+        fleet.servers[0].set_fault(fault);
+        for number in 0..12 {
+            let path = format!("/safe/{fault:?}-{number}");
+            assert_eq!(
+                call(&fleet, &node, "GET", &path).await.status,
+                200,
+                "{path}"
+            );
+            let path = format!("/once/{fault:?}-{number}");
+            let status = call(&fleet, &node, "POST", &path).await.status;
+            assert!(status == 200 || status == 502, "{path}: {status}");
+            assert_eq!(fleet.runs_of(&path).len(), 1, "{path}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_a_backend_server_sheds_runs_elsewhere_or_is_refused_as_not_run() {
+    let fleet = start().await;
+    let node = fleet.nodes[2].clone();
+    fleet.servers[0].set_fault(Fault::Shed);
+    for number in 0..10 {
+        let path = format!("/once/shed-{number}");
+        assert_eq!(
+            call(&fleet, &node, "POST", &path).await.status,
+            200,
+            "{path}"
+        );
+    }
+    fleet.servers[1].set_fault(Fault::Shed);
+    let answer = call(&fleet, &node, "POST", "/once/all-shed").await;
+    assert_eq!(answer.status, 503);
+    let after: f64 = answer.fields["retry-after"].parse().expect("seconds");
+    assert!(after > 0.0);
+    assert!(fleet.runs_of("/once/all-shed").is_empty());
 }
 
-#[tokio::test]
-async fn operators_need_their_secret_and_probes_do_not() {
-    let setup = Setup::start(&[("riga1", 1)], 1).await;
-    for vm in [&setup.fleet.nodes[0].vm, &setup.fleet.control[0].vm] {
-        for (path, fields, status) in [
-            ("/livez", &[][..], 200),
-            ("/readyz", &[], 200),
-            ("/v1/status", &[], 401),
-            (
-                "/v1/status",
-                &[("authorization", "Bearer of-somebody-else")],
-                401,
-            ),
-            ("/v1/events", &[], 401),
-            ("/nowhere", &[], 404),
-        ] {
-            let answer = setup
-                .fleet
-                .caller
-                .call("GET", vm.platform, path, fields, "")
-                .await;
-            let answer = answer.expect("the platform listener answers");
-            assert_eq!(answer.status, status, "{} {path}", vm.name);
+#[tokio::test(flavor = "multi_thread")]
+async fn after_the_acknowledgement_a_draining_server_gets_nothing_new() {
+    let fleet = start().await;
+    fleet.servers[0].drain().await;
+    let node = fleet.nodes[2].clone();
+    for number in 0..10 {
+        let path = format!("/safe/drain-{number}");
+        assert_eq!(call(&fleet, &node, "GET", &path).await.status, 200);
+        let runs = fleet.runs_of(&path);
+        assert!(runs.iter().all(|run| run.server != fleet.servers[0].id));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn publications_are_read_back_resent_and_refused_as_the_protocol_says() {
+    let fleet = start().await;
+    let good = document();
+    assert_eq!(fleet.publish(5, 1, &good).await, 200);
+    assert_eq!(fleet.put(5, 1, &good).await, 200, "the same again");
+    assert_eq!(fleet.put(1, 0, &good).await, 200, "an earlier one again");
+    assert_eq!(fleet.put(7, 1, &good).await, 412, "another base");
+    assert_eq!(fleet.put(5, 5, &good).await, 400, "a version that is taken");
+    let faults = [
+        ("service", serde_json::json!("unknown")),
+        ("timeout_ms", 0.into()),
+        ("attempts", 0.into()),
+        ("hostname", "".into()),
+    ];
+    for (field, value) in faults {
+        let mut bad = good.clone();
+        bad["routes"][0][field] = value;
+        assert_eq!(fleet.put(9, 5, &bad).await, 400, "{field}");
+    }
+    for vm in &fleet.control {
+        let shown = fleet.send("GET", vm.control(), "/-/config", "").await;
+        assert_eq!(
+            shown.expect("an answer").json()["version"],
+            "r5",
+            "{}",
+            vm.name
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dead_control_vm_holds_nothing_up_and_a_wiped_one_comes_back() {
+    let mut fleet = start().await;
+    for round in 0..3_u64 {
+        let vm = fleet.control[usize::try_from(round).expect("small")].clone();
+        fleet.kill(&vm.name);
+        let began = Instant::now();
+        let (version, base) = (round + 2, round + 1);
+        assert_eq!(fleet.publish(version, base, &document()).await, 200);
+        let took = began.elapsed();
+        assert!(took < Duration::from_secs(6), "ack and apply took {took:?}");
+        fleet.launch(&vm, false);
+        wait_for_version(&fleet, &vm, version).await;
+    }
+}
+
+async fn wait_for_version(fleet: &Fleet, vm: &Vm, version: u64) {
+    let end = Instant::now() + LIMIT;
+    loop {
+        let shown = fleet.send("GET", vm.control(), "/-/config", "").await;
+        let shown = shown.map(|answer| answer.json()["version"].clone());
+        if shown == Some(format!("r{version}").into()) {
+            return;
         }
+        assert!(Instant::now() < end, "{shown:?}: {}", fleet.log(&vm.name));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn signals_cut_no_request() {
+    let mut fleet = start().await;
+    for server in &fleet.servers {
+        server.set_work(Duration::from_millis(1200));
     }
+    let node = fleet.nodes[0].clone();
+    let running = call(&fleet, &node, "POST", "/once/hang-up");
+    let signal = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        fleet.signal(&node.name, "HUP");
+    };
+    let (answer, ()) = tokio::join!(running, signal);
+    assert_eq!(answer.status, 200);
+    let running = call(&fleet, &node, "POST", "/once/stop");
+    let signal = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        fleet.signal(&node.name, "TERM");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let ready = fleet.send("GET", node.ready(), "/-/ready", "").await;
+        ready.map(|answer| answer.status)
+    };
+    let (answer, ready) = tokio::join!(running, signal);
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    assert_eq!(answer.fields["connection"], "close");
+    assert_eq!(ready, Some(503), "it counts as not ready at once");
+    assert_eq!(
+        fleet.ended(&node.name, Duration::from_secs(6)).await,
+        Some(0)
+    );
 }
