--- a/crates/nutmegwheel-control/src/log/group.rs
+++ b/crates/nutmegwheel-control/src/log/group.rs
@@ -1,8 +1,11 @@
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use nutmegwheel_agreement::ReplicaName;
 use nutmegwheel_config::{Contacts, Settings};
 
+/// The election timeout of a group by contacts: five heartbeats, so that a follower still hears of
+/// its leader when packets are lost, and a group that was killed leads again in a second.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(500);
 /// The largest command in bytes: a published configuration, twice.
 const COMMAND_LIMIT: usize = 4 * 1024 * 1024;
 
@@ -61,6 +64,7 @@
                 let losses = usize::try_from(contacts.lost_control_vms).unwrap_or(usize::MAX);
                 options.voters = Some(losses.saturating_mul(2).saturating_add(1));
                 options.lease_reads = false;
+                options.election_timeout = ELECTION_TIMEOUT;
             }
         }
         options
--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -55,12 +55,11 @@
         refusal.after(shed::Options::default().level_lifetime)
     })?;
     call.context.retry_tokens = begun.tokens;
-    let workspace = call.context.workspace.clone();
     shared
         .ratios
         .lock()
         .unwrap_or_else(PoisonError::into_inner)
-        .count_first_try(Instant::now(), workspace.as_ref());
+        .count_first_try(Instant::now(), retry_key(&call));
     let mut settled = Settled {
         parent,
         child: begun.child,
@@ -144,6 +143,7 @@
             proof: proof(&refusal),
             tries: u32::try_from(tried.len()).unwrap_or(u32::MAX),
             is_non_idempotent: call.context.non_idempotent,
+            is_free: !has_reached_server(&refusal),
             unspent: served.unspent,
             remaining: call.deadline.saturating_duration_since(Instant::now()),
             needs: began.elapsed().min(NEAR_ROUND_TRIP),
@@ -175,6 +175,15 @@
     }
 }
 
+/// By what the share of retries is counted: by the service where the route bounds the tries, since
+/// it is the service that has to bear them, and else by the workspace that causes them.
+fn retry_key(call: &Call) -> Option<&Arc<str>> {
+    match call.max_servers {
+        Some(_) => Some(&call.service),
+        None => call.context.workspace.as_ref(),
+    }
+}
+
 fn decide(
     shared: &Shared,
     parent: &Parent,
@@ -187,7 +196,7 @@
         let budgets = Budgets {
             chain,
             ratios: &mut ratios,
-            workspace: call.context.workspace.as_ref(),
+            workspace: retry_key(call),
         };
         let options = retry::Options::default();
         let now = Instant::now();
@@ -338,6 +347,7 @@
             | Reason::BackendShed
             | Reason::NoBackendServer
             | Reason::Leaving => Ended::Refused,
+            Reason::LinkLost if refusal.outcome == Outcome::NotRun => Ended::Unreachable,
             Reason::BackendLost | Reason::LinkLost | Reason::AnswerTooLarge => Ended::Failed,
             Reason::Deadline if refusal.outcome == Outcome::MayHaveRun => Ended::Failed,
             _ => Ended::Cancelled,
--- a/crates/nutmegwheel-node/src/quotas.rs
+++ b/crates/nutmegwheel-node/src/quotas.rs
@@ -23,8 +23,9 @@
     shared::Shared,
 };
 
-/// The time that the hub gets to answer; a request that borrows waits no longer.
-const ANSWER_LIMIT: Duration = Duration::from_millis(250);
+/// The time that the hub gets to answer; a request that borrows waits no longer, so that a refusal
+/// comes well inside an eighth of the shortest target.
+const ANSWER_LIMIT: Duration = Duration::from_millis(100);
 /// How often a question is passed on to the hub that an answer names.
 const MAX_REDIRECTS: usize = 2;
 /// When to come back where the hub does not answer.
--- a/crates/nutmegwheel-policy/src/admission/queue.rs
+++ b/crates/nutmegwheel-policy/src/admission/queue.rs
@@ -134,9 +134,25 @@
         if let Some(place) = self.waiting.pop_too_late(now) {
             return Some(self.give_up(now, place, rng));
         }
+        if let Some(place) = self.pop_hopeless(now) {
+            return Some(self.give_up(now, place, rng));
+        }
         self.start_next(now)
     }
 
+    /// Takes the least important request once more important ones have come before it, so that it
+    /// can no longer start in time: its caller hears so now and not when the time is over.
+    fn pop_hopeless(&mut self, now: Instant) -> Option<Place> {
+        let last = *self.waiting.least_important()?;
+        let ahead = self.waiting.len() - 1;
+        let is_hopeless = now + self.time_to_start(now, ahead) > last.latest_start;
+        if !is_hopeless || ahead == 0 {
+            return None;
+        }
+        self.waiting.remove(&last);
+        Some(last)
+    }
+
     /// Refuses all that wait, because the backend server is gone or leaving; none was run.
     pub fn refuse_waiting(&mut self, now: Instant, rng: &mut impl Rng) {
         while let Some(place) = self.waiting.pop_least_important() {
--- a/crates/nutmegwheel-policy/src/retry/decide.rs
+++ b/crates/nutmegwheel-policy/src/retry/decide.rs
@@ -49,13 +49,15 @@
         ratios,
         workspace,
     } = budgets;
-    if !ratios.may_retry(now, workspace) {
+    if !attempt.is_free && !ratios.may_retry(now, workspace) {
         return Err(Reason::RatioSpent);
     }
     let tokens = chain
         .retry(child, attempt.unspent)
         .map_err(|_| Reason::ChainSpent)?;
-    ratios.take(now, workspace);
+    if !attempt.is_free {
+        ratios.take(now, workspace);
+    }
     Ok(Decision::Retry { backoff, tokens })
 }
 
--- a/crates/nutmegwheel-policy/src/retry/types.rs
+++ b/crates/nutmegwheel-policy/src/retry/types.rs
@@ -66,6 +66,8 @@
         pub tries: u32,
         /// Whether the call may run at most once.
         pub is_non_idempotent: bool,
+        /// Whether it never reached a backend server, so that another try adds to nobody's load.
+        pub is_free: bool,
         /// The tokens that came back with its answer, or `None` when the answer was lost.
         pub unspent: Option<u32>,
         /// The time left until the call's deadline.
--- a/crates/nutmegwheel-policy/src/routing/choose.rs
+++ b/crates/nutmegwheel-policy/src/routing/choose.rs
@@ -7,6 +7,17 @@
 /// The random draws made before the whole pool is looked through.
 const DRAWS: usize = 8;
 
+/// The backend servers that are looked at, from the first choice to the last resort.
+#[derive(Clone, Copy)]
+enum Usable {
+    /// Those that nothing speaks against.
+    Sound,
+    /// Ejected ones too.
+    Ejected,
+    /// Also those whose nodes could not be reached a moment ago.
+    Unreachable,
+}
+
 #[derive(Clone, Copy)]
 struct Candidate {
     key: BackendKey,
@@ -35,8 +46,9 @@
         rng: &mut impl Rng,
     ) -> Result<BackendKey, Error> {
         let candidate = self
-            .candidate(now, req, false, rng)
-            .or_else(|| self.candidate(now, req, true, rng))
+            .candidate(now, req, Usable::Sound, rng)
+            .or_else(|| self.candidate(now, req, Usable::Ejected, rng))
+            .or_else(|| self.candidate(now, req, Usable::Unreachable, rng))
             .ok_or_else(|| self.no_choice())?;
         self.servers[candidate.key].outstanding += 1;
         Ok(candidate.key)
@@ -46,15 +58,15 @@
         &self,
         now: Instant,
         req: &Request<'_>,
-        ejected: bool,
+        usable: Usable,
         rng: &mut impl Rng,
     ) -> Option<Candidate> {
-        let near = self.better_of_two(now, &self.near, req, ejected, rng);
+        let near = self.better_of_two(now, &self.near, req, usable, rng);
         let spill = f64::from(self.options.spill_percent) / 100.0;
         if near.is_some_and(|near| near.busy < spill) {
             return near;
         }
-        let far = self.better_of_two(now, &self.far, req, ejected, rng);
+        let far = self.better_of_two(now, &self.far, req, usable, rng);
         match (near, far) {
             (Some(near), Some(far)) => Some(self.nearer_unless_loaded(near, far)),
             (near, far) => near.or(far),
@@ -75,10 +87,10 @@
         now: Instant,
         pool: &[BackendKey],
         req: &Request<'_>,
-        ejected: bool,
+        usable: Usable,
         rng: &mut impl Rng,
     ) -> Option<Candidate> {
-        let is_eligible = |key: BackendKey| self.is_eligible(now, key, req, ejected);
+        let is_eligible = |key: BackendKey| self.is_eligible(now, key, req, usable);
         let mut pair = draw_two(pool, is_eligible, rng);
         // Of two that are equally loaded the first one is taken, and a small pool has an order.
         if rng.random() {
@@ -94,9 +106,20 @@
             .min_by(|a, b| a.load.total_cmp(&b.load))
     }
 
-    fn is_eligible(&self, now: Instant, key: BackendKey, req: &Request<'_>, ejected: bool) -> bool {
+    fn is_eligible(
+        &self,
+        now: Instant,
+        key: BackendKey,
+        req: &Request<'_>,
+        usable: Usable,
+    ) -> bool {
         let server = &self.servers[key];
-        server.is_available() && (ejected || !server.is_ejected(now)) && !req.tried.contains(&key)
+        let is_usable = match usable {
+            Usable::Sound => !server.is_ejected(now) && !server.is_unreachable(now),
+            Usable::Ejected => !server.is_unreachable(now),
+            Usable::Unreachable => true,
+        };
+        server.is_available() && is_usable && !req.tried.contains(&key)
     }
 
     fn no_choice(&self) -> Error {
--- a/crates/nutmegwheel-policy/src/routing/server.rs
+++ b/crates/nutmegwheel-policy/src/routing/server.rs
@@ -16,6 +16,7 @@
     pub(crate) outstanding: u32,
     pub(crate) silent: bool,
     pub(crate) ejected_until: Option<Instant>,
+    unreachable_until: Option<Instant>,
     ready_since: Option<Instant>,
     report: Option<(Instant, LoadReport, u32)>,
     refused_at: Option<Instant>,
@@ -32,6 +33,7 @@
             outstanding: 0,
             silent: false,
             ejected_until: None,
+            unreachable_until: None,
             ready_since: None,
             report: None,
             refused_at: None,
@@ -65,6 +67,7 @@
         match outcome {
             Outcome::Answered => {
                 self.failures = 0;
+                self.unreachable_until = None;
                 self.forgive(now, options);
             }
             Outcome::Refused => self.refused_at = Some(now),
@@ -72,6 +75,9 @@
                 self.failures = self.failures.saturating_add(1);
                 self.last_failure = Some(now);
             }
+            Outcome::Unreachable => {
+                self.unreachable_until = Some(now + options.unreachable_for);
+            }
             Outcome::Cancelled => {}
         }
         self.failures >= options.failures_to_eject
@@ -103,6 +109,10 @@
         self.announcement.state == ServerState::Ready && !self.silent
     }
 
+    pub(crate) fn is_unreachable(&self, now: Instant) -> bool {
+        self.unreachable_until.is_some_and(|until| until > now)
+    }
+
     pub(crate) fn is_ejected(&self, now: Instant) -> bool {
         self.ejected_until.is_some_and(|until| until > now)
     }
--- a/crates/nutmegwheel-policy/src/routing/types.rs
+++ b/crates/nutmegwheel-policy/src/routing/types.rs
@@ -28,6 +28,9 @@
         pub longest_ejection: Duration,
         /// The time without a failure after which earlier ejections are forgotten.
         pub forgive_after: Duration,
+        /// How long a backend server whose node could not be reached gets nothing. Unlike an
+        /// ejection that is no suspicion, so no bound holds for it.
+        pub unreachable_for: Duration,
         /// The largest part of the available backend servers that may be ejected, in percent.
         pub max_ejected_percent: u32,
     }
@@ -45,6 +48,7 @@
             first_ejection: Duration::from_secs(1),
             longest_ejection: Duration::from_mins(1),
             forgive_after: Duration::from_secs(30),
+            unreachable_for: Duration::from_millis(500),
             max_ejected_percent: 34,
         }
     }
@@ -101,6 +105,8 @@
         Refused,
         /// The answer was lost, cut short, late, or told of a fault of the backend server.
         Failed,
+        /// It never left the sender, since the backend server's node cannot be reached.
+        Unreachable,
         /// The sender gave it up, which tells nothing about the backend server.
         Cancelled,
     }
--- a/crates/nutmegwheel-policy/tests/retry.rs
+++ b/crates/nutmegwheel-policy/tests/retry.rs
@@ -20,6 +20,7 @@
         proof: Proof::NotRun,
         tries: 1,
         is_non_idempotent: false,
+        is_free: false,
         unspent: Some(0),
         remaining: Duration::from_millis(500),
         needs: Duration::from_millis(50),
