perf(policy): levels refuse nothing that is deep in a chain; retries are counted by service

The case of tests/shed.rs that expected this refusal was wrong by that trace; it now expects that begun work passes, and a new case that new work of the same class is refused.

--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use nutmegwheel_config::{Concurrency, Settings};
+use nutmegwheel_config::{Concurrency, Dialect, Settings};
 use nutmegwheel_events::{Journal, Stamp};
 use nutmegwheel_limits::messages::DoorId;
 use nutmegwheel_link::Endpoint;
@@ -25,7 +25,7 @@
 
 use crate::{
     backend::{BackendState, Local},
-    dialect::Dialect,
+    dialect,
     gate::Gate,
     members,
     metrics::Metrics,
@@ -44,6 +44,12 @@
 /// The incarnations of this life that are kept; calls for older ones are refused as not run.
 const REFUTED_KEPT: usize = 64;
 
+/// The retries in percent of the first tries of a service, where routes bound the tries. Repeats of
+/// a run repeat its calls too, so the sum over a chain is greater; deployments allow 20 %.
+const SERVICE_RETRIES_PERCENT: u32 = 12;
+/// The retries besides in 10 s, over all doors; deployments allow 49.
+const SERVICE_RETRIES_FLOOR: u32 = 36;
+
 /// What the listeners and tasks of a node share.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
@@ -52,7 +58,7 @@
     pub(crate) views: Views,
     pub(crate) spread: Spread,
     /// The language of the listeners, where it is not the own one.
-    pub(crate) dialect: Option<Arc<dyn Dialect>>,
+    pub(crate) dialect: Option<Arc<dyn dialect::Dialect>>,
     pub(crate) local: Local,
     pub(crate) splits: Mutex<Splits>,
     registration: Mutex<Registration>,
@@ -87,7 +93,7 @@
         settings: Settings,
         incarnation: Incarnation,
         journal: Arc<Journal>,
-        dialect: Option<Arc<dyn Dialect>>,
+        dialect: Option<Arc<dyn dialect::Dialect>>,
     ) -> Self {
         let now = Instant::now();
         Self {
@@ -101,7 +107,7 @@
             ),
             suspects: Suspects::open(),
             levels: Mutex::new(Levels::open(shed::Options::default())),
-            ratios: Mutex::new(Ratios::open(now, RatioOptions::default())),
+            ratios: Mutex::new(Ratios::open(now, ratio_options(&settings))),
             needs: Mutex::default(),
             seeds: Arc::new(SeedLists::open(&settings)),
             duty: Duty::open(&settings, incarnation).map(Arc::new),
@@ -304,11 +310,28 @@
     pub(crate) fn expire(&self, now: Instant) {
         self.watch.look(self);
         self.suspects.expire(now);
+        let doors = u32::try_from(self.spread.count_doors()).unwrap_or(u32::MAX);
+        let mut ratios = self.ratios.lock().unwrap_or_else(PoisonError::into_inner);
+        ratios.set_nodes(doors);
+        drop(ratios);
         let mut levels = self.levels.lock().unwrap_or_else(PoisonError::into_inner);
         levels.expire(now);
     }
 }
 
+/// Where the platform's routes bound the tries, retries are counted by service and else by workspace.
+fn ratio_options(settings: &Settings) -> RatioOptions {
+    let usual = RatioOptions::default();
+    match settings.dialect {
+        Dialect::Own => usual,
+        Dialect::Platform => RatioOptions {
+            percent: SERVICE_RETRIES_PERCENT,
+            floor: SERVICE_RETRIES_FLOOR,
+            ..usual
+        },
+    }
+}
+
 /// A request in flight.
 pub(crate) struct InFlight<'a>(&'a AtomicUsize);
 
--- a/crates/nutmegwheel-policy/src/admission/rank.rs
+++ b/crates/nutmegwheel-policy/src/admission/rank.rs
@@ -30,11 +30,11 @@
     }
 }
 
-/// Whether a shed level refuses a request. Deep work is refused only together with its class.
+/// Whether a shed level refuses a request.
+///
+/// Levels take load off at the doors. Work begun deep in a chain is never refused by one, for its
+/// root passed a door before the level fell, and what was done for it would be lost; it competes in
+/// the queue.
 pub(crate) fn is_shed(level: Priority, priority: Priority, is_deep: bool) -> bool {
-    if is_deep {
-        priority.rank > level.rank
-    } else {
-        priority > level
-    }
+    !is_deep && priority > level
 }
--- a/crates/nutmegwheel-policy/tests/shed.rs
+++ b/crates/nutmegwheel-policy/tests/shed.rs
@@ -57,6 +57,12 @@
             "begun work of a lower class",
             Priority { rank: 2, ..LEVEL },
             true,
+            false,
+        ),
+        (
+            "new work of a lower class",
+            Priority { rank: 2, ..LEVEL },
+            false,
             true,
         ),
         (
