--- a/crates/nutmegwheel-agreement/tests/standby.rs
+++ b/crates/nutmegwheel-agreement/tests/standby.rs
@@ -105,13 +105,13 @@
 
 #[test]
 fn replacements_under_loss_and_lost_disks_forget_nothing() {
-    for seed in 0..12 {
-        let (mut sim, _) = settled(100 + seed, HARSH);
+    for seed in 0..12_usize {
+        let (mut sim, _) = settled(100 + seed as u64, HARSH);
         sim.add(&name("d"));
         let names = [name("a"), name("b"), name("c"), name("d")];
         for round in 0..8 {
             propose_many(&mut sim, 10);
-            let victim = &names[(seed as usize + round) % names.len()];
+            let victim = &names[(seed + round) % names.len()];
             sim.cut.insert(victim.clone());
             sim.run(5 * SECOND);
             propose_many(&mut sim, 10);
--- a/crates/nutmegwheel-control/tests/state.rs
+++ b/crates/nutmegwheel-control/tests/state.rs
@@ -138,9 +138,9 @@
         first: true,
     };
     assert_eq!(state.apply(&publish(4, 0, 100)), first);
-    let stale = Verdict::OtherBase { current: 4 };
-    assert_eq!(state.apply(&publish(9, 3, 100)), stale, "another base");
-    assert_eq!(state.apply(&publish(9, 0, 100)), stale, "none");
+    let other_base = Verdict::OtherBase { current: 4 };
+    assert_eq!(state.apply(&publish(9, 3, 100)), other_base, "another base");
+    assert_eq!(state.apply(&publish(9, 0, 100)), other_base, "none");
     let low = Verdict::VersionTooLow { current: 4 };
     assert_eq!(state.apply(&publish(4, 4, 200)), low, "the same version");
     assert!(matches!(
--- a/crates/nutmegwheel-events/tests/output.rs
+++ b/crates/nutmegwheel-events/tests/output.rs
@@ -68,7 +68,8 @@
         write!(output, "line ").unwrap();
         writeln!(output, "{number}").unwrap();
     }
-    let expected: String = (0..100).map(|n| format!("line {n}\n")).collect();
+    let expected = (0..100).map(|n| format!("line {n}\n"));
+    let expected = expected.collect::<Vec<_>>().concat();
     wait_until("all lines", || {
         *kept.0.lock().unwrap() == expected.as_bytes()
     });
--- a/crates/nutmegwheel-limits/src/allotment/hub.rs
+++ b/crates/nutmegwheel-limits/src/allotment/hub.rs
@@ -8,8 +8,8 @@
 use super::{Answer, Borrowed, Part, RESERVE_PERCENT, Report, TOUCH, WHOLE, equal_part, part_of};
 use crate::{Limit, TOKEN, bucket::Bucket};
 
-/// The time in which a new hub only learns what the doors hold: those out of touch with it have
-/// fallen back to their equal parts by then.
+/// The longest time in which a new hub only learns what the doors hold: those out of touch with it
+/// have fallen back to their equal parts by then.
 const LEARNING: Duration = Duration::from_millis(2500);
 /// The time for which a new hub takes the reserve to have filled already; its predecessor has been
 /// silent for longer, an election timeout at least.
@@ -82,7 +82,7 @@
         for item in &report.items {
             let part = match limit(&item.workspace) {
                 None => 0,
-                Some(_) if now < self.opened + LEARNING => item.part,
+                Some(_) if self.is_learning(now, doors) => item.part,
                 Some(limit) => self.part(&report.door, &item.workspace, limit, doors),
             };
             parts.push((item.workspace.clone(), part));
@@ -104,7 +104,7 @@
         doors: usize,
     ) -> Borrowed {
         self.forget_silent(now);
-        let kept_back = if now < self.opened + LEARNING {
+        let kept_back = if self.is_learning(now, doors) {
             // Which doors are in touch shows only by their reports, and parts take no more than
             // the rest.
             WHOLE / 100 * RESERVE_PERCENT
@@ -124,6 +124,11 @@
         Borrowed::Denied { retry_after }
     }
 
+    /// Whether doors may hold parts that this hub has not heard of.
+    fn is_learning(&self, now: Instant, doors: usize) -> bool {
+        now < self.opened + LEARNING && self.doors.len() < doors
+    }
+
     /// Those out of touch use their equal parts, which the others' parts leave free.
     fn forget_silent(&mut self, now: Instant) {
         self.doors
--- a/crates/nutmegwheel-policy/tests/admission_timeouts.rs
+++ b/crates/nutmegwheel-policy/tests/admission_timeouts.rs
@@ -109,3 +109,40 @@
         "{share} % of the levels leave a part of the class"
     );
 }
+
+/// The load pattern: a queue that urgent work keeps overtaking. Who cannot start in time any more
+/// hears so at once, and not when the time is over.
+#[test]
+fn a_request_that_was_overtaken_for_good_is_refused_at_once() {
+    let mut rng = StdRng::seed_from_u64(4);
+    let mut now = Instant::now();
+    let mut queue = Queue::open(now, Box::new(Fixed::open(1)), Options::default());
+    for _ in 0..8 {
+        let offer = queue.offer(now, request(now, 0, 0, false), &mut rng);
+        now += Duration::from_millis(100);
+        if let Offer::Started(ticket) = offer {
+            queue.finish(now, ticket, Completion::Answered);
+        }
+    }
+    queue.offer(now, request(now, 0, 0, false), &mut rng);
+    let Offer::Waiting(last) = queue.offer(now, request(now, 2, 0, false), &mut rng) else {
+        panic!("it waits")
+    };
+    let mut refused_after = None;
+    for overtakes in 1..12 {
+        queue.offer(now, request(now, 0, 0, false), &mut rng);
+        while let Some(event) = queue.poll(now, &mut rng) {
+            if matches!(event, nutmegwheel_policy::admission::Event::Refused(t, _) if t == last) {
+                refused_after = Some(overtakes);
+            }
+        }
+        if refused_after.is_some() {
+            break;
+        }
+    }
+    let overtakes = refused_after.expect("it is told without any time passing");
+    assert!(
+        overtakes >= 4,
+        "refused after {overtakes}, though there was time"
+    );
+}
--- a/crates/nutmegwheel-policy/tests/retry.rs
+++ b/crates/nutmegwheel-policy/tests/retry.rs
@@ -109,6 +109,26 @@
             Some(ChainSpent),
         ),
         ("ratio spent", attempt(), 3, 0, Some(RatioSpent)),
+        (
+            "ratio spent, but the try reached nobody",
+            Attempt {
+                is_free: true,
+                ..attempt()
+            },
+            3,
+            0,
+            None,
+        ),
+        (
+            "chain spent by tries that reached nobody",
+            Attempt {
+                is_free: true,
+                ..attempt()
+            },
+            0,
+            0,
+            Some(ChainSpent),
+        ),
     ];
     for (name, attempt, tokens, floor, expected) in cases {
         check_decision(name, &attempt, tokens, floor, expected);
--- a/crates/nutmegwheel-policy/tests/routing.rs
+++ b/crates/nutmegwheel-policy/tests/routing.rs
@@ -271,3 +271,43 @@
         assert!(chosen.iter().all(|n| (60..=140).contains(n)), "{chosen:?}");
     }
 }
+
+/// The load pattern: a data centre is cut off, and with it two of three backend servers of a service.
+/// Ejections are bounded to one of three; what cannot be reached must get nothing all the same.
+#[test]
+fn unreachable_backend_servers_get_a_try_now_and_then_and_nothing_else() {
+    let mut now = Instant::now();
+    let mut rng = StdRng::seed_from_u64(5);
+    let (mut table, keys) = table(now, 1, 2);
+    let mut lost = 0;
+    for _ in 0..1000 {
+        now += Duration::from_millis(5);
+        let mut tried = Vec::new();
+        loop {
+            let req = Request {
+                priority: TOP,
+                tried: &tried,
+            };
+            let key = table.choose(now, &req, &mut rng).expect("a choice");
+            if key == keys[0] {
+                table.finish(now, key, Outcome::Answered, None);
+                break;
+            }
+            lost += 1;
+            table.finish(now, key, Outcome::Unreachable, None);
+            tried.push(key);
+        }
+    }
+    assert!(lost <= 2 * 11, "{lost} tries at unreachable nodes in 5 s");
+}
+
+#[test]
+fn with_all_unreachable_one_is_tried_all_the_same() {
+    let now = Instant::now();
+    let (mut table, keys) = table(now, 0, 2);
+    for key in &keys {
+        choose(&mut table, now, &[], 1).expect("a choice");
+        table.finish(now, *key, Outcome::Unreachable, None);
+    }
+    assert!(choose(&mut table, now, &[], 2).is_ok());
+}
--- a/crates/nutmegwheel/tests/platform.rs
+++ b/crates/nutmegwheel/tests/platform.rs
@@ -11,6 +11,14 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_nutmegwheel");
 const SERVERS: &[(&str, &str)] = &[("riga1", "portal"), ("riga2", "portal"), ("riga3", "desk")];
 
+/// Host, path, header fields and the expected status.
+type Case = (
+    &'static str,
+    &'static str,
+    &'static [(&'static str, &'static str)],
+    u16,
+);
+
 async fn start() -> Fleet {
     let fleet = Fleet::start(PROGRAM, SERVERS).await;
     assert_eq!(fleet.publish(1, 0, &document()).await, 200);
@@ -30,6 +38,7 @@
             return;
         }
         assert!(Instant::now() < end, "{}", fleet.log(&node.name));
+        tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
 
@@ -79,7 +88,7 @@
 async fn what_is_not_allowed_is_refused_and_does_not_run() {
     let fleet = start().await;
     let node = &fleet.nodes[0];
-    let cases: [(&str, &str, &[(&str, &str)], u16); 4] = [
+    let cases: [Case; 4] = [
         ("portal.example", "/safe/x", &[], 401),
         (
             "portal.example",
