--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -139,6 +139,11 @@
             return checked.and(Err(refusal));
         }
         let others = shared.routes.available(&call.service) > tried.len();
+        if others && is_untouched(call, &refusal) {
+            // The loan of the try came back whole, so it goes on to the next one.
+            record_retry(shared, call, &target, &refusal, Duration::ZERO);
+            continue;
+        }
         let attempt = Attempt {
             proof: proof(&refusal),
             tries: u32::try_from(tried.len()).unwrap_or(u32::MAX),
@@ -154,19 +159,7 @@
         };
         match decide(shared, parent, call, settled.child, &attempt) {
             Decision::Retry { backoff, tokens } => {
-                shared.metrics.count_retry();
-                shared.journal.decide(
-                    Event::CallRetried,
-                    &[
-                        ("id", &shared.local.id(call).unwrap_or_default()),
-                        ("service", &call.service),
-                        ("failed_at", &target.node),
-                        ("reason", &refusal.reason.word()),
-                        ("detail", &refusal.detail),
-                        ("tokens_left", &tokens),
-                        ("backoff_ms", &backoff.as_millis()),
-                    ],
-                );
+                record_retry(shared, call, &target, &refusal, backoff);
                 call.context.retry_tokens = tokens;
                 tokio::time::sleep(backoff).await;
             }
@@ -227,6 +220,37 @@
     refusal.reason == Reason::BackendLost && refusal.outcome == Outcome::MayHaveRun
 }
 
+/// Whether a try may be made elsewhere without a retry being spent: it reached no backend server, and
+/// the route bounds how many of them the request is sent to. Each node is asked once at most.
+fn is_untouched(call: &Call, refusal: &Refusal) -> bool {
+    let is_passing = matches!(
+        refusal.reason,
+        Reason::Overloaded | Reason::NoBackendServer | Reason::Leaving | Reason::LinkLost
+    );
+    call.max_servers.is_some() && is_passing && !has_reached_server(refusal)
+}
+
+fn record_retry(
+    shared: &Shared,
+    call: &Call,
+    failed: &Target,
+    refusal: &Refusal,
+    backoff: Duration,
+) {
+    shared.metrics.count_retry();
+    shared.journal.decide(
+        Event::CallRetried,
+        &[
+            ("id", &shared.local.id(call).unwrap_or_default()),
+            ("service", &call.service),
+            ("failed_at", &failed.node),
+            ("reason", &refusal.reason.word()),
+            ("detail", &refusal.detail),
+            ("backoff_ms", &backoff.as_millis()),
+        ],
+    );
+}
+
 /// Whether a try was sent to a backend server, and not only to its node.
 fn has_reached_server(refusal: &Refusal) -> bool {
     refusal.outcome == Outcome::MayHaveRun || refusal.reason == Reason::BackendShed
