--- a/crates/nutmegwheel-limits/src/allotment/door.rs
+++ b/crates/nutmegwheel-limits/src/allotment/door.rs
@@ -5,7 +5,7 @@
 
 use nutmegwheel_types::{ProcessName, WorkspaceId, plain_copy};
 
-use super::{Answer, Borrowed, Item, Part, RESERVE_PERCENT, Report, TOUCH, equal_part, part_of};
+use super::{Answer, Borrowed, Item, Part, Report, TOUCH, equal_part, part_of};
 use crate::{Limit, TOKEN, bucket::Bucket};
 
 /// The workspaces that a door keeps in mind.
@@ -131,6 +131,10 @@
     ) -> Spend {
         let is_in_touch = self.is_in_touch(now);
         let is_opening = self.answered.is_none() && now < self.opened + TOUCH;
+        // The hub lends to others what it kept back for this door until it finds it silent too, so
+        // the door takes half of that as long as it cannot be sure.
+        let equal = equal_part(doors);
+        let was_heard = self.was_heard(now);
         let is_full = self.accounts.len() >= MAX_ACCOUNTS;
         if is_full && !self.accounts.contains_key(workspace) {
             return Spend::Borrow;
@@ -139,10 +143,15 @@
         let account = account.or_insert_with(|| Account::open(now));
         account.arrivals += 1;
         account.whole = limit;
+        let part_alone = if was_heard {
+            account.part.midpoint(equal)
+        } else {
+            equal
+        };
         match (is_in_touch, is_opening) {
             (true, _) => account.spend_from(now, part_of(limit, account.part)),
             (false, true) => account.spend_from(now, Limit::ZERO),
-            (false, false) => account.spend_alone(now, limit, doors),
+            (false, false) => account.spend_alone(now, limit, part_alone),
         }
         if account.bucket.take(TOKEN, now) {
             return Spend::Spent;
@@ -177,10 +186,12 @@
 
     fn is_in_touch(&self, now: Instant) -> bool {
         let is_silent = self.silent_until.is_some_and(|until| now < until);
-        let is_heard = self
-            .answered
-            .is_some_and(|at| now.saturating_duration_since(at) < TOUCH);
-        is_heard && !is_silent
+        self.was_heard(now) && !is_silent
+    }
+
+    fn was_heard(&self, now: Instant) -> bool {
+        self.answered
+            .is_some_and(|at| now.saturating_duration_since(at) < TOUCH)
     }
 }
 
@@ -211,17 +222,19 @@
         self.bucket.set_limit(limit, now);
     }
 
-    /// Spends from an equal part, which holds a whole token however small it is. It begins with
-    /// its share of the burst that the silent hub kept back.
-    fn spend_alone(&mut self, now: Instant, limit: Limit, doors: usize) {
-        let part = equal_part(doors);
+    /// Spends from a part without the hub. However small it is it holds a whole token, and begins
+    /// with its share of the burst, up to a token: the hub may have lent the rest before.
+    fn spend_alone(&mut self, now: Instant, limit: Limit, part: Part) {
         let mut own = part_of(limit, part);
         if !self.is_alone {
             self.is_alone = true;
-            let kept_back = part_of(limit, part / 100 * RESERVE_PERCENT);
+            let first = Limit {
+                rate: own.rate,
+                burst: own.burst.min(TOKEN),
+            };
             self.bucket.refill(now);
-            if self.bucket.level() < kept_back.burst {
-                self.bucket = Bucket::full(kept_back, now);
+            if self.bucket.level() < first.burst {
+                self.bucket = Bucket::full(first, now);
             }
         }
         own.burst = own.burst.max(TOKEN);
--- a/crates/nutmegwheel-limits/tests/allotment.rs
+++ b/crates/nutmegwheel-limits/tests/allotment.rs
@@ -160,6 +160,27 @@
     assert!(most <= allowed, "{most} in 5 s, allowed {allowed}");
 }
 
+/// The load pattern of deploy/days/cut-behind-a-hot-tenant.toml: the burst is spent when the cut
+/// comes, and neither side may take it for unspent.
+#[test]
+fn a_cut_right_after_a_burst_gives_nobody_a_second_burst() {
+    for reach in [3, 5, 10, 13] {
+        let mut world = World::open(15, 143.0, 143);
+        world.run(8 * SECOND, 90.0);
+        world.run(2 * SECOND, 900.0);
+        world.reach = reach;
+        world.run(6 * SECOND, 900.0);
+        world.reach = 15;
+        world.run(6 * SECOND, 900.0);
+        let allowed = (143 * 5 + 143) * 11 / 10 + 20;
+        let most = world.most_in_five_seconds();
+        assert!(
+            most < allowed,
+            "{reach} in reach: {most} in 5 s, allowed {allowed}"
+        );
+    }
+}
+
 #[test]
 fn a_new_hub_learns_before_it_deals_out() {
     let mut world = World::open(15, 79.0, 79);
