fix(membership): a process that knows only its own data centre looks for the others

Cause: a node that joins at a control VM which itself knows nobody yet counts as joined with that one record. Seeds compare with a contact every 10 s only, so when that control VM dies the node knows nobody for up to 10 s and hears of no new version. Its events show it: control-0 is the only member joined, the others follow 10 s after the start.

Ruled out: news lost on the way to the dead control VM (it was the only peer the node had), a slow fetch (it began and ended within 1 ms once a version was heard).

Change: while no living process of another data centre is known, contacts are asked every second; not where the settings name a single data centre.

--- a/crates/nutmegwheel-membership/src/gossip/dissemination.rs
+++ b/crates/nutmegwheel-membership/src/gossip/dissemination.rs
@@ -21,7 +21,8 @@
 const COMPARE: Duration = Duration::from_secs(3);
 /// How often a seed compares tables with one of the contacts of its settings.
 const CONTACT: Duration = Duration::from_secs(10);
-/// How often a process without another one in its data centre does; it may have been cut off.
+/// How often a process does that knows nobody else in its data centre, or nobody outside: it may
+/// have been cut off, or have joined at a process that was itself new.
 const CONTACT_ALONE: Duration = Duration::from_secs(1);
 /// The records that travel on a probe or its answer.
 const PIGGYBACKED: usize = 4;
@@ -176,18 +177,20 @@
     /// How often this process compares with a contact: seeds do it for their data centre, and where
     /// there are none, control VMs and every now and then each node.
     fn contact_pause(&self) -> Option<Duration> {
-        if self.duty.is_some() {
-            return Some(CONTACT);
-        }
-        if self.options.needs_lease {
+        let is_seed = self.duty.is_some();
+        if !is_seed && self.options.needs_lease {
             return None;
         }
-        let is_alone = self.table.local().is_empty();
+        let is_alone = self.table.local().is_empty() && !is_seed;
+        let has_elsewhere = self.options.data_centres.len() > 1;
+        if is_alone || (has_elsewhere && !self.table.knows_elsewhere()) {
+            return Some(CONTACT_ALONE);
+        }
         let is_control = self.table.own().role == Role::Control;
-        Some(match (is_alone, is_control) {
-            (true, _) => CONTACT_ALONE,
-            (false, true) => COMPARE,
-            (false, false) => CONTACT,
+        Some(if is_control && !is_seed {
+            COMPARE
+        } else {
+            CONTACT
         })
     }
 
--- a/crates/nutmegwheel-membership/src/table.rs
+++ b/crates/nutmegwheel-membership/src/table.rs
@@ -24,6 +24,7 @@
         local: Vec<LinkAddress>,
         remote: Vec<Remote>,
         control: Vec<LinkAddress>,
+        knows_elsewhere: bool,
     }
 
     /// The way to another data centre.
@@ -73,6 +74,7 @@
                 local: Vec::new(),
                 remote: Vec::new(),
                 control: Vec::new(),
+                knows_elsewhere: false,
             },
             are_routes_old: true,
         };
@@ -241,6 +243,11 @@
         &self.routes.control
     }
 
+    /// Whether a living process of another data centre is known.
+    pub(crate) fn knows_elsewhere(&self) -> bool {
+        self.routes.knows_elsewhere
+    }
+
     pub(crate) fn seeds_of(&self, data_centre: &str) -> Vec<LinkAddress> {
         self.live()
             .filter(|record| record.seed && &*record.data_centre == data_centre)
@@ -281,6 +288,7 @@
         let mine = by_data_centre
             .remove(&self.own.data_centre)
             .unwrap_or_default();
+        let knows_elsewhere = !by_data_centre.is_empty();
         let local = mine
             .iter()
             .filter(|record| record.name != self.own.name)
@@ -303,6 +311,7 @@
             local,
             remote,
             control,
+            knows_elsewhere,
         }
     }
 }
--- /dev/null
+++ b/crates/nutmegwheel-membership/tests/contacts.rs
@@ -0,0 +1,118 @@
+//! Whom a process asks that found the fleet at a contact which knew nobody else yet.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use nutmegwheel_membership::{
+    Body, CutOff, Gossip, Health, Message, Options, Outgoing, Record, Role, Seed, Standing, TICK,
+};
+
+/// The control VM in the data centre of the process, and those in two others.
+const CONTROL: [u8; 3] = [1, 2, 3];
+/// The time within which a process takes a new version over, see docs/CAPACITY.md.
+const IN_FORCE: Duration = Duration::from_secs(5);
+/// A time long enough for the pauses of a settled process to show.
+const LONG: Duration = Duration::from_secs(30);
+
+fn address(host: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, host], 7000))
+}
+
+fn data_centre(host: u8) -> Arc<str> {
+    Arc::from(format!("dc{host}"))
+}
+
+/// A node that is the only seed of its data centre, beside one control VM there.
+fn process(needs_lease: bool, data_centres: &[u8]) -> Gossip {
+    Gossip::open(Options {
+        name: Arc::from("node"),
+        data_centre: data_centre(1),
+        role: Role::Node,
+        link: address(0),
+        callers: None,
+        platform: None,
+        incarnation: 1,
+        nonce: 5,
+        seeds: vec![Seed {
+            name: Arc::from("node"),
+            link: address(0),
+        }],
+        contacts: CONTROL.map(address).to_vec(),
+        data_centres: data_centres.iter().copied().map(data_centre).collect(),
+        cut_off: CutOff::Serve,
+        needs_lease,
+    })
+}
+
+fn control(host: u8) -> Record {
+    Record {
+        name: Arc::from(format!("control-{host}")),
+        data_centre: data_centre(host),
+        role: Role::Control,
+        seed: false,
+        link: address(host),
+        callers: None,
+        platform: None,
+        incarnation: 1,
+        counter: 0,
+        standing: Standing::Active,
+        announcement: None,
+        health: Health::Alive,
+    }
+}
+
+/// Lets the process learn of these control VMs from the first of them, then run alone, and returns
+/// the comparisons that it asks of others.
+fn compared(mut gossip: Gossip, known: &[u8], time: Duration) -> Vec<SocketAddr> {
+    let start = Instant::now();
+    gossip.tick(start);
+    let records = known.iter().map(|host| control(*host)).collect();
+    let message = Message {
+        version: 0,
+        body: Body::Records(records),
+    };
+    gossip.receive(start, address(known[0]), message);
+    let mut now = start;
+    let mut compared = Vec::new();
+    while now < start + time {
+        now += TICK;
+        let sent: Vec<Outgoing> = gossip.tick(now);
+        let digests = sent
+            .into_iter()
+            .filter(|out| matches!(out.message.body, Body::Digest(_)));
+        compared.extend(digests.map(|out| out.to));
+    }
+    compared
+}
+
+#[test]
+fn one_that_knows_only_its_own_data_centre_looks_for_the_others_at_once() {
+    for needs_lease in [true, false] {
+        let compared = compared(process(needs_lease, &CONTROL), &[1], IN_FORCE);
+        let others = [address(2), address(3)];
+        assert!(
+            compared.iter().any(|to| others.contains(to)),
+            "with leases {needs_lease}: {compared:?}"
+        );
+    }
+}
+
+#[test]
+fn one_that_knows_others_leaves_the_contacts_alone() {
+    let compared = compared(process(true, &CONTROL), &[1, 2, 3], LONG);
+    let contacted = compared.iter().filter(|to| **to == address(3)).count();
+    let most = usize::try_from(LONG.as_secs() / 2).unwrap();
+    assert!(
+        contacted <= most,
+        "{contacted} comparisons with one contact"
+    );
+}
+
+#[test]
+fn one_in_the_only_data_centre_does_not_look_for_others() {
+    let compared = compared(process(false, &[1]), &[1], LONG);
+    let contacted = compared.iter().filter(|to| **to != address(1)).count();
+    let most = usize::try_from(LONG.as_secs() / 2).unwrap();
+    assert!(contacted <= most, "{contacted} comparisons with contacts");
+}
