refactor(node): one try in a file of its own; one view decides on a request; limits and doors have one home

A limit comes from the configuration in one function; the burst of a share and of its holder were rounded in three places, one of which took a burst below 1 for 0. The number of doors is kept with the members and no longer counted for each keyed request. A request is decided on one view. Lines of decisions that are not told are not formatted.

--- a/crates/nutmegwheel-control/src/allotments.rs
+++ b/crates/nutmegwheel-control/src/allotments.rs
@@ -15,7 +15,7 @@
 use nutmegwheel_wire as wire;
 use prost::Message as _;
 
-use crate::{log::ReplicatedLog, shares};
+use crate::log::ReplicatedLog;
 
 /// Divides the limits of workspaces among doors while this control VM leads.
 pub(crate) struct Allotments {
@@ -41,7 +41,7 @@
     /// Answers a report; where another control VM leads, with its address.
     pub(crate) fn report(&self, head: Bytes) -> Option<Bytes> {
         let report = report_from_wire(wire::AllotmentReport::decode(head).ok()?);
-        let doors = self.spread.count_doors();
+        let doors = self.spread.doors();
         let answer = self.in_office(|hub| {
             hub.report(Instant::now(), &report, doors, |workspace| {
                 self.limit(workspace)
@@ -68,7 +68,7 @@
     /// Lends a token; where another control VM leads, answers with its address.
     pub(crate) fn borrow(&self, head: Bytes) -> Option<Bytes> {
         let workspace: WorkspaceId = wire::Borrow::decode(head).ok()?.workspace.into();
-        let doors = self.spread.count_doors();
+        let doors = self.spread.doors();
         let limit = self.limit(&workspace).unwrap_or(Limit::ZERO);
         let borrowed = self.in_office(|hub| hub.borrow(Instant::now(), &workspace, limit, doors));
         let answer = match borrowed {
@@ -107,8 +107,7 @@
     fn limit(&self, workspace: &WorkspaceId) -> Option<Limit> {
         self.log.with_view(|view| {
             let configured = view.configuration.workspaces.get(workspace)?;
-            let burst = shares::whole(configured.burst);
-            Some(Limit::from_config(configured.rate, burst))
+            Some(Limit::from_config(configured.rate, configured.burst))
         })
     }
 
--- a/crates/nutmegwheel-control/src/shares.rs
+++ b/crates/nutmegwheel-control/src/shares.rs
@@ -104,8 +104,8 @@
     fn rebalance(&self, view: &View, table: &Table, workspace: &WorkspaceId) -> Option<ChangeSet> {
         let configured = view.configuration.workspaces.get(workspace);
         let (limit, burst) = configured.map_or((Limit::ZERO, u64::MAX), |configured| {
-            let burst = whole(configured.burst);
-            (Limit::from_config(configured.rate, burst), burst.into())
+            let limit = Limit::from_config(configured.rate, configured.burst);
+            (limit, limit.whole_burst())
         });
         let data_centres = share::placement(workspace, burst, &self.data_centres);
         let none = BTreeMap::new();
@@ -181,9 +181,3 @@
     let configured = view.configuration.workspaces.keys();
     configured.chain(table.workspaces()).cloned().collect()
 }
-
-/// A burst of the configuration in whole tokens.
-#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-pub(crate) fn whole(burst: f64) -> u32 {
-    burst.clamp(1.0, f64::from(u32::MAX)) as u32
-}
--- a/crates/nutmegwheel-limits/examples/limits_bench.rs
+++ b/crates/nutmegwheel-limits/examples/limits_bench.rs
@@ -71,7 +71,7 @@
                 }
                 Output::Release(release) => self.seed.release(&release),
                 Output::Renewal(req) => {
-                    let limit = Limit::from_config(10_000.0, 20_000);
+                    let limit = Limit::from_config(10_000.0, 20_000.0);
                     let share = Share {
                         whole: limit,
                         floor: limit,
--- a/crates/nutmegwheel-limits/examples/limits_embed.rs
+++ b/crates/nutmegwheel-limits/examples/limits_embed.rs
@@ -43,7 +43,7 @@
         Output::Lease(req) => steward.lease_reply(&"n1".into(), &seed.request(&req, now), now),
         Output::Release(release) => seed.release(&release),
         Output::Renewal(req) => {
-            let share = Share::lasting(Limit::from_config(50.0, 20));
+            let share = Share::lasting(Limit::from_config(50.0, 20.0));
             let (number, shares) = (req.number, [("vidzeme".into(), share)].into());
             steward.renewal(
                 &Renewal {
--- a/crates/nutmegwheel-limits/src/amount.rs
+++ b/crates/nutmegwheel-limits/src/amount.rs
@@ -40,18 +40,27 @@
 
     /// Converts the numbers of the configuration: requests per second, and requests at once.
     ///
-    /// The rate is rounded down to a millionth, so that rounding never adds to it.
+    /// The rate is rounded down to a millionth, so that rounding never adds to it. The burst is
+    /// whole, and at least 1: with less nothing would ever pass.
     #[must_use]
-    pub fn from_config(rate: f64, burst: u32) -> Self {
+    pub fn from_config(rate: f64, burst: f64) -> Self {
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         #[expect(clippy::cast_precision_loss)]
         let rate = (rate.max(0.0) * TOKEN as f64) as MicroTokens;
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let burst = burst.clamp(1.0, f64::from(u32::MAX)) as u64;
         Limit {
             rate,
-            burst: u64::from(burst) * TOKEN,
+            burst: burst * TOKEN,
         }
     }
 
+    /// The whole tokens of the burst.
+    #[must_use]
+    pub fn whole_burst(self) -> u64 {
+        self.burst / TOKEN
+    }
+
     /// The smaller of both in each part.
     #[must_use]
     pub fn min(self, other: Self) -> Self {
--- a/crates/nutmegwheel-limits/tests/allotment.rs
+++ b/crates/nutmegwheel-limits/tests/allotment.rs
@@ -40,7 +40,7 @@
             hub: Some(Hub::open(now)),
             reach: doors,
             workspace: Arc::from("vidzeme"),
-            limit: Limit::from_config(rate, burst),
+            limit: Limit::from_config(rate, f64::from(burst)),
             passed: Vec::new(),
             asked: 0,
             steps: 0,
@@ -210,7 +210,7 @@
 fn a_lowered_limit_binds_at_once() {
     let mut world = World::open(15, 79.0, 79);
     world.run(8 * SECOND, 600.0);
-    world.limit = Limit::from_config(10.0, 10);
+    world.limit = Limit::from_config(10.0, 10.0);
     world.passed.clear();
     world.run(10 * SECOND, 600.0);
     let most = world.most_in_five_seconds();
--- a/crates/nutmegwheel-limits/tests/support/mod.rs
+++ b/crates/nutmegwheel-limits/tests/support/mod.rs
@@ -23,7 +23,7 @@
 }
 
 pub(crate) fn limit(rate: f64, burst: u32) -> Limit {
-    Limit::from_config(rate, burst)
+    Limit::from_config(rate, f64::from(burst))
 }
 
 pub(crate) fn whole(limit: Limit) -> Share {
--- a/crates/nutmegwheel-membership/src/gossip/views.rs
+++ b/crates/nutmegwheel-membership/src/gossip/views.rs
@@ -66,6 +66,13 @@
         self.table.own()
     }
 
+    /// The number of nodes that callers may still come to: all but those that left, since one that
+    /// does not answer may go on behind a cut.
+    #[must_use]
+    pub fn doors(&self) -> usize {
+        self.table.doors()
+    }
+
     /// The backend servers of a service whose nodes are not dead.
     pub fn backend_servers(&self, service: &str) -> impl Iterator<Item = BackendServer> {
         self.table.live().filter_map(move |record| {
--- a/crates/nutmegwheel-membership/src/table.rs
+++ b/crates/nutmegwheel-membership/src/table.rs
@@ -15,6 +15,7 @@
         suspects: BTreeMap<ProcessName, Instant>,
         dead: BTreeMap<ProcessName, Instant>,
         buckets: Vec<u32>,
+        doors: usize,
         routes: Routes,
         are_routes_old: bool,
     }
@@ -70,6 +71,7 @@
             suspects: BTreeMap::new(),
             dead: BTreeMap::new(),
             buckets: vec![0; BUCKETS as usize],
+            doors: 0,
             routes: Routes {
                 local: Vec::new(),
                 remote: Vec::new(),
@@ -156,7 +158,10 @@
         }
         self.buckets[bucket] ^= record.state_hash();
         self.by_address.insert(record.link, record.name.clone());
-        self.records.insert(record.name.clone(), record);
+        self.doors += usize::from(is_door(&record));
+        if let Some(old) = self.records.insert(record.name.clone(), record) {
+            self.doors -= usize::from(is_door(&old));
+        }
     }
 
     /// Forgets processes that have been dead for long, and returns the suspects whose time is up.
@@ -180,9 +185,11 @@
 
     fn forget(&mut self, name: &ProcessName) {
         self.dead.remove(name);
-        if let Some(record) = self.records.remove(name)
-            && self.by_address.get(&record.link) == Some(name)
-        {
+        let Some(record) = self.records.remove(name) else {
+            return;
+        };
+        self.doors -= usize::from(is_door(&record));
+        if self.by_address.get(&record.link) == Some(name) {
             self.by_address.remove(&record.link);
         }
     }
@@ -265,6 +272,11 @@
         names
     }
 
+    /// The number of nodes but for those that left.
+    pub(crate) fn doors(&self) -> usize {
+        self.doors
+    }
+
     pub(crate) fn buckets(&self) -> &[u32] {
         &self.buckets
     }
@@ -336,6 +348,13 @@
         .collect()
 }
 
+/// Whether callers may still come in there: a node that does not answer may go on behind a cut,
+/// one that left does not.
+fn is_door(record: &Record) -> bool {
+    let has_left = record.health == Health::Dead && record.standing == Standing::Leaving;
+    record.role == Role::Node && !has_left
+}
+
 fn bucket(record: &Record) -> usize {
     let bucket = record.name_hash() % u64::from(BUCKETS);
     usize::try_from(bucket).unwrap_or_default()
--- a/crates/nutmegwheel-membership/tests/gossip.rs
+++ b/crates/nutmegwheel-membership/tests/gossip.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use nutmegwheel_membership::WithdrawalState;
+use nutmegwheel_membership::{Health, Record, Role, Standing, WithdrawalState};
 use sim::{Shape, Sim, configuration};
 
 const SHAPE: Shape = Shape {
@@ -90,3 +90,34 @@
     let limit = Duration::from_secs(4);
     assert!(sim.run_until(limit, |sim| sim.knows_all(20)).is_some());
 }
+
+/// The count of doors, taken from the records one by one.
+fn counted(sim: &Sim, index: usize) -> usize {
+    let has_left =
+        |record: &Record| record.health == Health::Dead && record.standing == Standing::Leaving;
+    let members = sim.processes[index].gossip.members();
+    let nodes = members.filter(|record| record.role == Role::Node);
+    nodes.filter(|record| !has_left(record)).count()
+}
+
+#[test]
+fn doors_are_all_nodes_but_those_that_left() {
+    const NODES: usize = 21;
+    let mut sim = settled();
+    assert_eq!(sim.processes[0].gossip.doors(), NODES);
+    let now = sim.instant();
+    let out = sim.processes[20].gossip.stop(now);
+    sim.act(20, out);
+    sim.crash(20);
+    sim.crash(21);
+    sim.run_for(Duration::from_secs(10));
+    for index in 0..20 {
+        assert_eq!(sim.processes[index].gossip.doors(), NODES - 1, "{index}");
+        assert_eq!(counted(&sim, index), NODES - 1, "{index}");
+    }
+    // Longer than the records of the dead are kept.
+    sim.run_for(Duration::from_mins(6));
+    for index in 0..20 {
+        assert_eq!(sim.processes[index].gossip.doors(), counted(&sim, index));
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel-node/src/attempt.rs
@@ -0,0 +1,187 @@
+//! One try of a call at one backend server, beside this node or over a link.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use nutmegwheel_link::CallError;
+use nutmegwheel_policy::{
+    deadline::{self, Deadline},
+    routing::{BackendKey, LoadReport, Outcome as Ended},
+};
+use nutmegwheel_seeds::AttemptId;
+use nutmegwheel_wire::{ReplyHead, topic};
+use prost::Message as _;
+
+use crate::{
+    call::{Answer, Call},
+    once::{self, Begun},
+    refusal::{Outcome, Reason, Refusal},
+    routes::Target,
+    running::Below,
+    serve::{self, Served},
+    shared::Shared,
+};
+
+/// The time for the way there and back inside a data centre.
+pub(crate) const NEAR_ROUND_TRIP: Duration = Duration::from_millis(1);
+/// The time for the way there and back between data centres.
+const FAR_ROUND_TRIP: Duration = Duration::from_millis(4);
+
+/// Counts a request as outstanding at a backend server until it ends, also by its caller leaving.
+struct Outstanding<'a> {
+    shared: &'a Shared,
+    service: &'a str,
+    key: BackendKey,
+    ended: Ended,
+    report: Option<LoadReport>,
+}
+
+impl Drop for Outstanding<'_> {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let routes = &self.shared.routes;
+        routes.finish(now, self.service, self.key, self.ended, self.report);
+    }
+}
+
+/// One try at one backend server.
+pub(crate) async fn attempt(
+    shared: &Arc<Shared>,
+    call: &mut Call,
+    target: &Target,
+    replaces: &mut Option<AttemptId>,
+) -> Served {
+    let service = call.service.clone();
+    let mut outstanding = Outstanding {
+        shared,
+        service: &service,
+        key: target.key,
+        ended: Ended::Cancelled,
+        report: None,
+    };
+    let guard = match once::begin(shared, call, target, replaces).await {
+        Begun::Go(guard) => guard,
+        Begun::Over(result) => return Served::unsent(result, call.context.retry_tokens),
+    };
+    let served = if target.node == shared.settings.name {
+        serve::serve(shared, call.clone()).await
+    } else {
+        send(shared, call, target).await
+    };
+    let served = once::end(shared, guard, target, replaces, served).await;
+    outstanding.report = served.report;
+    outstanding.ended = ended(&served);
+    if let Some(report) = served.report {
+        shared.observe(&call.service, &target.node, report.shed_level);
+    }
+    for below in &served.below {
+        shared.observe(&below.service, &below.node, below.level);
+    }
+    if served.result.is_ok() {
+        let called = served.below.iter().map(|below| below.service.clone());
+        shared.learn_needs(&call.service, &call.endpoint, called);
+    }
+    served
+}
+
+fn ended(served: &Served) -> Ended {
+    match &served.result {
+        Ok(_) => Ended::Answered,
+        Err(refusal) => match refusal.reason {
+            Reason::Overloaded
+            | Reason::BackendShed
+            | Reason::NoBackendServer
+            | Reason::Leaving => Ended::Refused,
+            Reason::LinkLost if refusal.outcome == Outcome::NotRun => Ended::Unreachable,
+            Reason::BackendLost | Reason::LinkLost | Reason::AnswerTooLarge => Ended::Failed,
+            Reason::Deadline if refusal.outcome == Outcome::MayHaveRun => Ended::Failed,
+            _ => Ended::Cancelled,
+        },
+    }
+}
+
+async fn send(shared: &Shared, call: &Call, target: &Target) -> Served {
+    match exchange(shared, call, target).await {
+        Ok((head, body)) => read_reply(head, body),
+        Err(refusal) => Served::lost(refusal),
+    }
+}
+
+async fn exchange(
+    shared: &Shared,
+    call: &Call,
+    target: &Target,
+) -> Result<(ReplyHead, Bytes), Refusal> {
+    let endpoint = shared.endpoint();
+    let endpoint =
+        endpoint.ok_or_else(|| Refusal::not_run(Reason::NotReady, "the links are not up"))?;
+    let now = Instant::now();
+    let round_trip = if target.data_centre == shared.settings.data_centre {
+        NEAR_ROUND_TRIP
+    } else {
+        FAR_ROUND_TRIP
+    };
+    let deadline = Deadline::open(now, call.deadline.saturating_duration_since(now));
+    let time = deadline
+        .for_next_hop(now, round_trip, &deadline::Options::default())
+        .map_err(|e| Refusal::not_run(Reason::Deadline, e.to_string()))?;
+    let mut head = call.to_wire(time, target.incarnation);
+    head.stamp = Some(shared.stamp());
+    let req = nutmegwheel_link::Request {
+        topic: topic::CALL,
+        head: head.encode_to_vec().into(),
+        body: call.body.clone(),
+    };
+    let reply = endpoint.call(target.link, req, call.deadline).await;
+    let reply = reply.map_err(|e| link_refusal(&e))?;
+    let head = ReplyHead::decode(reply.head).map_err(|e| malformed(&e))?;
+    if let Some(stamp) = head.stamp {
+        shared.hear(stamp);
+    }
+    Ok((head, reply.body))
+}
+
+fn read_reply(mut head: ReplyHead, body: Bytes) -> Served {
+    let report = head.load.take().as_ref().map(serve::report_from_wire);
+    let below = std::mem::take(&mut head.below);
+    Served {
+        unspent: Some(head.retry_tokens),
+        report,
+        below: below.into_iter().map(below_from_wire).collect(),
+        result: read_result(head, body),
+    }
+}
+
+fn read_result(head: ReplyHead, body: Bytes) -> Result<Answer, Refusal> {
+    if let Some(refusal) = head.refusal {
+        return Err(Refusal::from_wire(refusal));
+    }
+    Answer::from_wire(head.status, head.fields, body).map_err(|e| malformed(&e))
+}
+
+fn below_from_wire(wire: nutmegwheel_wire::Below) -> Below {
+    Below {
+        service: wire.service.into(),
+        node: wire.node.into(),
+        level: wire.shed.as_ref().and_then(|level| level.try_into().ok()),
+    }
+}
+
+fn link_refusal(e: &CallError) -> Refusal {
+    let reason = match e {
+        CallError::Expired { .. } => Reason::Deadline,
+        _ => Reason::LinkLost,
+    };
+    if e.proves_not_run() {
+        Refusal::not_run(reason, e.to_string())
+    } else {
+        Refusal::may_have_run(reason, e.to_string())
+    }
+}
+
+fn malformed(e: &dyn std::fmt::Display) -> Refusal {
+    Refusal::may_have_run(Reason::LinkLost, format!("the reply is malformed: {e}"))
+}
--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -1,38 +1,28 @@
+//! Sends a call to a backend server, and again to others where that is allowed.
+
 use std::{
     sync::{Arc, PoisonError},
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use nutmegwheel_events::Event;
-use nutmegwheel_link::CallError;
 use nutmegwheel_policy::{
-    deadline::{self, Deadline},
-    retry::{self, Attempt, Budgets, CallId, ChildKey, Decision, End, Proof},
-    routing::{BackendKey, LoadReport, Outcome as Ended},
+    retry::{self, Attempt, Budgets, CallId, ChildKey, Decision, End},
+    routing::BackendKey,
     shed,
 };
-use nutmegwheel_seeds::AttemptId;
-use nutmegwheel_wire::{ReplyHead, topic};
-use prost::Message as _;
 
 use crate::{
+    attempt,
     call::{Answer, Call},
     digest::short_digest,
-    once::{self, Begun},
-    refusal::{Outcome, Reason, Refusal},
+    refusal::{Reason, Refusal},
     routes::Target,
     running::{Below, Parent},
-    serve::{self, Served},
     shared::Shared,
     suspects,
 };
 
-/// The time for the way there and back inside a data centre.
-const NEAR_ROUND_TRIP: Duration = Duration::from_millis(1);
-/// The time for the way there and back between data centres.
-const FAR_ROUND_TRIP: Duration = Duration::from_millis(4);
-
 /// The most backend servers that may break off in one request before it is given up, whether or
 /// not the news of their deaths has come.
 const MAX_LOST: u32 = 2;
@@ -113,7 +103,7 @@
         };
         let began = Instant::now();
         settled.unspent = None;
-        let served = attempt(shared, call, &target, &mut replaces).await;
+        let served = attempt::attempt(shared, call, &target, &mut replaces).await;
         settled.unspent = served.unspent;
         if let Some(report) = &served.report {
             let level = report.shed_level;
@@ -129,8 +119,8 @@
             Err(refusal) => refusal,
         };
         tried.push(target.key);
-        lost += u32::from(may_have_killed(&refusal));
-        reached += u32::from(has_reached_server(&refusal));
+        lost += u32::from(refusal.may_have_killed());
+        reached += u32::from(refusal.has_reached_server());
         if call.max_servers.is_some_and(|most| reached >= most) {
             return Err(refusal);
         }
@@ -145,13 +135,13 @@
             continue;
         }
         let attempt = Attempt {
-            proof: proof(&refusal),
+            proof: refusal.proof(),
             tries: u32::try_from(tried.len()).unwrap_or(u32::MAX),
             is_non_idempotent: call.context.non_idempotent,
-            is_free: !has_reached_server(&refusal),
+            is_free: !refusal.has_reached_server(),
             unspent: served.unspent,
             remaining: call.deadline.saturating_duration_since(Instant::now()),
-            needs: began.elapsed().min(NEAR_ROUND_TRIP),
+            needs: began.elapsed().min(attempt::NEAR_ROUND_TRIP),
             not_before: match refusal.retry_after {
                 Some(after) if !others => after,
                 _ => Duration::ZERO,
@@ -216,10 +206,6 @@
     }
 }
 
-fn may_have_killed(refusal: &Refusal) -> bool {
-    refusal.reason == Reason::BackendLost && refusal.outcome == Outcome::MayHaveRun
-}
-
 /// Whether a try may be made elsewhere without a retry being spent: it reached no backend server, and
 /// the route bounds how many of them the request is sent to. Each node is asked once at most.
 fn is_untouched(call: &Call, refusal: &Refusal) -> bool {
@@ -227,7 +213,7 @@
         refusal.reason,
         Reason::Overloaded | Reason::NoBackendServer | Reason::Leaving | Reason::LinkLost
     );
-    call.max_servers.is_some() && is_passing && !has_reached_server(refusal)
+    call.max_servers.is_some() && is_passing && !refusal.has_reached_server()
 }
 
 fn record_retry(
@@ -251,29 +237,6 @@
     );
 }
 
-/// Whether a try was sent to a backend server, and not only to its node.
-fn has_reached_server(refusal: &Refusal) -> bool {
-    refusal.outcome == Outcome::MayHaveRun || refusal.reason == Reason::BackendShed
-}
-
-fn proof(refusal: &Refusal) -> Proof {
-    let is_final = matches!(
-        refusal.reason,
-        Reason::KeyWithdrawn
-            | Reason::BadRequest
-            | Reason::AnswerTooLarge
-            | Reason::ClaimUnavailable
-            | Reason::Quarantined
-            | Reason::Deadline
-    );
-    match refusal.outcome {
-        Outcome::DoNotResend => Proof::DoNotResend,
-        _ if is_final => Proof::DoNotResend,
-        Outcome::NotRun => Proof::NotRun,
-        Outcome::MayHaveRun => Proof::MayHaveRun,
-    }
-}
-
 fn choose(shared: &Shared, call: &Call, tried: &[BackendKey]) -> Result<Target, Refusal> {
     let now = Instant::now();
     if call.deadline <= now {
@@ -305,159 +268,3 @@
     }
     Ok(())
 }
-
-/// Counts a request as outstanding at a backend server until it ends, also by its caller leaving.
-struct Outstanding<'a> {
-    shared: &'a Shared,
-    service: &'a str,
-    key: BackendKey,
-    ended: Ended,
-    report: Option<LoadReport>,
-}
-
-impl Drop for Outstanding<'_> {
-    fn drop(&mut self) {
-        let now = Instant::now();
-        let routes = &self.shared.routes;
-        routes.finish(now, self.service, self.key, self.ended, self.report);
-    }
-}
-
-/// One try at one backend server.
-async fn attempt(
-    shared: &Arc<Shared>,
-    call: &mut Call,
-    target: &Target,
-    replaces: &mut Option<AttemptId>,
-) -> Served {
-    let service = call.service.clone();
-    let mut outstanding = Outstanding {
-        shared,
-        service: &service,
-        key: target.key,
-        ended: Ended::Cancelled,
-        report: None,
-    };
-    let guard = match once::begin(shared, call, target, replaces).await {
-        Begun::Go(guard) => guard,
-        Begun::Over(result) => return Served::unsent(result, call.context.retry_tokens),
-    };
-    let served = if target.node == shared.settings.name {
-        serve::serve(shared, call.clone()).await
-    } else {
-        send(shared, call, target).await
-    };
-    let served = once::end(shared, guard, target, replaces, served).await;
-    outstanding.report = served.report;
-    outstanding.ended = ended(&served);
-    if let Some(report) = served.report {
-        shared.observe(&call.service, &target.node, report.shed_level);
-    }
-    for below in &served.below {
-        shared.observe(&below.service, &below.node, below.level);
-    }
-    if served.result.is_ok() {
-        let called = served.below.iter().map(|below| below.service.clone());
-        shared.learn_needs(&call.service, &call.endpoint, called);
-    }
-    served
-}
-
-fn ended(served: &Served) -> Ended {
-    match &served.result {
-        Ok(_) => Ended::Answered,
-        Err(refusal) => match refusal.reason {
-            Reason::Overloaded
-            | Reason::BackendShed
-            | Reason::NoBackendServer
-            | Reason::Leaving => Ended::Refused,
-            Reason::LinkLost if refusal.outcome == Outcome::NotRun => Ended::Unreachable,
-            Reason::BackendLost | Reason::LinkLost | Reason::AnswerTooLarge => Ended::Failed,
-            Reason::Deadline if refusal.outcome == Outcome::MayHaveRun => Ended::Failed,
-            _ => Ended::Cancelled,
-        },
-    }
-}
-
-async fn send(shared: &Shared, call: &Call, target: &Target) -> Served {
-    match exchange(shared, call, target).await {
-        Ok((head, body)) => read_reply(head, body),
-        Err(refusal) => Served::lost(refusal),
-    }
-}
-
-async fn exchange(
-    shared: &Shared,
-    call: &Call,
-    target: &Target,
-) -> Result<(ReplyHead, Bytes), Refusal> {
-    let endpoint = shared.endpoint();
-    let endpoint =
-        endpoint.ok_or_else(|| Refusal::not_run(Reason::NotReady, "the links are not up"))?;
-    let now = Instant::now();
-    let round_trip = if target.data_centre == shared.settings.data_centre {
-        NEAR_ROUND_TRIP
-    } else {
-        FAR_ROUND_TRIP
-    };
-    let deadline = Deadline::open(now, call.deadline.saturating_duration_since(now));
-    let time = deadline
-        .for_next_hop(now, round_trip, &deadline::Options::default())
-        .map_err(|e| Refusal::not_run(Reason::Deadline, e.to_string()))?;
-    let mut head = call.to_wire(time, target.incarnation);
-    head.stamp = Some(shared.stamp());
-    let req = nutmegwheel_link::Request {
-        topic: topic::CALL,
-        head: head.encode_to_vec().into(),
-        body: call.body.clone(),
-    };
-    let reply = endpoint.call(target.link, req, call.deadline).await;
-    let reply = reply.map_err(|e| link_refusal(&e))?;
-    let head = ReplyHead::decode(reply.head).map_err(|e| malformed(&e))?;
-    if let Some(stamp) = head.stamp {
-        shared.hear(stamp);
-    }
-    Ok((head, reply.body))
-}
-
-fn read_reply(mut head: ReplyHead, body: Bytes) -> Served {
-    let report = head.load.take().as_ref().map(serve::report_from_wire);
-    let below = std::mem::take(&mut head.below);
-    Served {
-        unspent: Some(head.retry_tokens),
-        report,
-        below: below.into_iter().map(below_from_wire).collect(),
-        result: read_result(head, body),
-    }
-}
-
-fn read_result(head: ReplyHead, body: Bytes) -> Result<Answer, Refusal> {
-    if let Some(refusal) = head.refusal {
-        return Err(Refusal::from_wire(refusal));
-    }
-    Answer::from_wire(head.status, head.fields, body).map_err(|e| malformed(&e))
-}
-
-fn below_from_wire(wire: nutmegwheel_wire::Below) -> Below {
-    Below {
-        service: wire.service.into(),
-        node: wire.node.into(),
-        level: wire.shed.as_ref().and_then(|level| level.try_into().ok()),
-    }
-}
-
-fn link_refusal(e: &CallError) -> Refusal {
-    let reason = match e {
-        CallError::Expired { .. } => Reason::Deadline,
-        _ => Reason::LinkLost,
-    };
-    if e.proves_not_run() {
-        Refusal::not_run(reason, e.to_string())
-    } else {
-        Refusal::may_have_run(reason, e.to_string())
-    }
-}
-
-fn malformed(e: &dyn std::fmt::Display) -> Refusal {
-    Refusal::may_have_run(Reason::LinkLost, format!("the reply is malformed: {e}"))
-}
--- a/crates/nutmegwheel-node/src/host_door.rs
+++ b/crates/nutmegwheel-node/src/host_door.rs
@@ -19,7 +19,7 @@
     refusal::{Reason, Refusal},
     running::Parent,
     shared::Shared,
-    views,
+    views::{self, InForce},
 };
 
 /// The ranks of routes inside one rank of a workspace.
@@ -81,7 +81,17 @@
     }
     let parent = asked.parent.as_deref();
     let parent = parent.and_then(|parent| shared.running.parent_of(parent));
-    let call = admit(shared, dialect, req, &asked, parent.as_deref(), now)?;
+    // One view decides on all of the request.
+    let in_force = shared.views.in_force();
+    let call = admit(
+        shared,
+        dialect,
+        &in_force,
+        req,
+        &asked,
+        parent.as_deref(),
+        now,
+    )?;
     let id = forward::call_id(&call, None);
     if let Some(parent) = parent {
         return forward::forward(shared, &parent, call, id).await;
@@ -89,7 +99,7 @@
     // What is shed anyway must not use up the workspace's rate.
     forward::shed_at_once(shared, &call, now)?;
     if let Some(workspace) = &call.context.workspace {
-        Quotas::spend(shared, &shared.views.current(), workspace).await?;
+        Quotas::spend(shared, &in_force.view, workspace).await?;
     }
     let root = Parent::open(call.context.clone(), call.key, call.deadline);
     forward::forward(shared, &root, call, id).await
@@ -99,12 +109,12 @@
 fn admit(
     shared: &Shared,
     dialect: &dyn Dialect,
+    in_force: &InForce,
     req: Request,
     asked: &Asked,
     parent: Option<&Parent>,
     now: Instant,
 ) -> Result<Call, Refusal> {
-    let in_force = shared.views.in_force();
     let view = &in_force.view;
     if view.version == 0 {
         let refusal = Refusal::not_run(Reason::NotReady, "this node has no configuration yet");
@@ -162,11 +172,16 @@
 }
 
 fn choose_service(shared: &Shared, route: &HostRoute) -> Result<ServiceId, Refusal> {
-    let weights: Vec<u32> = route.split.iter().map(|share| share.weight).collect();
-    let mut splits = shared.splits.lock().unwrap_or_else(PoisonError::into_inner);
-    let part = splits.choose(&route.name, &weights, &mut rand::rng());
-    let service = part.and_then(|part| route.split.get(part));
-    service.map(|share| share.service.clone()).ok_or_else(|| {
+    let share = if let [only] = &route.split[..] {
+        Some(only)
+    } else {
+        let weights: Vec<u32> = route.split.iter().map(|share| share.weight).collect();
+        let mut splits = shared.splits.lock().unwrap_or_else(PoisonError::into_inner);
+        let part = splits.choose(&route.name, &weights, &mut rand::rng());
+        part.and_then(|part| route.split.get(part))
+    };
+    let usable = share.filter(|share| share.weight > 0);
+    usable.map(|share| share.service.clone()).ok_or_else(|| {
         let detail = format!("{} leads to no service", route.name);
         Refusal::not_run(Reason::NoBackendServer, detail)
     })
--- a/crates/nutmegwheel-node/src/quotas.rs
+++ b/crates/nutmegwheel-node/src/quotas.rs
@@ -90,7 +90,7 @@
             return Ok(());
         };
         let limit = limit(configured);
-        let doors = shared.spread.count_doors();
+        let doors = shared.spread.doors();
         let quotas = &shared.quotas;
         let now = Instant::now();
         let spend = quotas.door().spend(now, workspace, limit, doors);
@@ -113,7 +113,7 @@
             },
         };
         let detail = format!("{workspace} has used up its rate and burst");
-        Err(Refusal::not_run(Reason::OverRate, detail).after(spread_out(retry_after)))
+        Err(Refusal::not_run(Reason::OverRate, detail).after_about(retry_after))
     }
 
     /// Asks the hub for a token; `None` where it does not answer.
@@ -201,15 +201,8 @@
     (count > 0).then(|| links[rand::random_range(0..count)])
 }
 
-/// Spreads the return of those refused together over half as long a time again.
-fn spread_out(time: Duration) -> Duration {
-    time.mul_f64(rand::random_range(1.0..1.5))
-}
-
 fn limit(configured: &Workspace) -> Limit {
-    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let burst = configured.burst.clamp(1.0, f64::from(u32::MAX)) as u32;
-    Limit::from_config(configured.rate, burst)
+    Limit::from_config(configured.rate, configured.burst)
 }
 
 fn report_to_wire(report: Report) -> wire::AllotmentReport {
--- a/crates/nutmegwheel-node/src/rates.rs
+++ b/crates/nutmegwheel-node/src/rates.rs
@@ -11,6 +11,7 @@
 
 use nutmegwheel_config::View;
 use nutmegwheel_limits::{
+    Limit,
     messages::DoorId,
     purse::{
         AccountKey, Decision, POLL_INTERVAL, Purse, Refusal as Refused, RefusalCause, Spend,
@@ -211,8 +212,9 @@
     /// The data centre whose steward is asked: the own one, unless the burst is too small to share.
     fn asked(&self, view: &View, workspace: &WorkspaceId) -> DataCentreId {
         let configured = view.configuration.workspaces.get(workspace);
-        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let burst = configured.map_or(1, |configured| configured.burst as u64);
+        let burst = configured.map_or(1, |configured| {
+            Limit::from_config(configured.rate, configured.burst).whole_burst()
+        });
         let holders = placement(workspace, burst, &self.data_centres);
         if holders.contains(&self.own) {
             return self.own.clone();
@@ -307,7 +309,6 @@
 
 fn refusal(workspace: &WorkspaceId, refused: Option<Refused>) -> Refusal {
     let after = refused.map_or(POLL_INTERVAL, |refused| refused.retry_after);
-    let after = after.mul_f64(rand::random_range(1.0..1.5));
     let refusal = match refused.map(|refused| refused.cause) {
         Some(RefusalCause::OverRate) => {
             let detail = format!("{workspace} has used up its rate and burst");
@@ -318,5 +319,5 @@
             Refusal::not_run(Reason::NotReady, detail)
         }
     };
-    refusal.after(after)
+    refusal.after_about(after)
 }
--- a/crates/nutmegwheel-node/src/refusal.rs
+++ b/crates/nutmegwheel-node/src/refusal.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use nutmegwheel_policy::retry::Proof;
 use nutmegwheel_types::{RootId, plain, plain_copy};
 use nutmegwheel_web::Problem;
 use nutmegwheel_wire as wire;
@@ -127,6 +128,43 @@
         self.retry_after = Some(time);
         self
     }
+
+    /// Spreads the return of those refused together over half as long a time again.
+    pub(crate) fn after_about(self, time: Duration) -> Self {
+        self.after(time.mul_f64(rand::random_range(1.0..1.5)))
+    }
+}
+
+/// What it says about the try that ended so.
+impl Refusal {
+    /// Whether the request may be what broke the backend server.
+    pub(crate) fn may_have_killed(&self) -> bool {
+        self.reason == Reason::BackendLost && self.outcome == Outcome::MayHaveRun
+    }
+
+    /// Whether the try was sent to a backend server, and not only to its node.
+    pub(crate) fn has_reached_server(&self) -> bool {
+        self.outcome == Outcome::MayHaveRun || self.reason == Reason::BackendShed
+    }
+
+    /// What is known of the request's fate, for the decision to try again.
+    pub(crate) fn proof(&self) -> Proof {
+        let is_final = matches!(
+            self.reason,
+            Reason::KeyWithdrawn
+                | Reason::BadRequest
+                | Reason::AnswerTooLarge
+                | Reason::ClaimUnavailable
+                | Reason::Quarantined
+                | Reason::Deadline
+        );
+        match self.outcome {
+            Outcome::DoNotResend => Proof::DoNotResend,
+            _ if is_final => Proof::DoNotResend,
+            Outcome::NotRun => Proof::NotRun,
+            Outcome::MayHaveRun => Proof::MayHaveRun,
+        }
+    }
 }
 
 /// Answering a caller.
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -101,7 +101,7 @@
         Event::CallFailed,
         &[
             ("id", &shared.local.id(call).unwrap_or_default()),
-            ("root", &format!("{:032x}", call.context.root)),
+            ("root", &format_args!("{:032x}", call.context.root)),
             ("service", &call.service),
             ("endpoint", &call.endpoint),
             ("reason", &refusal.reason.word()),
@@ -117,7 +117,7 @@
             ("running", &load.running),
             ("waiting", &load.waiting),
             ("limit", &load.limit),
-            ("shed_level", &format!("{level:?}")),
+            ("shed_level", &format_args!("{level:?}")),
         ],
     );
 }
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -310,7 +310,7 @@
     pub(crate) fn expire(&self, now: Instant) {
         self.watch.look(self);
         self.suspects.expire(now);
-        let doors = u32::try_from(self.spread.count_doors()).unwrap_or(u32::MAX);
+        let doors = u32::try_from(self.spread.doors()).unwrap_or(u32::MAX);
         let mut ratios = self.ratios.lock().unwrap_or_else(PoisonError::into_inner);
         ratios.set_nodes(doors);
         drop(ratios);
--- a/crates/nutmegwheel-spread/src/spread.rs
+++ b/crates/nutmegwheel-spread/src/spread.rs
@@ -8,7 +8,7 @@
 use nutmegwheel_link::{Endpoint, Peer};
 use nutmegwheel_membership::{
     Announcement, Configuration, CutOff, Event, Gossip, Health, Options, Outgoing, Record, Role,
-    Seed, Stamp, Standing, WithdrawalState, freshness::Decision, wire,
+    Seed, Stamp, WithdrawalState, freshness::Decision, wire,
 };
 use nutmegwheel_types::{Incarnation, KeyHash};
 use nutmegwheel_wire::topic;
@@ -164,15 +164,10 @@
         self.lock().members().cloned().collect()
     }
 
-    /// The nodes of the fleet but for those that left: one that does not answer may go on behind a
-    /// cut.
+    /// The number of nodes of the fleet but for those that left.
     #[must_use]
-    pub fn count_doors(&self) -> usize {
-        let gossip = self.lock();
-        let is_gone =
-            |record: &Record| record.health == Health::Dead && record.standing == Standing::Leaving;
-        let nodes = gossip.members().filter(|record| record.role == Role::Node);
-        nodes.filter(|record| !is_gone(record)).count()
+    pub fn doors(&self) -> usize {
+        self.lock().doors()
     }
 
     /// The links of the control VMs that are not known to be dead.
