fix(node): a refusal counts what earlier tries left open

Cause: a request that may be repeated broke off at one backend server and was then turned away unrun by the next; the caller got the last try's word, not-run, although the first had run.

A process test fails first.

feat(soak): a randomized fault soak of real processes

tests/soak draws a plan of faults from a seed, plays it from outside on a fleet behind relays and judges what callers, backend servers and operators saw against docs/PROMISES.md.

--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -16,7 +16,7 @@
     attempt,
     call::{Answer, Call},
     digest::short_digest,
-    refusal::{Reason, Refusal},
+    refusal::{Outcome, Reason, Refusal},
     routes::Target,
     running::{Below, Parent},
     shared::Shared,
@@ -55,6 +55,7 @@
         child: begun.child,
         end: End::Failed,
         unspent: None,
+        may_have_run: false,
     };
     let result = tries(shared, parent, &mut call, &mut settled).await;
     if result
@@ -63,7 +64,8 @@
     {
         settled.end = End::Answered;
     }
-    result
+    let may_have_run = settled.may_have_run;
+    result.map_err(|refusal| refusal.of_all_tries(may_have_run))
 }
 
 /// Settles a call with its chain, also when its caller leaves.
@@ -72,6 +74,8 @@
     child: ChildKey,
     end: End,
     unspent: Option<u32>,
+    /// Whether a try may have run, whatever the last one says of itself.
+    may_have_run: bool,
 }
 
 impl Drop for Settled<'_> {
@@ -118,6 +122,7 @@
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
+        settled.may_have_run |= refusal.outcome == Outcome::MayHaveRun;
         tried.push(target.key);
         lost += u32::from(refusal.may_have_killed());
         reached += u32::from(refusal.has_reached_server());
--- a/crates/nutmegwheel-node/src/refusal.rs
+++ b/crates/nutmegwheel-node/src/refusal.rs
@@ -147,6 +147,14 @@
         self.outcome == Outcome::MayHaveRun || self.reason == Reason::BackendShed
     }
 
+    /// The refusal of a request whose last try ended so, and of which an earlier one may have run.
+    pub(crate) fn of_all_tries(mut self, may_have_run: bool) -> Self {
+        if may_have_run && self.outcome == Outcome::NotRun {
+            self.outcome = Outcome::MayHaveRun;
+        }
+        self
+    }
+
     /// What is known of the request's fate, for the decision to try again.
     pub(crate) fn proof(&self) -> Proof {
         let is_final = matches!(
--- a/crates/nutmegwheel/tests/retries.rs
+++ b/crates/nutmegwheel/tests/retries.rs
@@ -173,3 +173,25 @@
     assert_eq!(answer.status, 200, "{}", answer.text());
     assert_eq!(setup.ledger.count("/dispatch/crew"), 2 * RETRIES);
 }
+
+/// What the first try left open stays open, whatever the next backend server says of its own.
+#[tokio::test]
+async fn a_refusal_after_a_run_that_broke_off_does_not_say_not_run() {
+    const REQUESTS: usize = 30;
+    let setup = Setup::start(&[("riga1", 3)], 1).await;
+    let faults = [("riga1-1", Fault::Break), ("riga1-2", Fault::Shed)];
+    for (node, fault) in faults {
+        let behave = |behaviour: &mut Behaviour| behaviour.fault = fault;
+        setup.backend(node, "tally-portal", behave).await;
+    }
+    setup.ready_at(&["riga1-1", "riga1-2"]).await;
+    for number in 0..REQUESTS {
+        let body = format!("open-{number}");
+        let answer = setup.ask("riga1-0", "/tally-portal/count", &body).await;
+        let ran = setup.ledger.runs();
+        if ran.iter().any(|run| run.body == body.as_bytes()) {
+            assert_ne!(answer.outcome(), Some("not-run"), "{}", answer.text());
+        }
+    }
+    assert!(!setup.ledger.runs().is_empty(), "no try has run");
+}
--- /dev/null
+++ b/tests/soak/src/bed.rs
@@ -0,0 +1,170 @@
+//! The fleet that a run plays on, with its configuration, keys and backend servers.
+
+use std::{
+    collections::HashMap,
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use nutmegwheel_support::{
+    Backend, BackendOptions, Behaviour, Caller, Fleet, FleetOptions, Ledger, Vm,
+};
+
+use crate::plan::Shape;
+
+/// The workspace whose requests have no limit that matters.
+pub(crate) const KEY: &str = "Bearer key-of-vidzeme-000001";
+/// The workspace whose limit is [`RATE`] and [`BURST`].
+pub(crate) const LIMITED_KEY: &str = "Bearer key-of-zemgale-000001";
+/// The key that is withdrawn in the middle of the run.
+pub(crate) const WITHDRAWN_KEY: &str = "Bearer key-of-kurzeme-000001";
+/// The requests a second of the limited workspace.
+pub(crate) const RATE: u32 = 10;
+/// The requests at once of the limited workspace.
+pub(crate) const BURST: u32 = 5;
+/// The path of requests that may be repeated; each makes a call one service deeper.
+pub(crate) const READ: &str = "/tally-portal/count";
+/// The path of requests that must not.
+pub(crate) const BILL: &str = "/dispatch/bill";
+/// The number of the first change that [`crate::operators`] makes.
+pub(crate) const FIRST_CHANGE: u64 = 100;
+/// The services, each beside every third node.
+const SERVICES: [&str; 3] = ["tally-portal", "dispatch", "shiftbook"];
+/// The workspaces with a key each, in the order of the changes that give them.
+const KEYS: [(&str, &str); 3] = [
+    ("vidzeme", KEY),
+    ("zemgale", LIMITED_KEY),
+    ("kurzeme", WITHDRAWN_KEY),
+];
+const SLOTS: u16 = 16;
+/// The time that a request takes in a backend server, on average.
+pub(crate) const SERVICE_TIME: Duration = Duration::from_millis(3);
+/// The time in which the fleet must serve everything.
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+/// The running fleet.
+pub(crate) struct Bed {
+    pub(crate) fleet: Fleet,
+    pub(crate) ledger: Ledger,
+    pub(crate) backends: HashMap<String, Backend>,
+    pub(crate) nodes: Vec<Vm>,
+    pub(crate) control: Vec<Vm>,
+}
+
+/// A configuration whose `latgale` has this rate, the only sign of a change.
+pub(crate) fn configuration(rate: u64) -> String {
+    let document = format!(
+        r#"{{"classes": {{
+            "crews": {{"rank": 0, "finish": 0.999, "within_ms": 5000}},
+            "reports": {{"rank": 2, "finish": 0.9, "within_ms": 5000}}}},
+          "services": {{
+            "tally-portal": {{"*": {{"class": "crews"}}}},
+            "dispatch": {{"bill": {{"class": "crews", "non_idempotent": true}}}},
+            "shiftbook": {{"*": {{"class": "reports"}}}}}},
+          "workspaces": {{
+            "vidzeme": {{"rate": 5000.0, "burst": 5000}},
+            "zemgale": {{"rate": {RATE}.0, "burst": {BURST}}},
+            "kurzeme": {{"rate": 5000.0, "burst": 5000}},
+            "latgale": {{"rate": {rate}.0, "burst": 5}}}}}}"#
+    );
+    nutmegwheel_ctl::change::configure(&document)
+}
+
+/// The text of a key in its header field.
+pub(crate) fn key_text(field: &str) -> &str {
+    field.trim_start_matches("Bearer ")
+}
+
+impl Bed {
+    /// Starts the fleet behind relays and waits until every door serves every service.
+    pub(crate) async fn start(program: PathBuf, shape: &Shape) -> anyhow::Result<Self> {
+        let centres = shape.data_centres.iter().copied();
+        let fleet = Fleet::start(FleetOptions {
+            program,
+            data_centres: centres.map(|name| (name, shape.nodes)).collect(),
+            control_vms: shape.control_vms,
+            relayed: true,
+        })
+        .await?;
+        let vms = |all: &[nutmegwheel_support::Process]| all.iter().map(|p| p.vm.clone()).collect();
+        let mut bed = Self {
+            nodes: vms(&fleet.nodes),
+            control: vms(&fleet.control),
+            fleet,
+            ledger: Ledger::default(),
+            backends: HashMap::new(),
+        };
+        bed.change(1, &configuration(1)).await?;
+        for (number, (workspace, key)) in (2..).zip(KEYS) {
+            let body = nutmegwheel_ctl::change::give_key(workspace, key_text(key));
+            bed.change(number, &body).await?;
+        }
+        bed.fleet.ready().await?;
+        for place in 0..bed.nodes.len() {
+            bed.start_backend(place).await?;
+        }
+        for node in &bed.nodes {
+            let served = serves(&bed.fleet.caller, node, START_LIMIT).await;
+            anyhow::ensure!(
+                served,
+                "{} does not serve:\n{}",
+                node.name,
+                bed.fleet.log(&node.name)
+            );
+        }
+        Ok(bed)
+    }
+
+    async fn change(&self, number: u64, body: &str) -> anyhow::Result<()> {
+        let path = format!("/v1/changes/{number}");
+        let answer = self.fleet.operate("PUT", &path, body).await?;
+        anyhow::ensure!(answer.status == 200, "change {number}: {}", answer.text());
+        Ok(())
+    }
+
+    /// Starts the backend server beside a node, in place of the one that was there.
+    pub(crate) async fn start_backend(&mut self, place: usize) -> anyhow::Result<()> {
+        let node = &self.nodes[place];
+        let service = SERVICES[place % SERVICES.len()];
+        let mut behaviour = usual_behaviour();
+        behaviour
+            .calls
+            .insert(READ.to_owned(), vec!["/shiftbook/roster".to_owned()]);
+        let opts = BackendOptions {
+            name: format!("{service}@{}", node.name),
+            service: service.to_owned(),
+            slots: SLOTS,
+            node: node.backend,
+        };
+        let backend = Backend::spawn(opts, behaviour, self.ledger.clone()).await?;
+        self.backends.insert(node.name.clone(), backend);
+        Ok(())
+    }
+}
+
+fn usual_behaviour() -> Behaviour {
+    Behaviour {
+        service_time: SERVICE_TIME,
+        spread: 0.5,
+        ..Behaviour::default()
+    }
+}
+
+/// Waits until a door serves a read and a bill of its own data centre.
+pub(crate) async fn serves(caller: &Caller, node: &Vm, limit: Duration) -> bool {
+    let end = Instant::now() + limit;
+    let mut attempt = 0;
+    while Instant::now() < end {
+        attempt += 1;
+        let id = format!("{}/probe-{}-{attempt}", node.data_centre, node.name);
+        let fields = [("authorization", KEY), ("idempotency-key", id.as_str())];
+        let read = caller.call("POST", node.callers, READ, &fields[..1], "probe");
+        let is_read = read.await.is_ok_and(|answer| answer.status == 200);
+        let bill = caller.call("POST", node.callers, BILL, &fields, id.clone());
+        if bill.await.is_ok_and(|answer| answer.status == 200) && is_read {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    false
+}
--- /dev/null
+++ b/tests/soak/src/operators.rs
@@ -0,0 +1,130 @@
+//! Operators, who change the configuration and read it back all the while.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use nutmegwheel_support::{Answer, Caller, OPERATOR_SECRET, Vm};
+
+use crate::{
+    bed,
+    judge::{Record, Seen},
+};
+
+/// The time that an operator waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(4);
+/// The pause of an operator between two requests.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// What operators asked for and saw.
+#[derive(Clone, Default)]
+pub(crate) struct Operators {
+    records: Arc<Mutex<Vec<Record>>>,
+    withdrawn: Arc<Mutex<Option<Instant>>>,
+}
+
+impl Operators {
+    /// Changes and reads the configuration until `end`, and withdraws a key half-way.
+    pub(crate) async fn run(&self, control: &[Vm], end: Instant) {
+        let now = Instant::now();
+        let half = now + end.saturating_duration_since(now) / 2;
+        let caller = Caller::open();
+        let mut reads = tokio::task::JoinSet::new();
+        for vm in control {
+            let (operators, caller, vm) = (self.clone(), caller.clone(), vm.clone());
+            reads.spawn(async move { operators.read_on(&caller, &vm, end).await });
+        }
+        tokio::join!(
+            self.change_on(&caller, control, end),
+            self.withdraw(&caller, control, half, end),
+            reads.join_all(),
+        );
+    }
+
+    /// What was changed and read.
+    pub(crate) fn records(&self) -> Vec<Record> {
+        let records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+        records.clone()
+    }
+
+    /// When the withdrawal of the key was said to be in force.
+    pub(crate) fn withdrawn(&self) -> Option<Instant> {
+        *self
+            .withdrawn
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn change_on(&self, caller: &Caller, control: &[Vm], end: Instant) {
+        let mut number = bed::FIRST_CHANGE;
+        while Instant::now() < end {
+            let body = bed::configuration(number);
+            let path = format!("/v1/changes/{number}");
+            for vm in control {
+                let began = Instant::now();
+                let answer = ask(caller, vm, "PUT", &path, &body).await;
+                if answer.is_some_and(|answer| answer.status == 200) {
+                    self.note(began, Seen::Committed(number));
+                    break;
+                }
+            }
+            number += 1;
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    async fn read_on(&self, caller: &Caller, vm: &Vm, end: Instant) {
+        while Instant::now() < end {
+            let began = Instant::now();
+            if let Some(number) = last_change(caller, vm).await {
+                self.note(began, Seen::Read(number));
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    async fn withdraw(&self, caller: &Caller, control: &[Vm], at: Instant, end: Instant) {
+        tokio::time::sleep_until(at.into()).await;
+        let hash = nutmegwheel_config::hash_key(bed::key_text(bed::WITHDRAWN_KEY).as_bytes());
+        let path = format!("/v1/withdrawals/{}", nutmegwheel_types::hex::encode(&hash));
+        while Instant::now() < end {
+            for vm in control {
+                ask(caller, vm, "PUT", &path, "").await;
+                let state = ask(caller, vm, "GET", &path, "").await;
+                if state.is_some_and(|state| state.json()["state"] == "in-force") {
+                    let mut withdrawn = self
+                        .withdrawn
+                        .lock()
+                        .unwrap_or_else(PoisonError::into_inner);
+                    *withdrawn = Some(Instant::now());
+                    return;
+                }
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    fn note(&self, began: Instant, seen: Seen) {
+        let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+        records.push(Record {
+            began,
+            ended: Instant::now(),
+            seen,
+        });
+    }
+}
+
+/// The number of the last change that a control VM says is committed.
+pub(crate) async fn last_change(caller: &Caller, vm: &Vm) -> Option<u64> {
+    let answer = ask(caller, vm, "GET", "/v1/configuration", "").await?;
+    answer.json()["last_change"].as_u64()
+}
+
+async fn ask(caller: &Caller, vm: &Vm, method: &str, path: &str, body: &str) -> Option<Answer> {
+    let secret = format!("Bearer {OPERATOR_SECRET}");
+    let fields = [("authorization", secret.as_str())];
+    let answer = caller.call(method, vm.platform, path, &fields, body.to_owned());
+    let answer = tokio::time::timeout(PATIENCE, answer).await;
+    answer.ok()?.ok()
+}
--- /dev/null
+++ b/tests/soak/src/plan.rs
@@ -0,0 +1,232 @@
+//! What goes wrong in one run, drawn from its seed.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng as _, rngs::SmallRng};
+
+/// The fleet that a plan is drawn for.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// The names of the data centres.
+    pub data_centres: Vec<&'static str>,
+    /// The nodes of each data centre.
+    pub nodes: usize,
+    /// The control VMs, dealt to the data centres in turn.
+    pub control_vms: usize,
+}
+
+/// One fault, and when it begins.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// From the start of traffic.
+    pub at: Duration,
+    /// How long the fault lasts.
+    pub lasts: Duration,
+    /// The process that it strikes, or whose backend server it strikes.
+    pub process: String,
+    /// What goes wrong.
+    pub fault: Fault,
+}
+
+/// What goes wrong.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// The process is paused.
+    Freeze,
+    /// The process is killed and started again.
+    Kill,
+    /// The process is asked to stop and started again.
+    Stop,
+    /// The process is killed and comes back without its data folder.
+    LoseDisk,
+    /// The process is killed and finds the beginning of a record behind its last one.
+    TearDisk,
+    /// The links that others have to the process misbehave.
+    Link(LinkFault),
+    /// The backend server beside the process misbehaves.
+    Backend(BackendFault),
+}
+
+/// What goes wrong with the connections to a process.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LinkFault {
+    /// Everything comes later by this time.
+    Delay(Duration),
+    /// Connections are reset once; new ones work.
+    Reset,
+    /// Connections are reset and refused.
+    Refuse,
+    /// Those that are open go silent for good; new ones work.
+    SilenceOpen,
+    /// All go silent, new ones too.
+    SilenceAll,
+    /// What is sent is kept back, and delivered late.
+    Hold,
+    /// What this process sends does not arrive, what it is sent does.
+    OneWay(String),
+    /// A connection breaks after this many more bytes.
+    Truncate(usize),
+    /// A byte is damaged after this many more bytes.
+    Corrupt(usize),
+}
+
+/// What a backend server does wrong.
+#[derive(Clone, Debug, PartialEq)]
+pub enum BackendFault {
+    /// It refuses requests without running them.
+    Shed,
+    /// It runs them and breaks off.
+    Break,
+    /// It breaks off in the middle of the answer.
+    Truncate,
+    /// It runs them and answers 500.
+    Status,
+    /// Each takes this long.
+    Slow(Duration),
+    /// It dies, and another one takes its place.
+    Die,
+}
+
+/// The faults of one run in the order of their beginnings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// The faults.
+    pub steps: Vec<Step>,
+}
+
+/// The pause between the beginnings of two faults, at most: several overlap most of the time.
+const LONGEST_PAUSE: Duration = Duration::from_millis(900);
+/// The longest fault.
+const LONGEST_FAULT: Duration = Duration::from_millis(3500);
+/// The part of the run at its end in which no fault is left, to see that service comes back.
+const CALM_END: Duration = Duration::from_secs(1);
+
+impl Plan {
+    /// Draws the faults of a run of this length; the same seed draws the same ones.
+    ///
+    /// In each data centre one seed at most restarts, and one control VM in all loses its disk,
+    /// which is what docs/PROMISES.md says is borne: claims and the log live on the others.
+    #[must_use]
+    pub fn draw(seed: u64, shape: &Shape, time: Duration) -> Self {
+        let mut draw = Draw::open(seed, shape);
+        let last = time.saturating_sub(CALM_END);
+        let mut at = Duration::ZERO;
+        let mut steps = Vec::new();
+        loop {
+            at += draw.rng.random_range(Duration::ZERO..LONGEST_PAUSE);
+            if at >= last {
+                return Self { steps };
+            }
+            let longest = LONGEST_FAULT.min(last.saturating_sub(at));
+            let lasts = draw.rng.random_range(Duration::ZERO..=longest);
+            let (process, fault) = draw.fault();
+            steps.push(Step {
+                at,
+                lasts,
+                process,
+                fault,
+            });
+        }
+    }
+}
+
+struct Draw {
+    rng: SmallRng,
+    nodes: Vec<String>,
+    control: Vec<String>,
+    /// The one process of each data centre that may restart.
+    restarting: Vec<String>,
+    has_lost_disk: bool,
+}
+
+impl Draw {
+    fn open(seed: u64, shape: &Shape) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let control: Vec<String> = (0..shape.control_vms)
+            .map(|number| format!("control-{number}"))
+            .collect();
+        let mut nodes = Vec::new();
+        let mut restarting = Vec::new();
+        for (centre, name) in shape.data_centres.iter().enumerate() {
+            let mut here: Vec<String> = (0..shape.nodes)
+                .map(|number| format!("{name}-{number}"))
+                .collect();
+            nodes.extend(here.clone());
+            let placed = control.iter().skip(centre);
+            here.extend(placed.step_by(shape.data_centres.len()).cloned());
+            restarting.push(here[rng.random_range(0..here.len())].clone());
+        }
+        Self {
+            rng,
+            nodes,
+            control,
+            restarting,
+            has_lost_disk: false,
+        }
+    }
+
+    fn fault(&mut self) -> (String, Fault) {
+        match self.rng.random_range(0..10) {
+            0..2 => (self.any(), Fault::Freeze),
+            2..4 => self.restart(),
+            4..8 => (self.any(), Fault::Link(self.link_fault())),
+            _ => (self.one_of_nodes(), Fault::Backend(self.backend_fault())),
+        }
+    }
+
+    fn restart(&mut self) -> (String, Fault) {
+        let name = self.restarting[self.rng.random_range(0..self.restarting.len())].clone();
+        let is_control = self.control.contains(&name);
+        let fault = match self.rng.random_range(0..4) {
+            0 if is_control && !self.has_lost_disk => {
+                self.has_lost_disk = true;
+                Fault::LoseDisk
+            }
+            1 if is_control => Fault::TearDisk,
+            0 | 2 => Fault::Stop,
+            _ => Fault::Kill,
+        };
+        (name, fault)
+    }
+
+    fn link_fault(&mut self) -> LinkFault {
+        const MOST_BYTES: usize = 20_000;
+        const DELAY: std::ops::Range<Duration> =
+            Duration::from_millis(5)..Duration::from_millis(400);
+        match self.rng.random_range(0..9) {
+            0 => LinkFault::Delay(self.rng.random_range(DELAY)),
+            1 => LinkFault::Reset,
+            2 => LinkFault::Refuse,
+            3 => LinkFault::SilenceOpen,
+            4 => LinkFault::SilenceAll,
+            5 => LinkFault::Hold,
+            6 => LinkFault::OneWay(self.any()),
+            7 => LinkFault::Truncate(self.rng.random_range(0..MOST_BYTES)),
+            _ => LinkFault::Corrupt(self.rng.random_range(0..MOST_BYTES)),
+        }
+    }
+
+    fn backend_fault(&mut self) -> BackendFault {
+        const SLOW: std::ops::Range<Duration> =
+            Duration::from_millis(50)..Duration::from_millis(800);
+        match self.rng.random_range(0..6) {
+            0 => BackendFault::Shed,
+            1 => BackendFault::Break,
+            2 => BackendFault::Truncate,
+            3 => BackendFault::Status,
+            4 => BackendFault::Slow(self.rng.random_range(SLOW)),
+            _ => BackendFault::Die,
+        }
+    }
+
+    fn any(&mut self) -> String {
+        let all = self.nodes.len() + self.control.len();
+        let place = self.rng.random_range(0..all);
+        let mut names = self.nodes.iter().chain(&self.control);
+        names.nth(place).cloned().unwrap_or_default()
+    }
+
+    fn one_of_nodes(&mut self) -> String {
+        self.nodes[self.rng.random_range(0..self.nodes.len())].clone()
+    }
+}
--- /dev/null
+++ b/tests/soak/src/play.rs
@@ -0,0 +1,222 @@
+//! Plays a plan on a running fleet, from outside its processes.
+
+use std::{
+    collections::HashMap,
+    fs,
+    io::Write as _,
+    time::{Duration, Instant},
+};
+
+use nutmegwheel_support::{Fault as ServerFault, relay::Direction};
+
+use crate::{
+    bed::Bed,
+    judge::Disturbed,
+    plan::{BackendFault, Fault, LinkFault, Plan, Step},
+};
+
+/// The time in which a process that was asked to stop must be gone.
+const STOP_LIMIT: Duration = Duration::from_secs(40);
+/// Where a control VM keeps its log, in its data folder.
+const LOG_FOLDER: &str = "log";
+/// The first bytes of a frame, which a loss of power may leave behind the last whole one; see
+/// docs/spec/AGREEMENT.md, "Files".
+const TORN: &[u8] = &[0x31, 0x4c, 0x57, 0x4e, 200, 0, 0];
+
+/// One end of a fault.
+struct Due<'a> {
+    at: Instant,
+    begins: bool,
+    step: &'a Step,
+}
+
+/// Plays a plan, and returns when its last fault is lifted.
+pub(crate) async fn play(
+    bed: &mut Bed,
+    plan: &Plan,
+    start: Instant,
+) -> anyhow::Result<Vec<Disturbed>> {
+    let mut due: Vec<Due<'_>> = Vec::new();
+    for step in &plan.steps {
+        let at = start + step.at;
+        due.push(Due {
+            at,
+            begins: true,
+            step,
+        });
+        due.push(Due {
+            at: at + step.lasts,
+            begins: false,
+            step,
+        });
+    }
+    due.sort_by_key(|due| due.at);
+    let mut player = Player {
+        bed,
+        disturbed: Vec::new(),
+        stopping: HashMap::new(),
+    };
+    for Due { at, begins, step } in due {
+        tokio::time::sleep_until(at.into()).await;
+        if begins {
+            player.begin(step);
+        } else {
+            player.end(step).await?;
+        }
+    }
+    player.lift_all();
+    Ok(player.disturbed)
+}
+
+struct Player<'a> {
+    bed: &'a mut Bed,
+    disturbed: Vec<Disturbed>,
+    /// The ids of the processes that were asked to stop.
+    stopping: HashMap<String, u32>,
+}
+
+impl Player<'_> {
+    fn begin(&mut self, step: &Step) {
+        let name = &step.process;
+        match &step.fault {
+            Fault::Freeze => self.bed.fleet.process(name).signal("STOP"),
+            Fault::Stop => {
+                let process = self.bed.fleet.process(name);
+                process.signal("TERM");
+                let id = process.id();
+                self.stopping.extend(id.map(|id| (name.clone(), id)));
+            }
+            Fault::Kill | Fault::LoseDisk | Fault::TearDisk => self.bed.fleet.process(name).kill(),
+            Fault::Link(fault) => self.begin_link(name, fault),
+            Fault::Backend(fault) => self.begin_backend(name, fault),
+        }
+        if !matches!(step.fault, Fault::Link(_) | Fault::Backend(_)) {
+            let from = Instant::now();
+            self.disturbed.push(Disturbed {
+                process: name.clone(),
+                from,
+                to: from + step.lasts,
+            });
+        }
+    }
+
+    async fn end(&mut self, step: &Step) -> anyhow::Result<()> {
+        let name = &step.process;
+        let is_down = self.bed.fleet.process(name).id().is_none();
+        match &step.fault {
+            Fault::Freeze => self.bed.fleet.process(name).signal("CONT"),
+            Fault::Stop => self.end_stop(name).await?,
+            // A restart that overlaps with another one is one restart.
+            Fault::Kill | Fault::LoseDisk | Fault::TearDisk if !is_down => {}
+            Fault::Kill => self.bed.fleet.relaunch(name)?,
+            Fault::LoseDisk => {
+                fs::remove_dir_all(self.bed.fleet.folder().join(name))?;
+                self.bed.fleet.relaunch(name)?;
+            }
+            Fault::TearDisk => {
+                self.tear(name)?;
+                self.bed.fleet.relaunch(name)?;
+            }
+            Fault::Link(_) => self.bed.fleet.relay(name).pass(),
+            Fault::Backend(fault) => self.end_backend(name, fault).await?,
+        }
+        let now = Instant::now();
+        for disturbed in self.disturbed.iter_mut().filter(|d| d.process == *name) {
+            // Faults of one process may overlap: the last one to end counts for all.
+            if disturbed.to + STOP_LIMIT > now {
+                disturbed.to = disturbed.to.max(now);
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until the process that was asked to stop is gone, and starts it again.
+    async fn end_stop(&mut self, name: &str) -> anyhow::Result<()> {
+        let asked = self.stopping.remove(name);
+        let process = self.bed.fleet.process(name);
+        if process.id() != asked || asked.is_none() {
+            return Ok(());
+        }
+        // A pause may have come between; a paused process cannot stop.
+        process.signal("CONT");
+        if process.ended(STOP_LIMIT).await.is_none() {
+            let log = self.bed.fleet.log(name);
+            anyhow::bail!("{name} did not stop in {STOP_LIMIT:?}:\n{log}");
+        }
+        self.bed.fleet.relaunch(name)
+    }
+
+    fn tear(&self, name: &str) -> anyhow::Result<()> {
+        let mut logs = Vec::new();
+        for entry in fs::read_dir(self.bed.fleet.folder().join(name).join(LOG_FOLDER))? {
+            let entry = entry?;
+            if entry.file_name().to_string_lossy().starts_with("log-") {
+                logs.push(entry.path());
+            }
+        }
+        // Names sort by number, and the newest file is the live one.
+        if let Some(live) = logs.into_iter().max() {
+            fs::File::options()
+                .append(true)
+                .open(live)?
+                .write_all(TORN)?;
+        }
+        Ok(())
+    }
+
+    fn begin_link(&self, name: &str, fault: &LinkFault) {
+        let relay = self.bed.fleet.relay(name);
+        match fault {
+            LinkFault::Delay(time) => relay.delay(*time),
+            LinkFault::Reset => relay.cut(),
+            LinkFault::Refuse => relay.refuse(),
+            LinkFault::SilenceOpen => relay.silence_existing(),
+            LinkFault::SilenceAll => relay.silence_all(),
+            LinkFault::Hold => relay.hold(),
+            LinkFault::OneWay(from) => relay.bar(from),
+            LinkFault::Truncate(after) => relay.truncate_after(Direction::ToTarget, *after),
+            LinkFault::Corrupt(after) => relay.corrupt_after(Direction::ToTarget, *after),
+        }
+    }
+
+    fn begin_backend(&self, name: &str, fault: &BackendFault) {
+        let Some(backend) = self.bed.backends.get(name) else {
+            return;
+        };
+        backend.set_behaviour(|behaviour| match fault {
+            BackendFault::Shed => behaviour.fault = ServerFault::Shed,
+            BackendFault::Break => behaviour.fault = ServerFault::Break,
+            BackendFault::Truncate => behaviour.fault = ServerFault::Truncate,
+            BackendFault::Status => behaviour.fault = ServerFault::Status(500),
+            BackendFault::Slow(time) => behaviour.service_time = *time,
+            BackendFault::Die => {}
+        });
+        if *fault == BackendFault::Die {
+            backend.kill();
+        }
+    }
+
+    /// Another backend server takes the place of one that failed.
+    async fn end_backend(&mut self, name: &str, fault: &BackendFault) -> anyhow::Result<()> {
+        let place = self.bed.nodes.iter().position(|node| node.name == name);
+        if *fault == BackendFault::Die
+            && let Some(place) = place
+        {
+            self.bed.start_backend(place).await?;
+        } else if let Some(backend) = self.bed.backends.get(name) {
+            backend.set_behaviour(|behaviour| {
+                behaviour.fault = ServerFault::None;
+                behaviour.service_time = crate::bed::SERVICE_TIME;
+            });
+        }
+        Ok(())
+    }
+
+    /// Faults of one link lift each other, so the last word is that nothing is left of any.
+    fn lift_all(&mut self) {
+        let all = self.bed.nodes.iter().chain(&self.bed.control);
+        for vm in all {
+            self.bed.fleet.relay(&vm.name).pass();
+        }
+    }
+}
--- a/tests/support/src/fleet.rs
+++ b/tests/support/src/fleet.rs
@@ -140,10 +140,21 @@
     ///
     /// Fails when the process does not come up.
     pub async fn restart(&mut self, name: &str) -> anyhow::Result<()> {
+        self.relaunch(name)?;
+        let vm = self.process(name).vm.clone();
+        self.await_answer(&vm, "/livez").await
+    }
+
+    /// Does the same without waiting for the process to come up.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process cannot be started.
+    pub fn relaunch(&mut self, name: &str) -> anyhow::Result<()> {
         let vm = self.process(name).vm.clone();
         let child = self.launch(&vm)?;
         self.process(name).child = Some(child);
-        self.await_answer(&vm, "/livez").await
+        Ok(())
     }
 
     fn launch(&self, vm: &Vm) -> anyhow::Result<Child> {
