--- a/tests/soak/src/play.rs
+++ b/tests/soak/src/play.rs
@@ -78,6 +78,7 @@
 impl Player<'_> {
     fn begin(&mut self, step: &Step) {
         let name = &step.process;
+        let from = Instant::now();
         match &step.fault {
             Fault::Freeze => self.bed.fleet.process(name).signal("STOP"),
             Fault::Stop => {
@@ -91,7 +92,6 @@
             Fault::Backend(fault) => self.begin_backend(name, fault),
         }
         if !matches!(step.fault, Fault::Link(_) | Fault::Backend(_)) {
-            let from = Instant::now();
             self.disturbed.push(Disturbed {
                 process: name.clone(),
                 from,
@@ -139,7 +139,8 @@
         }
         // A pause may have come between; a paused process cannot stop.
         process.signal("CONT");
-        if process.ended(STOP_LIMIT).await.is_none() {
+        process.ended(STOP_LIMIT).await;
+        if process.id().is_some() {
             let log = self.bed.fleet.log(name);
             anyhow::bail!("{name} did not stop in {STOP_LIMIT:?}:\n{log}");
         }
--- /dev/null
+++ b/tests/soak/tests/judge.rs
@@ -0,0 +1,173 @@
+//! Each broken promise is found, and a sound run has no finding.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use nutmegwheel_soak::{Disturbed, Evidence, Record, Result, Seen, Sent, judge};
+use nutmegwheel_support::Run;
+
+const KEY: &str = "Bearer key-of-vidzeme-000001";
+const WITHDRAWN_KEY: &str = "Bearer key-of-kurzeme-000001";
+const SHORT: Duration = Duration::from_millis(10);
+
+fn sent(at: Instant, body: &str, result: Result) -> Sent {
+    Sent {
+        body: body.to_owned(),
+        door: "riga1-0".to_owned(),
+        key: KEY,
+        must_not_repeat: body.starts_with("bill"),
+        began: at,
+        ended: at + SHORT,
+        result,
+    }
+}
+
+fn run(at: Instant, body: &str, workspace: &str) -> Run {
+    let service = if body.starts_with("bill") {
+        "dispatch/bill"
+    } else {
+        "tally-portal/count"
+    };
+    Run {
+        service: String::new(),
+        backend: String::new(),
+        path: format!("/{service}"),
+        root: String::new(),
+        workspace: Some(workspace.to_owned()),
+        fields: HashMap::new(),
+        body: body.as_bytes().to_vec(),
+        began: at,
+        ended: None,
+        cancelled: false,
+        worked: SHORT,
+    }
+}
+
+fn refused(outcome: &str) -> Result {
+    Result::Refused {
+        status: 503,
+        reason: "overloaded".to_owned(),
+        outcome: outcome.to_owned(),
+    }
+}
+
+fn findings(sent: Vec<Sent>, runs: Vec<Run>) -> Vec<String> {
+    judge(&Evidence {
+        sent,
+        runs,
+        ..Evidence::default()
+    })
+}
+
+const SERVED: Result = Result::Served { is_own: true };
+
+#[test]
+fn a_sound_run_has_no_finding() {
+    let at = Instant::now();
+    let all = vec![
+        sent(at, "read-1", SERVED),
+        sent(at, "bill-2", refused("may-have-run")),
+        sent(at, "bill-2", SERVED),
+        sent(at, "read-3", refused("not-run")),
+    ];
+    let runs = vec![
+        run(at, "read-1", "vidzeme"),
+        run(at, "read-1", "vidzeme"),
+        run(at, "bill-2", "vidzeme"),
+    ];
+    assert_eq!(findings(all, runs), Vec::<String>::new());
+}
+
+#[test]
+fn a_foreign_answer_is_found() {
+    let at = Instant::now();
+    let all = vec![sent(at, "read-1", Result::Served { is_own: false })];
+    assert_eq!(findings(all, vec![run(at, "read-1", "vidzeme")]).len(), 1);
+}
+
+#[test]
+fn an_answer_without_a_run_is_found() {
+    assert_eq!(
+        findings(vec![sent(Instant::now(), "read-1", SERVED)], Vec::new()).len(),
+        1
+    );
+}
+
+#[test]
+fn a_second_run_of_what_must_not_repeat_is_found() {
+    let at = Instant::now();
+    let runs = vec![run(at, "bill-1", "vidzeme"), run(at, "bill-1", "vidzeme")];
+    assert_eq!(findings(vec![sent(at, "bill-1", SERVED)], runs).len(), 1);
+}
+
+#[test]
+fn a_refusal_as_not_run_that_ran_is_found() {
+    let at = Instant::now();
+    let runs = vec![run(at, "read-1", "vidzeme")];
+    assert_eq!(
+        findings(vec![sent(at, "read-1", refused("not-run"))], runs).len(),
+        1
+    );
+}
+
+#[test]
+fn a_run_under_a_withdrawn_key_is_found() {
+    let at = Instant::now();
+    let mut under = sent(at + SHORT, "read-1", SERVED);
+    under.key = WITHDRAWN_KEY;
+    let evidence = Evidence {
+        sent: vec![under],
+        runs: vec![run(at + SHORT, "read-1", "kurzeme")],
+        withdrawn: Some(at),
+        ..Evidence::default()
+    };
+    assert_eq!(judge(&evidence).len(), 1);
+}
+
+#[test]
+fn more_runs_than_rate_and_burst_are_found() {
+    let at = Instant::now();
+    // Rate 10 and burst 5, and a request may start 2 s after its token was spent.
+    let runs = |count: usize| (0..count).map(|_| run(at, "read-1", "zemgale")).collect();
+    assert_eq!(findings(Vec::new(), runs(25)).len(), 0);
+    assert_eq!(findings(Vec::new(), runs(26)).len(), 1);
+}
+
+#[test]
+fn a_read_older_than_what_was_committed_is_found() {
+    let at = Instant::now();
+    let record = |after: u32, seen| Record {
+        began: at + SHORT * after,
+        ended: at + SHORT * after + SHORT / 2,
+        seen,
+    };
+    let evidence = |number| Evidence {
+        records: vec![record(0, Seen::Committed(7)), record(1, Seen::Read(number))],
+        ..Evidence::default()
+    };
+    assert_eq!(judge(&evidence(7)).len(), 0);
+    assert_eq!(judge(&evidence(6)).len(), 1);
+}
+
+#[test]
+fn breaks_and_lateness_count_only_at_doors_that_were_not_struck() {
+    let at = Instant::now();
+    let mut late = sent(at, "read-2", refused("may-have-run"));
+    late.ended = at + Duration::from_secs(4);
+    let broken = sent(at, "read-1", Result::Broken);
+    let disturbed = |process: &str| {
+        judge(&Evidence {
+            sent: vec![broken.clone(), late.clone()],
+            disturbed: vec![Disturbed {
+                process: process.to_owned(),
+                from: at,
+                to: at + SHORT,
+            }],
+            ..Evidence::default()
+        })
+    };
+    assert_eq!(disturbed("riga1-0").len(), 0);
+    assert_eq!(disturbed("riga1-1").len(), 2);
+}
