feat(policy): a backend server that fails part of its requests announces fewer slots

Cause: one that hangs, resets or answers errors to 40 to 55 % of its requests keeps its share of the work. Ejection wants five failures in a row, which what it does answer interrupts, and in a fleet of 61 nodes no sender meets it often enough: 32 requests a second over 61 tables.

Ruled out: a longer memory of reports at the senders (each has to meet it first); fewer failures in a row to eject (ejects sound ones in a burst).

Change: the node beside the backend server counts the share of requests that it alone failed, and from a quarter on announces a tenth of the slots over the gossip (policy soundness.rs, events 205, 206).

--- a/crates/nutmegwheel-events/src/catalogue.rs
+++ b/crates/nutmegwheel-events/src/catalogue.rs
@@ -60,6 +60,10 @@
     BackendGone = 203, "backend-gone", Info;
     /// A heartbeat spoke for another backend server or could not be read.
     HeartbeatRefused = 204, "heartbeat-refused", Warn;
+    /// A backend server fails many of its requests and announces fewer slots.
+    BackendFailing = 205, "backend-failing", Warn;
+    /// A backend server that failed many of its requests is sound again.
+    BackendSound = 206, "backend-sound", Info;
     /// The level at which a node sheds changed.
     ShedLevelChanged = 300, "shed-level-changed", Warn;
     /// A request spent the last retry of its chain.
--- a/crates/nutmegwheel-node/src/gate.rs
+++ b/crates/nutmegwheel-node/src/gate.rs
@@ -14,6 +14,7 @@
     concurrency::{self, Fixed, Gradient, Limiter},
     routing::LoadReport,
 };
+use nutmegwheel_types::EndpointId;
 use tokio::sync::{Notify, oneshot};
 
 use crate::refusal::{Reason, Refusal};
@@ -105,6 +106,11 @@
         self.lock().queue.report()
     }
 
+    /// The time in which hardly a request of an endpoint finishes.
+    pub(crate) fn at_best(&self, endpoint: &EndpointId) -> Duration {
+        self.lock().queue.at_best(Instant::now(), endpoint)
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/nutmegwheel-node/src/heartbeats.rs
+++ b/crates/nutmegwheel-node/src/heartbeats.rs
@@ -108,6 +108,9 @@
     });
     if before.is_none_or(|before| before.backend != backend) {
         shared.gate.announced(now, backend.slots, is_new);
+        if is_new {
+            shared.soundness().restart();
+        }
         local::record(shared, &backend);
         shared.backend_changed();
     }
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -30,6 +30,7 @@
 mod running;
 mod serve;
 mod shared;
+mod soundness;
 mod suspects;
 mod views;
 mod watch;
--- a/crates/nutmegwheel-node/src/local.rs
+++ b/crates/nutmegwheel-node/src/local.rs
@@ -98,6 +98,9 @@
     });
     if before.is_none_or(|before| before.backend != backend) {
         shared.gate.announced(now, backend.slots, is_new);
+        if is_new {
+            shared.soundness().restart();
+        }
         record(shared, &backend);
         shared.backend_changed();
     }
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -25,6 +25,7 @@
     rates::Rates,
     serve::NodeService,
     shared::{LEAVE_TIME, Shared},
+    soundness,
 };
 
 /// The largest body of a request, in bytes.
@@ -207,6 +208,7 @@
         shared.registration().lapse();
         shared.backend_changed();
     }
+    soundness::expire(shared);
 }
 
 /// Lifecycle.
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -16,6 +16,7 @@
     registration::Registration,
     retry::{RatioOptions, Ratios},
     shed::{self, Levels},
+    soundness::{self, Soundness},
     split::Splits,
 };
 use nutmegwheel_seeds::{Asker, AttemptId, Claims, Duty, SeedLists, Started, Tokens, started};
@@ -62,6 +63,7 @@
     pub(crate) local: Local,
     pub(crate) splits: Mutex<Splits>,
     registration: Mutex<Registration>,
+    soundness: Mutex<Soundness>,
     pub(crate) running: Running,
     pub(crate) routes: Routes,
     pub(crate) gate: Gate,
@@ -137,6 +139,7 @@
             dialect,
             splits: Mutex::default(),
             registration: Mutex::default(),
+            soundness: Mutex::new(Soundness::open(soundness::Options::default())),
             running: Running::default(),
             metrics: Metrics::open(),
             watch: Watch::default(),
@@ -207,6 +210,12 @@
         registration.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// How the backend server beside this node does.
+    pub(crate) fn soundness(&self) -> MutexGuard<'_, Soundness> {
+        let soundness = self.soundness.lock();
+        soundness.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The requests and calls that are in this process.
     pub(crate) fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::SeqCst)
--- a/crates/nutmegwheel-policy/src/admission/queue.rs
+++ b/crates/nutmegwheel-policy/src/admission/queue.rs
@@ -185,6 +185,12 @@
         }
     }
 
+    /// The time in which hardly a request of an endpoint finishes.
+    #[must_use]
+    pub fn at_best(&self, now: Instant, endpoint: &EndpointId) -> Duration {
+        self.service_times.at_best(now, endpoint)
+    }
+
     /// The instant at which the next waiting request must be given up, unless it starts before.
     #[must_use]
     pub fn next_wakeup(&self) -> Option<Instant> {
--- a/crates/nutmegwheel-policy/src/lib.rs
+++ b/crates/nutmegwheel-policy/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod retry;
 pub mod routing;
 pub mod shed;
+pub mod soundness;
 pub mod split;
--- /dev/null
+++ b/crates/nutmegwheel-policy/tests/soundness.rs
@@ -0,0 +1,158 @@
+//! A backend server that fails part of its requests, with every health check passed.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use nutmegwheel_policy::{
+    routing::{Announcement, BackendKey, Options as Routing, Outcome, Request, ServerState, Table},
+    soundness::{Options, Soundness},
+};
+use nutmegwheel_types::Priority;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const SLOTS: u16 = 64;
+const SERVERS: usize = 8;
+/// The senders, each with a table of its own.
+const SENDERS: usize = 20;
+/// The time between two requests, over all senders.
+const PAUSE: Duration = Duration::from_millis(2);
+/// The time that a request takes.
+const WORK: Duration = Duration::from_millis(100);
+/// The time that news of an announcement takes to every sender.
+const NEWS: Duration = Duration::from_millis(300);
+const PRIORITY: Priority = Priority {
+    rank: 0,
+    over_share: 0,
+    root_hash: 0,
+};
+
+fn counted(rng: &mut StdRng, soundness: &mut Soundness, requests: u32, failing: f64) {
+    for _ in 0..requests {
+        soundness.count(Instant::now(), rng.random_bool(failing));
+    }
+}
+
+#[test]
+fn one_that_fails_two_of_five_is_found_and_one_that_fails_few_is_not() {
+    for seed in 0..200 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut grey = Soundness::open(Options::default());
+        let mut was_failing = false;
+        for _ in 0..60 {
+            counted(&mut rng, &mut grey, 1, 0.4);
+            was_failing |= grey.is_failing();
+        }
+        assert!(was_failing, "seed {seed}");
+        let mut sound = Soundness::open(Options::default());
+        for _ in 0..1000 {
+            counted(&mut rng, &mut sound, 1, 0.01);
+            assert!(!sound.is_failing(), "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn a_failing_one_keeps_a_part_and_gets_all_back() {
+    let now = Instant::now();
+    let mut soundness = Soundness::open(Options::default());
+    assert_eq!(soundness.slots(SLOTS), SLOTS);
+    let changes: Vec<bool> = (0..20).map(|_| soundness.count(now, true)).collect();
+    assert_eq!(changes.iter().filter(|changed| **changed).count(), 1);
+    assert_eq!(soundness.slots(SLOTS), 6);
+    assert_eq!(soundness.slots(1), 1, "it is never shut off");
+    let mut successes = 0;
+    while !soundness.count(now, false) {
+        successes += 1;
+        assert!(successes < 60, "it never counts as sound again");
+    }
+    assert_eq!(soundness.slots(SLOTS), SLOTS);
+}
+
+#[test]
+fn a_failing_one_without_requests_counts_as_sound_after_a_while() {
+    let now = Instant::now();
+    let mut soundness = Soundness::open(Options::default());
+    for _ in 0..20 {
+        soundness.count(now, true);
+    }
+    let after = Options::default().forget_after;
+    assert!(!soundness.expire(now + after / 2));
+    assert!(soundness.is_failing());
+    assert!(soundness.expire(now + after));
+    assert!(!soundness.is_failing());
+    assert!(!soundness.expire(now + after), "it is told once");
+}
+
+fn announcement(server: usize, slots: u16) -> Announcement {
+    Announcement {
+        node: Arc::from(format!("n{server}")),
+        data_centre: Arc::from("riga1"),
+        incarnation: 1,
+        slots: slots.into(),
+        state: ServerState::Ready,
+    }
+}
+
+/// Failures in each second while one of the backend servers fails half of its requests, with the
+/// news of fewer slots or without.
+fn failures(with_news: bool) -> Vec<u32> {
+    const SECONDS: u32 = 4;
+    let start = Instant::now();
+    let mut rng = StdRng::seed_from_u64(11);
+    let mut tables: Vec<(Table, Vec<BackendKey>)> = (0..SENDERS)
+        .map(|_| {
+            let mut table = Table::open(Arc::from("riga1"), Routing::default());
+            let keys = (0..SERVERS).map(|n| table.announce(start, announcement(n, SLOTS)));
+            let keys = keys.collect();
+            (table, keys)
+        })
+        .collect();
+    let mut soundness = Soundness::open(Options::default());
+    let mut news: Vec<(Instant, u16)> = Vec::new();
+    let mut running: Vec<(Instant, usize, BackendKey, bool)> = Vec::new();
+    let mut failed = vec![0; usize::try_from(SECONDS).unwrap()];
+    let mut now = start;
+    while now < start + Duration::from_secs(SECONDS.into()) {
+        now += PAUSE;
+        while let Some(position) = news.iter().position(|(at, _)| *at <= now) {
+            let (_, slots) = news.remove(position);
+            for (table, _) in &mut tables {
+                table.announce(now, announcement(0, slots));
+            }
+        }
+        while let Some(position) = running.iter().position(|run| run.0 <= now) {
+            let (_, sender, key, is_failure) = running.remove(position);
+            let (table, keys) = &mut tables[sender];
+            // The sender gets an answer either way, such as 500.
+            table.finish(now, key, Outcome::Answered, None);
+            if key == keys[0] && soundness.count(now, is_failure) && with_news {
+                news.push((now + NEWS, soundness.slots(SLOTS)));
+            }
+            let second = usize::try_from((now - start).as_secs()).unwrap();
+            if is_failure && second < failed.len() {
+                failed[second] += 1;
+            }
+        }
+        let sender = rng.random_range(0..SENDERS);
+        let (table, keys) = &mut tables[sender];
+        let req = Request {
+            priority: PRIORITY,
+            tried: &[],
+        };
+        let key = table.choose(now, &req, &mut rng).unwrap();
+        let is_failure = key == keys[0] && rng.random_bool(0.5);
+        running.push((now + WORK, sender, key, is_failure));
+    }
+    failed
+}
+
+#[test]
+fn a_grey_server_gets_less_within_a_second_also_from_senders_that_never_met_it() {
+    let (with, without) = (failures(true), failures(false));
+    println!("failures a second: {with:?}, without news {without:?}");
+    for second in 1..with.len() {
+        assert!(with[second] * 3 <= without[second], "{with:?}, {without:?}");
+    }
+}
