--- a/crates/nutmegwheel-events/src/lib.rs
+++ b/crates/nutmegwheel-events/src/lib.rs
@@ -14,4 +14,4 @@
 pub use clock::{Clock, Stamp, SystemTime, WallTime};
 pub use journal::{Journal, Options, Record};
 pub use output::Output;
-pub use timeline::{merge, render};
+pub use timeline::{about, merge, read_log, render};
--- a/crates/nutmegwheel-events/src/timeline.rs
+++ b/crates/nutmegwheel-events/src/timeline.rs
@@ -31,3 +31,38 @@
     }
     out
 }
+
+/// Reads the records in the output of a process, and the number of lines that hold none.
+///
+/// What stands before a record in its line, such as a time and a name that a collector of logs
+/// adds, is left out.
+#[must_use]
+pub fn read_log(text: &str) -> (Vec<Record>, usize) {
+    let mut records = Vec::new();
+    let mut skipped = 0;
+    for line in text.lines().filter(|line| !line.trim().is_empty()) {
+        let record = line.find('{').map(|start| &line[start..]);
+        match record.and_then(|record| serde_json::from_str(record).ok()) {
+            Some(record) => records.push(record),
+            None => skipped += 1,
+        }
+    }
+    (records, skipped)
+}
+
+/// Keeps what was decided about a request and the calls made for it.
+///
+/// The ids of calls begin with that of their request and a dot; where callers send no ids, `request`
+/// is the root id that the answer carried.
+#[must_use]
+pub fn about(records: Vec<Record>, request: &str) -> Vec<Record> {
+    let is_named = |record: &Record, field: &str| {
+        let rest = record.fields.get(field)?.strip_prefix(request)?;
+        Some(rest.is_empty() || rest.starts_with('.'))
+    };
+    let is_about = |record: &Record| {
+        let mut fields = ["id", "root"].into_iter();
+        fields.any(|field| is_named(record, field) == Some(true))
+    };
+    records.into_iter().filter(is_about).collect()
+}
--- a/crates/nutmegwheel/src/ctl.rs
+++ b/crates/nutmegwheel/src/ctl.rs
@@ -5,7 +5,10 @@
 use nutmegwheel_types::{KeyHash, hex};
 use serde_json::Value;
 
-use crate::flags::{Ctl, CtlCmd};
+use crate::{
+    flags::{Ctl, CtlCmd},
+    logs::selected,
+};
 
 /// The time that one process gets to answer.
 const TIMEOUT: Duration = Duration::from_secs(5);
@@ -68,7 +71,7 @@
         }
         CtlCmd::Show(_) => Ok(done(pretty(&show::configuration(client).await?))),
         CtlCmd::Status(_) => status(client, json).await,
-        CtlCmd::Timeline(_) => show_timeline(client, json).await,
+        CtlCmd::Timeline(cmd) => show_timeline(client, cmd.request.as_deref(), json).await,
     }
 }
 
@@ -117,8 +120,13 @@
     Ok(Printed { text, code })
 }
 
-async fn show_timeline(client: &Client, json: bool) -> anyhow::Result<Printed> {
+async fn show_timeline(
+    client: &Client,
+    request: Option<&str>,
+    json: bool,
+) -> anyhow::Result<Printed> {
     let outcome = timeline::fetch(client).await;
+    let records = selected(outcome.records, request);
     for missing in &outcome.missing {
         eprintln!("missing: {missing}");
     }
@@ -128,9 +136,9 @@
         NOT_CERTAIN
     };
     let text = if json {
-        serde_json::to_string(&outcome.records)?
+        serde_json::to_string(&records)?
     } else {
-        nutmegwheel_events::render(&outcome.records)
+        nutmegwheel_events::render(&records)
     };
     Ok(Printed { text, code })
 }
--- a/crates/nutmegwheel/src/flags.rs
+++ b/crates/nutmegwheel/src/flags.rs
@@ -18,6 +18,15 @@
             /// The settings file.
             required file: PathBuf
         }
+        /// Merge log files of any processes into one time line.
+        cmd read-logs {
+            /// Log files, as the processes write them to standard output.
+            repeated logs: PathBuf
+            /// Only what was decided about this request and the calls made for it.
+            optional --request request: String
+            /// Print JSON.
+            optional --json
+        }
         /// Operate a fleet. Every command takes --at and --secret-file.
         cmd ctl {
             /// Platform listeners (IP:PORT, separated by commas), asked in this order.
@@ -55,7 +64,10 @@
             /// Show what every named process holds.
             cmd status { }
             /// Merge the events of all named processes into one time line.
-            cmd timeline { }
+            cmd timeline {
+                /// Only what was decided about this request and the calls made for it.
+                optional --request request: String
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/nutmegwheel/src/logs.rs
@@ -0,0 +1,54 @@
+use std::path::Path;
+
+use anyhow::Context as _;
+use nutmegwheel_events::{Record, about, merge, read_log, render};
+
+use crate::flags::ReadLogs;
+
+/// A log file could not be read, or nothing was found.
+const REFUSED: u8 = 1;
+
+/// Prints the time line of log files and returns the exit code.
+pub(crate) fn run(cmd: &ReadLogs) -> u8 {
+    match text_of(cmd) {
+        Ok(text) => {
+            println!("{}", text.trim_end());
+            0
+        }
+        Err(e) => {
+            eprintln!("{e:#}");
+            REFUSED
+        }
+    }
+}
+
+fn text_of(cmd: &ReadLogs) -> anyhow::Result<String> {
+    anyhow::ensure!(!cmd.logs.is_empty(), "name at least one log file");
+    let mut logs = Vec::new();
+    for path in &cmd.logs {
+        logs.push(read(path)?);
+    }
+    let records = selected(merge(logs), cmd.request.as_deref());
+    anyhow::ensure!(!records.is_empty(), "no line was found");
+    if cmd.json {
+        return Ok(serde_json::to_string(&records)?);
+    }
+    Ok(render(&records))
+}
+
+/// Keeps what is about a request, where one is named.
+pub(crate) fn selected(records: Vec<Record>, request: Option<&str>) -> Vec<Record> {
+    match request {
+        Some(request) => about(records, request),
+        None => records,
+    }
+}
+
+fn read(path: &Path) -> anyhow::Result<Vec<Record>> {
+    let bytes = std::fs::read(path).with_context(|| format!("{}: read", path.display()))?;
+    let (records, skipped) = read_log(&String::from_utf8_lossy(&bytes));
+    if skipped > 0 {
+        eprintln!("{}: {skipped} lines are no events", path.display());
+    }
+    Ok(records)
+}
--- a/crates/nutmegwheel/src/main.rs
+++ b/crates/nutmegwheel/src/main.rs
@@ -1,10 +1,11 @@
-//! The binary of nutmegwheel: `node`, `control`, `ctl` and `check-settings`.
+//! The binary of nutmegwheel: `node`, `control`, `ctl`, `read-logs` and `check-settings`.
 //!
 //! This crate parses the command line, prints, and sets the exit code; the work is done by the
 //! libraries. Exit codes: 0 done, 1 refused, 2 usage, 3 not reached or not certain, 4 pending.
 
 mod ctl;
 mod flags;
+mod logs;
 mod role;
 
 use std::process::ExitCode;
@@ -30,6 +31,7 @@
         NutmegwheelCmd::Node(cmd) => role::run(&cmd.settings, nutmegwheel_config::Role::Node),
         NutmegwheelCmd::Control(cmd) => role::run(&cmd.settings, nutmegwheel_config::Role::Control),
         NutmegwheelCmd::CheckSettings(cmd) => role::check(&cmd.file),
+        NutmegwheelCmd::ReadLogs(cmd) => logs::run(&cmd),
         NutmegwheelCmd::Ctl(cmd) => ctl::run(cmd),
     };
     ExitCode::from(code)
