fix(soak): a fault of a link or a backend server does not excuse its door

The end of any fault of a process extended the times in which its door was excused, those of its link and backend server too, so breaks and late answers there could pass unseen.

--- a/tests/soak/src/play.rs
+++ b/tests/soak/src/play.rs
@@ -27,6 +27,8 @@
 struct Due<'a> {
     at: Instant,
     begins: bool,
+    /// The place of the step in the plan.
+    number: usize,
     step: &'a Step,
 }
 
@@ -37,46 +39,49 @@
     start: Instant,
 ) -> anyhow::Result<Vec<Disturbed>> {
     let mut due: Vec<Due<'_>> = Vec::new();
-    for step in &plan.steps {
+    for (number, step) in plan.steps.iter().enumerate() {
         let at = start + step.at;
         due.push(Due {
             at,
             begins: true,
+            number,
             step,
         });
         due.push(Due {
             at: at + step.lasts,
             begins: false,
+            number,
             step,
         });
     }
     due.sort_by_key(|due| due.at);
     let mut player = Player {
         bed,
-        disturbed: Vec::new(),
+        disturbed: HashMap::new(),
         stopping: HashMap::new(),
     };
-    for Due { at, begins, step } in due {
-        tokio::time::sleep_until(at.into()).await;
-        if begins {
-            player.begin(step);
+    for due in due {
+        tokio::time::sleep_until(due.at.into()).await;
+        if due.begins {
+            player.begin(due.number, due.step);
         } else {
-            player.end(step).await?;
+            player.end(due.number, due.step).await?;
         }
     }
     player.lift_all();
-    Ok(player.disturbed)
+    Ok(player.disturbed.into_values().collect())
 }
 
 struct Player<'a> {
     bed: &'a mut Bed,
-    disturbed: Vec<Disturbed>,
+    /// By the number of the step.
+    disturbed: HashMap<usize, Disturbed>,
     /// The ids of the processes that were asked to stop.
     stopping: HashMap<String, u32>,
 }
 
 impl Player<'_> {
-    fn begin(&mut self, step: &Step) {
+    fn begin(&mut self, number: usize, step: &Step) {
         let name = &step.process;
         let from = Instant::now();
         match &step.fault {
@@ -92,15 +97,16 @@
             Fault::Backend(fault) => self.begin_backend(name, fault),
         }
         if !matches!(step.fault, Fault::Link(_) | Fault::Backend(_)) {
-            self.disturbed.push(Disturbed {
+            let disturbed = Disturbed {
                 process: name.clone(),
                 from,
                 to: from + step.lasts,
-            });
+            };
+            self.disturbed.insert(number, disturbed);
         }
     }
 
-    async fn end(&mut self, step: &Step) -> anyhow::Result<()> {
+    async fn end(&mut self, number: usize, step: &Step) -> anyhow::Result<()> {
         let name = &step.process;
         let is_down = self.bed.fleet.process(name).id().is_none();
         match &step.fault {
@@ -120,12 +126,9 @@
             Fault::Link(_) => self.bed.fleet.relay(name).pass(),
             Fault::Backend(fault) => self.end_backend(name, fault).await?,
         }
-        let now = Instant::now();
-        for disturbed in self.disturbed.iter_mut().filter(|d| d.process == *name) {
-            // Faults of one process may overlap: the last one to end counts for all.
-            if disturbed.to + STOP_LIMIT > now {
-                disturbed.to = disturbed.to.max(now);
-            }
+        // A process that stops takes its own time.
+        if let Some(disturbed) = self.disturbed.get_mut(&number) {
+            disturbed.to = Instant::now();
         }
         Ok(())
     }
