--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -1,7 +1,4 @@
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Instant};
 
 use bytes::Bytes;
 use nutmegwheel_events::Event;
@@ -24,10 +21,6 @@
     soundness, suspects,
 };
 
-/// The times of its quickest requests that a backend server must have had for an end by the
-/// deadline to count as its own failure; with less, the request came too late.
-const ENOUGH_TIME: u32 = 3;
-
 /// What became of a call at its target.
 pub(crate) struct Served {
     pub(crate) result: Result<Answer, Refusal>,
@@ -145,9 +138,7 @@
     let began = Instant::now();
     let result = shared.local.run(&server, call, entry.token).await;
     pass.complete(completion(&result));
-    if let Some(is_failure) = own_failure(shared, call, parent, &result, began.elapsed()) {
-        soundness::count(shared, is_failure);
-    }
+    soundness::count(shared, call, parent, &result, began.elapsed());
     match &result {
         Ok(_) => suspects::tell(shared, &watched.completed()),
         Err(refusal) if refusal.reason == Reason::BackendLost => {
@@ -174,30 +165,6 @@
     }
 }
 
-/// Whether the backend server itself failed the request; `None` where the end says nothing of it,
-/// since a call that it made failed or it had hardly any time.
-fn own_failure(
-    shared: &Shared,
-    call: &Call,
-    parent: &Parent,
-    result: &Result<Answer, Refusal>,
-    worked: Duration,
-) -> Option<bool> {
-    match result {
-        Ok(answer) if !answer.status.is_server_error() => Some(false),
-        _ if parent.hangs_on_calls() => None,
-        Ok(_) => Some(true),
-        Err(refusal) => match refusal.reason {
-            Reason::BackendLost | Reason::BackendShed => Some(true),
-            Reason::Deadline => {
-                let enough = shared.gate.at_best(&call.endpoint) * ENOUGH_TIME;
-                (worked >= enough).then_some(true)
-            }
-            _ => None,
-        },
-    }
-}
-
 /// Checks what must hold at the moment at which a request begins.
 fn may_begin(shared: &Shared, call: &Call) -> Result<(), Refusal> {
     if call.deadline <= Instant::now() {
--- a/crates/nutmegwheel-node/src/soundness.rs
+++ b/crates/nutmegwheel-node/src/soundness.rs
@@ -1,18 +1,65 @@
 //! Tells the fleet when the backend server beside this node fails many of its requests.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use nutmegwheel_events::Event;
 
-use crate::{members, shared::Shared};
+use crate::{
+    call::{Answer, Call},
+    members,
+    refusal::{Reason, Refusal},
+    running::Parent,
+    shared::Shared,
+};
 
-/// Counts the end of a request that the backend server alone is to blame or to praise for.
-pub(crate) fn count(shared: &Arc<Shared>, is_failure: bool) {
+/// The times of its quickest requests that a backend server must have had for an end by the
+/// deadline to count as its own failure; with less, the request came too late.
+const ENOUGH_TIME: u32 = 3;
+
+/// Counts the end of a request at the backend server, as far as it alone is to blame or to praise
+/// for it.
+pub(crate) fn count(
+    shared: &Arc<Shared>,
+    call: &Call,
+    parent: &Parent,
+    result: &Result<Answer, Refusal>,
+    worked: Duration,
+) {
+    let Some(is_failure) = own_failure(shared, call, parent, result, worked) else {
+        return;
+    };
     if shared.soundness().count(Instant::now(), is_failure) {
         tell(shared);
     }
 }
 
+/// Whether the backend server itself failed the request; `None` where the end says nothing of it,
+/// since a call that it made failed or it had hardly any time.
+fn own_failure(
+    shared: &Shared,
+    call: &Call,
+    parent: &Parent,
+    result: &Result<Answer, Refusal>,
+    worked: Duration,
+) -> Option<bool> {
+    match result {
+        Ok(answer) if !answer.status.is_server_error() => Some(false),
+        _ if parent.hangs_on_calls() => None,
+        Ok(_) => Some(true),
+        Err(refusal) => match refusal.reason {
+            Reason::BackendLost | Reason::BackendShed => Some(true),
+            Reason::Deadline => {
+                let enough = shared.gate.at_best(&call.endpoint) * ENOUGH_TIME;
+                (worked >= enough).then_some(true)
+            }
+            _ => None,
+        },
+    }
+}
+
 /// Lets a backend server that got no requests for long count as sound.
 pub(crate) fn expire(shared: &Arc<Shared>) {
     if shared.soundness().expire(Instant::now()) {
