refactor: one piece for what the last reading found twice

Found on reading the whole change; behaviour stays as it is. - heartbeats.rs and local.rs took an announcement over in the same steps; both call local::announced. - Whether a request hangs on its calls was counted in Parent beside the chain, which knows the calls: it comes from Chain::hangs_on_calls, and each call locks the parent twice less. A test of its own. - A route with one service was special in host_door.rs and in Splits; only the door, which needs no lock for it, keeps that. A wheel of one part gives the same. - The refusal over a rate was written in rates.rs and quotas.rs; now Refusal::over_rate.

--- a/crates/nutmegwheel-events/src/journal.rs
+++ b/crates/nutmegwheel-events/src/journal.rs
@@ -81,11 +81,7 @@
 impl Journal {
     /// Records an event and writes it to the log.
     pub fn emit(&self, event: Event, fields: &[(&str, &dyn ToString)]) {
-        let fields = fields
-            .iter()
-            .map(|(name, value)| ((*name).to_owned(), value.to_string()))
-            .collect();
-        self.write(event, fields);
+        self.write(event, texts(fields));
     }
 
     /// Records a decision about one request. Under load only so many of a kind are told one by one,
@@ -94,10 +90,7 @@
         let Some(untold) = self.may_tell(event, Instant::now()) else {
             return;
         };
-        let told = fields.iter();
-        let mut fields: BTreeMap<String, String> = told
-            .map(|(name, value)| ((*name).to_owned(), value.to_string()))
-            .collect();
+        let mut fields = texts(fields);
         if untold > 0 {
             fields.insert("untold".to_owned(), untold.to_string());
         }
@@ -161,3 +154,10 @@
         newer.cloned().collect()
     }
 }
+
+fn texts(fields: &[(&str, &dyn ToString)]) -> BTreeMap<String, String> {
+    let fields = fields.iter();
+    fields
+        .map(|(name, value)| ((*name).to_owned(), value.to_string()))
+        .collect()
+}
--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -40,9 +40,7 @@
     mut call: Call,
     id: CallId,
 ) -> Result<Answer, Refusal> {
-    parent.call_begins();
     let begun = parent.chain(|chain| chain.begin(id)).map_err(|e| {
-        parent.call_ends(true);
         let refusal = Refusal::not_run(Reason::RetriesSpent, e.to_string());
         refusal.after(shed::Options::default().level_lifetime)
     })?;
@@ -85,7 +83,6 @@
         let settle = (self.child, self.end, self.unspent);
         self.parent
             .chain(|chain| chain.settle(settle.0, settle.1, settle.2));
-        self.parent.call_ends(self.end != End::Answered);
     }
 }
 
--- a/crates/nutmegwheel-node/src/heartbeats.rs
+++ b/crates/nutmegwheel-node/src/heartbeats.rs
@@ -1,9 +1,6 @@
 //! The listener for the heartbeats of the node's own backend server, in a platform's language.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use http::StatusCode;
 use nutmegwheel_events::Event;
@@ -11,9 +8,9 @@
 use nutmegwheel_web::{Handler, HandlerFuture, Problem, Request};
 
 use crate::{
-    backend::{Announcement, Backend, BackendState},
+    backend::BackendState,
     dialect::{Alive, Dialect, Heartbeat},
-    local,
+    local::{self, Said},
     shared::Shared,
 };
 
@@ -84,36 +81,23 @@
 }
 
 fn announce(shared: &Arc<Shared>, alive: Alive, is_new: bool) {
-    let before = shared.local.announced();
-    let life = match &before {
-        Some(before) if !is_new => before.backend.life,
-        _ => shared.next_life(),
+    let state = if alive.is_ready {
+        BackendState::Ready
+    } else {
+        BackendState::Leaving
     };
-    let backend = Backend {
-        service: alive.service,
-        slots: alive.slots,
-        state: if alive.is_ready {
-            BackendState::Ready
-        } else {
-            BackendState::Leaving
+    local::announced(
+        shared,
+        Said {
+            service: alive.service,
+            slots: alive.slots,
+            state,
+            instance: Some(alive.life.id),
+            address: alive.address,
+            holds: HOLDS,
         },
-        life,
-        instance: Some(alive.life.id),
-    };
-    let now = Instant::now();
-    shared.local.announce(Announcement {
-        backend: backend.clone(),
-        address: alive.address,
-        until: now + HOLDS,
-    });
-    if before.is_none_or(|before| before.backend != backend) {
-        shared.gate.announced(now, backend.slots, is_new);
-        if is_new {
-            shared.soundness().restart();
-        }
-        local::record(shared, &backend);
-        shared.backend_changed();
-    }
+        is_new,
+    );
 }
 
 fn withdraw(shared: &Arc<Shared>, id: &str) {
--- a/crates/nutmegwheel-node/src/host_door.rs
+++ b/crates/nutmegwheel-node/src/host_door.rs
@@ -172,16 +172,17 @@
 }
 
 fn choose_service(shared: &Shared, route: &HostRoute) -> Result<ServiceId, Refusal> {
-    let share = if let [only] = &route.split[..] {
-        Some(only)
-    } else {
-        let weights: Vec<u32> = route.split.iter().map(|share| share.weight).collect();
-        let mut splits = shared.splits.lock().unwrap_or_else(PoisonError::into_inner);
-        let part = splits.choose(&route.name, &weights, &mut rand::rng());
-        part.and_then(|part| route.split.get(part))
+    let share = match &route.split[..] {
+        // Most routes lead to one service, and need no wheel that all requests share.
+        [only] => Some(only).filter(|only| only.weight > 0),
+        parts => {
+            let weights: Vec<u32> = parts.iter().map(|share| share.weight).collect();
+            let mut splits = shared.splits.lock().unwrap_or_else(PoisonError::into_inner);
+            let part = splits.choose(&route.name, &weights, &mut rand::rng());
+            part.and_then(|part| parts.get(part))
+        }
     };
-    let usable = share.filter(|share| share.weight > 0);
-    usable.map(|share| share.service.clone()).ok_or_else(|| {
+    share.map(|share| share.service.clone()).ok_or_else(|| {
         let detail = format!("{} leads to no service", route.name);
         Refusal::not_run(Reason::NoBackendServer, detail)
     })
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -1,8 +1,8 @@
 //! The node role: doors, proxying and the wiring of decisions.
 //!
 //! The path of a request: [`door`](crate) takes it from a caller, `forward` chooses a backend
-//! server, `attempt` tries it there, `serve` takes it at that server's node and `backend` runs it; docs/DESIGN.md,
-//! "Request path".
+//! server, `attempt` tries it there, `serve` takes it at that server's node and `backend` runs it;
+//! docs/DESIGN.md, "Request path".
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
--- a/crates/nutmegwheel-node/src/local.rs
+++ b/crates/nutmegwheel-node/src/local.rs
@@ -8,7 +8,7 @@
 
 use http::{Method, StatusCode};
 use nutmegwheel_events::Event;
-use nutmegwheel_types::{Context, RootId};
+use nutmegwheel_types::{Context, RootId, ServiceId};
 use nutmegwheel_web::{Handler, HandlerFuture, Problem, Request, Response, json};
 use serde::Deserialize;
 
@@ -79,22 +79,53 @@
     let is_new = before
         .as_ref()
         .is_none_or(|before| before.address != document.address);
+    announced(
+        shared,
+        Said {
+            service: document.service.into(),
+            slots: document.slots,
+            state: document.state,
+            instance: None,
+            address: document.address,
+            holds: Duration::from_millis(document.lease_ms),
+        },
+        is_new,
+    );
+    let renew = document.lease_ms / 3;
+    let answer = serde_json::json!({"renew_within_ms": renew});
+    Ok(json(StatusCode::OK, &answer))
+}
+
+/// What a backend server said of itself, in whatever language.
+pub(crate) struct Said {
+    pub(crate) service: ServiceId,
+    pub(crate) slots: u16,
+    pub(crate) state: BackendState,
+    pub(crate) instance: Option<Arc<str>>,
+    pub(crate) address: SocketAddr,
+    /// How long it holds without a renewal.
+    pub(crate) holds: Duration,
+}
+
+/// Takes over what the backend server said, and tells the fleet of what changed by it.
+pub(crate) fn announced(shared: &Arc<Shared>, said: Said, is_new: bool) {
+    let before = shared.local.announced();
     let life = match &before {
         Some(before) if !is_new => before.backend.life,
         _ => shared.next_life(),
     };
     let backend = Backend {
-        service: document.service.into(),
-        slots: document.slots,
-        state: document.state,
+        service: said.service,
+        slots: said.slots,
+        state: said.state,
         life,
-        instance: None,
+        instance: said.instance,
     };
     let now = Instant::now();
     shared.local.announce(Announcement {
         backend: backend.clone(),
-        address: document.address,
-        until: now + Duration::from_millis(document.lease_ms),
+        address: said.address,
+        until: now + said.holds,
     });
     if before.is_none_or(|before| before.backend != backend) {
         shared.gate.announced(now, backend.slots, is_new);
@@ -104,13 +135,10 @@
         record(shared, &backend);
         shared.backend_changed();
     }
-    let renew = document.lease_ms / 3;
-    let answer = serde_json::json!({"renew_within_ms": renew});
-    Ok(json(StatusCode::OK, &answer))
 }
 
 /// Records what a backend server announced.
-pub(crate) fn record(shared: &Shared, backend: &Backend) {
+fn record(shared: &Shared, backend: &Backend) {
     shared.journal.emit(
         Event::BackendAnnounced,
         &[
--- a/crates/nutmegwheel-node/src/quotas.rs
+++ b/crates/nutmegwheel-node/src/quotas.rs
@@ -18,10 +18,7 @@
 use nutmegwheel_wire::{self as wire, topic};
 use prost::Message;
 
-use crate::{
-    refusal::{Reason, Refusal},
-    shared::Shared,
-};
+use crate::{refusal::Refusal, shared::Shared};
 
 /// The time that the hub gets to answer; a request that borrows waits no longer, so that a refusal
 /// comes well inside an eighth of the shortest target.
@@ -93,27 +90,28 @@
         let doors = shared.spread.doors();
         let quotas = &shared.quotas;
         let now = Instant::now();
-        let spend = quotas.door().spend(now, workspace, limit, doors);
+        let mut spend = quotas.door().spend(now, workspace, limit, doors);
+        if spend == Spend::Borrow {
+            spend = match quotas.borrow(shared, workspace).await {
+                Some(Borrowed::Granted) => Spend::Spent,
+                Some(Borrowed::Denied { retry_after }) => Spend::Refused { retry_after },
+                None => quotas.spend_alone(workspace, limit, doors),
+            };
+        }
         let retry_after = match spend {
             Spend::Spent => return Ok(()),
             Spend::Refused { retry_after } => retry_after,
-            Spend::Borrow => match quotas.borrow(shared, workspace).await {
-                Some(Borrowed::Granted) => return Ok(()),
-                Some(Borrowed::Denied { retry_after }) => retry_after,
-                None => {
-                    let now = Instant::now();
-                    let mut door = quotas.door();
-                    door.unanswered(now);
-                    match door.spend(now, workspace, limit, doors) {
-                        Spend::Spent => return Ok(()),
-                        Spend::Refused { retry_after } => retry_after,
-                        Spend::Borrow => NO_HUB_PAUSE,
-                    }
-                }
-            },
+            Spend::Borrow => NO_HUB_PAUSE,
         };
-        let detail = format!("{workspace} has used up its rate and burst");
-        Err(Refusal::not_run(Reason::OverRate, detail).after_about(retry_after))
+        Err(Refusal::over_rate(workspace).after_about(retry_after))
+    }
+
+    /// Spends without the hub, which did not answer.
+    fn spend_alone(&self, workspace: &WorkspaceId, limit: Limit, doors: usize) -> Spend {
+        let now = Instant::now();
+        let mut door = self.door();
+        door.unanswered(now);
+        door.spend(now, workspace, limit, doors)
     }
 
     /// Asks the hub for a token; `None` where it does not answer.
--- a/crates/nutmegwheel-node/src/rates.rs
+++ b/crates/nutmegwheel-node/src/rates.rs
@@ -310,10 +310,7 @@
 fn refusal(workspace: &WorkspaceId, refused: Option<Refused>) -> Refusal {
     let after = refused.map_or(POLL_INTERVAL, |refused| refused.retry_after);
     let refusal = match refused.map(|refused| refused.cause) {
-        Some(RefusalCause::OverRate) => {
-            let detail = format!("{workspace} has used up its rate and burst");
-            Refusal::not_run(Reason::OverRate, detail)
-        }
+        Some(RefusalCause::OverRate) => Refusal::over_rate(workspace),
         Some(RefusalCause::NoSteward) | None => {
             let detail = "the data centre's steward does not answer";
             Refusal::not_run(Reason::NotReady, detail)
--- a/crates/nutmegwheel-node/src/refusal.rs
+++ b/crates/nutmegwheel-node/src/refusal.rs
@@ -2,7 +2,7 @@
 
 use http::StatusCode;
 use nutmegwheel_policy::retry::Proof;
-use nutmegwheel_types::{RootId, plain, plain_copy};
+use nutmegwheel_types::{RootId, WorkspaceId, plain, plain_copy};
 use nutmegwheel_web::Problem;
 use nutmegwheel_wire as wire;
 
@@ -115,6 +115,11 @@
         Self::new(reason, Outcome::MayHaveRun, detail)
     }
 
+    pub(crate) fn over_rate(workspace: &WorkspaceId) -> Self {
+        let detail = format!("{workspace} has used up its rate and burst");
+        Self::not_run(Reason::OverRate, detail)
+    }
+
     pub(crate) fn new(reason: Reason, outcome: Outcome, detail: impl Into<String>) -> Self {
         Self {
             reason,
--- a/crates/nutmegwheel-node/src/running.rs
+++ b/crates/nutmegwheel-node/src/running.rs
@@ -33,8 +33,6 @@
 struct State {
     chain: Chain,
     below: Vec<Below>,
-    open_calls: u32,
-    has_failed_call: bool,
 }
 
 impl Parent {
@@ -47,8 +45,6 @@
             state: Mutex::new(State {
                 chain,
                 below: Vec::new(),
-                open_calls: 0,
-                has_failed_call: false,
             }),
         }
     }
@@ -72,25 +68,6 @@
         }
     }
 
-    /// Notes that a call is made for the request.
-    pub(crate) fn call_begins(&self) {
-        self.lock().open_calls += 1;
-    }
-
-    /// Notes that a call made for the request ended.
-    pub(crate) fn call_ends(&self, is_failure: bool) {
-        let mut state = self.lock();
-        state.open_calls = state.open_calls.saturating_sub(1);
-        state.has_failed_call |= is_failure;
-    }
-
-    /// Whether the request waits for a call, or one made for it failed: how it ends then says
-    /// nothing about its own backend server.
-    pub(crate) fn hangs_on_calls(&self) -> bool {
-        let state = self.lock();
-        state.open_calls > 0 || state.has_failed_call
-    }
-
     /// What was noted.
     pub(crate) fn below(&self) -> Vec<Below> {
         self.lock().below.clone()
--- a/crates/nutmegwheel-policy/src/retry/chain.rs
+++ b/crates/nutmegwheel-policy/src/retry/chain.rs
@@ -24,6 +24,8 @@
     left: u32,
     children: SlotMap<ChildKey, Child>,
     failed: BTreeMap<CallId, u32>,
+    /// Whether any call failed, also one whose repeat did not.
+    has_failure: bool,
 }
 
 /// Lifecycle
@@ -35,6 +37,7 @@
             left: tokens,
             children: SlotMap::with_key(),
             failed: BTreeMap::new(),
+            has_failure: false,
         }
     }
 
@@ -45,6 +48,7 @@
     /// [`Error::Spent`] for a repeat without a token left, [`Error::TooManyCalls`].
     pub fn begin(&mut self, call: CallId) -> Result<Begun, Error> {
         if self.children.len() >= MAX_CHILDREN {
+            self.has_failure = true;
             return Err(Error::TooManyCalls {
                 under_way: self.children.len(),
             });
@@ -86,6 +90,7 @@
         };
         self.left += unspent.unwrap_or(0).min(lent);
         if end == End::Failed {
+            self.has_failure = true;
             self.remember_failure(call);
         }
     }
@@ -113,6 +118,13 @@
             .map(|(key, child)| (key, child.call, child.lent))
     }
 
+    /// Whether the request waits for a call, or one made for it failed: how it ends then says
+    /// nothing about its own backend server.
+    #[must_use]
+    pub fn hangs_on_calls(&self) -> bool {
+        self.has_failure || !self.children.is_empty()
+    }
+
     /// Whether the same call again would be a repeat.
     #[must_use]
     pub fn is_repeat(&self, call: CallId) -> bool {
--- a/crates/nutmegwheel-policy/src/split.rs
+++ b/crates/nutmegwheel-policy/src/split.rs
@@ -38,9 +38,6 @@
         weights: &[u32],
         rng: &mut impl Rng,
     ) -> Option<usize> {
-        if weights.len() == 1 {
-            return (weights[0] > 0).then_some(0);
-        }
         let is_turning = self.wheels.get(route).is_some_and(|w| w.weights == weights);
         if !is_turning {
             if self.wheels.len() >= MAX_WHEELS {
--- a/crates/nutmegwheel-policy/tests/retry.rs
+++ b/crates/nutmegwheel-policy/tests/retry.rs
@@ -284,3 +284,19 @@
         prop_assert!(retries + back <= tokens);
     }
 }
+
+#[test]
+fn a_request_hangs_on_calls_that_are_open_or_failed() {
+    let mut chain = Chain::open(3);
+    assert!(!chain.hangs_on_calls());
+    let first = chain.begin(1).unwrap();
+    assert!(chain.hangs_on_calls(), "it is open");
+    chain.settle(first.child, End::Answered, Some(first.tokens));
+    assert!(!chain.hangs_on_calls());
+    let second = chain.begin(2).unwrap();
+    chain.settle(second.child, End::Failed, Some(second.tokens));
+    assert!(chain.hangs_on_calls(), "it failed");
+    let repeat = chain.begin(2).unwrap();
+    chain.settle(repeat.child, End::Answered, Some(repeat.tokens));
+    assert!(chain.hangs_on_calls(), "a repeat does not undo the failure");
+}
