--- a/crates/nutmegwheel-agreement/tests/replica.rs
+++ b/crates/nutmegwheel-agreement/tests/replica.rs
@@ -9,32 +9,18 @@
     raft::{Change, RoleName},
 };
 use rand::Rng;
-use sim::{HARSH, KIND, Sim};
+use sim::{HARSH, KIND, Sim, name, propose_many};
 
 const THREE: [&str; 3] = ["a", "b", "c"];
 const FIVE: [&str; 5] = ["a", "b", "c", "d", "e"];
 const SECOND: Duration = Duration::from_secs(1);
 
-fn name(name: &str) -> ReplicaName {
-    name.into()
-}
-
 fn settled(seed: u64, names: &[&str]) -> (Sim, ReplicaName) {
     let mut sim = Sim::start(seed, names, KIND);
-    sim.run_until("a first leader", Sim::is_settled);
-    let leader = sim.leader().expect("a leader");
+    let leader = sim.settle();
     (sim, leader)
 }
 
-fn propose_many(sim: &mut Sim, count: usize) {
-    for _ in 0..count {
-        if let Some(leader) = sim.leader() {
-            sim.propose(&leader);
-        }
-        sim.tick();
-    }
-}
-
 #[test]
 fn commits_reach_every_replica() {
     let (mut sim, _) = settled(1, &THREE);
--- a/crates/nutmegwheel-agreement/tests/sim/mod.rs
+++ b/crates/nutmegwheel-agreement/tests/sim/mod.rs
@@ -12,6 +12,20 @@
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
+pub(crate) fn name(name: &str) -> ReplicaName {
+    name.into()
+}
+
+/// Offers that many commands to whoever leads, a step apart.
+pub(crate) fn propose_many(sim: &mut Sim, count: usize) {
+    for _ in 0..count {
+        if let Some(leader) = sim.leader() {
+            sim.propose(&leader);
+        }
+        sim.tick();
+    }
+}
+
 /// The step of the virtual clock.
 pub(crate) const TICK: Duration = Duration::from_millis(5);
 
@@ -352,6 +366,12 @@
     }
 
     /// Returns whether `name` leads and has committed all of its log, membership changes included.
+    /// Runs until there is a first leader, and returns its name.
+    pub(crate) fn settle(&mut self) -> ReplicaName {
+        self.run_until("a first leader", Self::is_settled);
+        self.leader().expect("a leader")
+    }
+
     pub(crate) fn is_settled(&self) -> bool {
         let Some(leader) = self.leader() else {
             return false;
--- a/crates/nutmegwheel-agreement/tests/standby.rs
+++ b/crates/nutmegwheel-agreement/tests/standby.rs
@@ -5,33 +5,19 @@
 use std::time::Duration;
 
 use nutmegwheel_agreement::{ReplicaName, raft::RoleName};
-use sim::{HARSH, KIND, Network, Sim};
+use sim::{HARSH, KIND, Network, Sim, name, propose_many};
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn name(name: &str) -> ReplicaName {
-    name.into()
-}
-
 fn settled(seed: u64, network: Network) -> (Sim, ReplicaName) {
     let mut sim = Sim::start_with(seed, &["a", "b", "c"], network, |options| {
         options.voters = Some(3);
         options.lease_reads = false;
     });
-    sim.run_until("a first leader", Sim::is_settled);
-    let leader = sim.leader().expect("a leader");
+    let leader = sim.settle();
     (sim, leader)
 }
 
-fn propose_many(sim: &mut Sim, count: usize) {
-    for _ in 0..count {
-        if let Some(leader) = sim.leader() {
-            sim.propose(&leader);
-        }
-        sim.tick();
-    }
-}
-
 fn a_follower(sim: &Sim, leader: &ReplicaName) -> ReplicaName {
     let mut others = sim.names().into_iter().filter(|name| name != leader);
     others.next().expect("a follower")
--- a/crates/nutmegwheel-membership/tests/contacts.rs
+++ b/crates/nutmegwheel-membership/tests/contacts.rs
@@ -1,30 +1,25 @@
 //! Whom a process asks that found the fleet at a contact which knew nobody else yet.
 
+mod sim;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use nutmegwheel_membership::{
-    Body, CutOff, Gossip, Health, Message, Options, Outgoing, Record, Role, Seed, Standing, TICK,
+    Body, CutOff, Gossip, Message, Options, Outgoing, Record, Role, Seed, TICK,
 };
+use sim::{address, control_record, data_centre};
 
 /// The control VM in the data centre of the process, and those in two others.
-const CONTROL: [u8; 3] = [1, 2, 3];
+const CONTROL: [usize; 3] = [1, 2, 3];
 /// The time within which a process takes a new version over, see docs/CAPACITY.md.
 const IN_FORCE: Duration = Duration::from_secs(5);
 /// A time long enough for the pauses of a settled process to show.
 const LONG: Duration = Duration::from_secs(30);
 
-fn address(host: u8) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, host], 7000))
-}
-
-fn data_centre(host: u8) -> Arc<str> {
-    Arc::from(format!("dc{host}"))
-}
-
 /// A node that is the only seed of its data centre, beside one control VM there.
-fn process(needs_lease: bool, data_centres: &[u8]) -> Gossip {
+fn process(needs_lease: bool, data_centres: &[usize]) -> Gossip {
     Gossip::open(Options {
         name: Arc::from("node"),
         data_centre: data_centre(1),
@@ -45,26 +40,13 @@
     })
 }
 
-fn control(host: u8) -> Record {
-    Record {
-        name: Arc::from(format!("control-{host}")),
-        data_centre: data_centre(host),
-        role: Role::Control,
-        seed: false,
-        link: address(host),
-        callers: None,
-        platform: None,
-        incarnation: 1,
-        counter: 0,
-        standing: Standing::Active,
-        announcement: None,
-        health: Health::Alive,
-    }
+fn control(host: usize) -> Record {
+    control_record(host, data_centre(host))
 }
 
 /// Lets the process learn of these control VMs from the first of them, then run alone, and returns
 /// the comparisons that it asks of others.
-fn compared(mut gossip: Gossip, known: &[u8], time: Duration) -> Vec<SocketAddr> {
+fn compared(mut gossip: Gossip, known: &[usize], time: Duration) -> Vec<SocketAddr> {
     let start = Instant::now();
     gossip.tick(start);
     let records = known.iter().map(|host| control(*host)).collect();
--- a/crates/nutmegwheel-membership/tests/control.rs
+++ b/crates/nutmegwheel-membership/tests/control.rs
@@ -9,10 +9,10 @@
 
 use nutmegwheel_membership::freshness::{Decision, Why};
 use nutmegwheel_membership::{
-    Body, Confirmation, CutOff, Gossip, Health, Message, Options, Outgoing, Record, Renew, Role,
-    Seed, Stamp, StampAge, Standing, TICK,
+    Body, Confirmation, CutOff, Gossip, Message, Options, Outgoing, Record, Renew, Role, Seed,
+    Stamp, StampAge, TICK,
 };
-use sim::{Shape, Sim};
+use sim::{Shape, Sim, address, control_record};
 
 /// How soon a seed must have left a control VM whose stamp stands still.
 const LEFT_WITHIN: Duration = Duration::from_secs(2);
@@ -26,25 +26,8 @@
     Silent,
 }
 
-fn address(host: u8) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, host], 7000))
-}
-
-fn control(host: u8) -> Record {
-    Record {
-        name: Arc::from(format!("control-{host}")),
-        data_centre: Arc::from("dc1"),
-        role: Role::Control,
-        seed: false,
-        link: address(host),
-        callers: None,
-        platform: None,
-        incarnation: 1,
-        counter: 0,
-        standing: Standing::Active,
-        announcement: None,
-        health: Health::Alive,
-    }
+fn control(host: usize) -> Record {
+    control_record(host, Arc::from("dc1"))
 }
 
 fn seed(nonce: u64) -> Gossip {
--- a/crates/nutmegwheel-membership/tests/sim/mod.rs
+++ b/crates/nutmegwheel-membership/tests/sim/mod.rs
@@ -99,10 +99,28 @@
     Arc::from(format!("process-{index}"))
 }
 
-fn data_centre(index: usize) -> Arc<str> {
+pub(crate) fn data_centre(index: usize) -> Arc<str> {
     Arc::from(format!("dc{index}"))
 }
 
+/// What a control VM says of itself.
+pub(crate) fn control_record(index: usize, data_centre: Arc<str>) -> Record {
+    Record {
+        name: Arc::from(format!("control-{index}")),
+        data_centre,
+        role: Role::Control,
+        seed: false,
+        link: address(index),
+        callers: None,
+        platform: None,
+        incarnation: 1,
+        counter: 0,
+        standing: Standing::Active,
+        announcement: None,
+        health: Health::Alive,
+    }
+}
+
 /// Lifecycle.
 impl Sim {
     pub(crate) fn open(shape: Shape) -> Self {
--- a/tests/support/src/fleet.rs
+++ b/tests/support/src/fleet.rs
@@ -1,17 +1,14 @@
 use std::{
     collections::HashMap,
-    fs::File,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     path::PathBuf,
-    process::{Child, Command, Stdio},
     sync::atomic::{AtomicU16, Ordering},
     time::{Duration, Instant},
 };
 
-use anyhow::Context as _;
 use tempfile::TempDir;
 
-use crate::{Answer, Caller, relay::Relay};
+use crate::{Answer, Caller, Program, relay::Relay};
 
 /// What operators of a test fleet show.
 pub const OPERATOR_SECRET: &str = "operators-of-the-test-fleet";
@@ -63,7 +60,7 @@
 pub struct Process {
     /// The VM.
     pub vm: Vm,
-    child: Option<Child>,
+    program: Option<Program>,
 }
 
 /// A fleet of separate processes on loopback; dropping it kills them.
@@ -108,7 +105,7 @@
             std::fs::write(fleet.settings_path(vm), text)?;
             let process = Process {
                 vm: vm.clone(),
-                child: Some(fleet.launch(vm)?),
+                program: Some(fleet.launch(vm)?),
             };
             if vm.control {
                 fleet.control.push(process);
@@ -152,24 +149,15 @@
     /// Fails when the process cannot be started.
     pub fn relaunch(&mut self, name: &str) -> anyhow::Result<()> {
         let vm = self.process(name).vm.clone();
-        let child = self.launch(&vm)?;
-        self.process(name).child = Some(child);
+        let program = self.launch(&vm)?;
+        self.process(name).program = Some(program);
         Ok(())
     }
 
-    fn launch(&self, vm: &Vm) -> anyhow::Result<Child> {
+    fn launch(&self, vm: &Vm) -> anyhow::Result<Program> {
         let log = self.folder.path().join(format!("{}.log", vm.name));
-        let log = File::options().create(true).append(true).open(log)?;
         let role = if vm.control { "control" } else { "node" };
-        Command::new(&self.program)
-            .arg(role)
-            .arg("--settings")
-            .arg(self.settings_path(vm))
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()
-            .with_context(|| format!("{}: start", vm.name))
+        Program::spawn(&self.program, role, &self.settings_path(vm), &log)
     }
 
     async fn await_answer(&self, vm: &Vm, path: &str) -> anyhow::Result<()> {
@@ -261,53 +249,29 @@
     }
 }
 
-/// Control.
+/// Control, as in [`Program`].
 impl Process {
     /// The process id while it runs.
     #[must_use]
     pub fn id(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
+        self.program.as_ref().and_then(Program::id)
     }
 
     /// Kills the process at once (SIGKILL).
     pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        self.program = None;
     }
 
     /// Sends a signal by name, such as `TERM`, `STOP` or `CONT`.
     pub fn signal(&self, name: &str) {
-        if let Some(id) = self.id() {
-            let _ = Command::new("kill")
-                .arg(format!("-{name}"))
-                .arg(id.to_string())
-                .status();
+        if let Some(program) = &self.program {
+            program.signal(name);
         }
     }
 
     /// Waits for the process to end by itself; `None` when it has not within `limit`.
     pub async fn ended(&mut self, limit: Duration) -> Option<i32> {
-        let end = Instant::now() + limit;
-        while Instant::now() < end {
-            let status = self
-                .child
-                .as_mut()
-                .and_then(|c| c.try_wait().ok().flatten());
-            if let Some(status) = status {
-                self.child = None;
-                return status.code();
-            }
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-        None
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
+        self.program.as_mut()?.ended(limit).await
     }
 }
 
--- a/tests/support/src/lib.rs
+++ b/tests/support/src/lib.rs
@@ -10,9 +10,11 @@
 mod caller;
 mod fleet;
 mod ledger;
+mod program;
 pub mod relay;
 
 pub use backend::{Backend, BackendOptions, Behaviour, Fault, raw};
 pub use caller::{Answer, Caller};
 pub use fleet::{Fleet, FleetOptions, OPERATOR_SECRET, Process, Vm};
 pub use ledger::{Ledger, Run};
+pub use program::Program;
