--- a/crates/nutmegwheel-membership/tests/sim/mod.rs
+++ b/crates/nutmegwheel-membership/tests/sim/mod.rs
@@ -82,6 +82,8 @@
     by_address: BTreeMap<SocketAddr, usize>,
     partitioned: BTreeSet<usize>,
     isolated: BTreeSet<usize>,
+    /// The pairs of processes that cannot reach each other.
+    cut: BTreeSet<(usize, usize)>,
     queue: BinaryHeap<Reverse<(Duration, u64)>>,
     scheduled: BTreeMap<u64, ScheduledTask>,
     next: u64,
@@ -133,6 +135,7 @@
             by_address: BTreeMap::new(),
             partitioned: BTreeSet::new(),
             isolated: BTreeSet::new(),
+            cut: BTreeSet::new(),
             queue: BinaryHeap::new(),
             scheduled: BTreeMap::new(),
             next: 0,
@@ -395,8 +398,10 @@
     fn is_partitioned(&self, from: usize, to: usize) -> bool {
         let centre = |index: usize| self.processes[index].data_centre;
         let is_isolated = self.isolated.contains(&from) || self.isolated.contains(&to);
+        let is_cut = self.cut.contains(&(from.min(to), from.max(to)));
         from != to
             && (is_isolated
+                || is_cut
                 || self.partitioned.contains(&centre(from))
                     != self.partitioned.contains(&centre(to)))
     }
@@ -415,6 +420,7 @@
     pub(crate) fn heal(&mut self) {
         self.partitioned.clear();
         self.isolated.clear();
+        self.cut.clear();
     }
 
     pub(crate) fn crash(&mut self, index: usize) {
@@ -435,6 +441,37 @@
         self.schedule(self.now, ScheduledTask::Tick(index, incarnation));
     }
 
+    /// Restarts all processes as in a fleet whose settings name only contacts: without seeds, with
+    /// the control VMs as contacts.
+    pub(crate) fn reopen_without_leases(&mut self) {
+        let contacts: Vec<SocketAddr> = (0..self.topology.control).map(address).collect();
+        for index in 0..self.processes.len() {
+            let options = &mut self.processes[index].options;
+            options.needs_lease = false;
+            options.seeds.clear();
+            options.contacts.clone_from(&contacts);
+            self.restart(index);
+        }
+        self.publish(0, 1);
+    }
+
+    /// Restarts all processes as in a fleet in which the control VM of a data centre is its only
+    /// seed.
+    pub(crate) fn reopen_with_control_seeds(&mut self) {
+        let control: BTreeSet<SocketAddr> = (0..self.topology.control).map(address).collect();
+        for index in 0..self.processes.len() {
+            let seeds = &mut self.processes[index].options.seeds;
+            seeds.retain(|seed| control.contains(&seed.link));
+            self.restart(index);
+        }
+        self.publish(0, 1);
+    }
+
+    /// Cuts two processes off from each other in both directions.
+    pub(crate) fn cut_pair(&mut self, first: usize, second: usize) {
+        self.cut.insert((first.min(second), first.max(second)));
+    }
+
     pub(crate) fn pause(&mut self, index: usize) {
         self.processes[index].is_paused = true;
     }
@@ -545,6 +582,11 @@
             .all(|process| process.gossip.freshness(now).version >= version)
     }
 
+    pub(crate) fn has_version(&self, index: usize, version: u64) -> bool {
+        let now = self.instant();
+        self.processes[index].gossip.freshness(now).version >= version
+    }
+
     pub(crate) fn all_have_withdrawn(&self, key: &[u8; 32]) -> bool {
         self.running()
             .all(|process| process.gossip.is_withdrawn(key))
