fix(membership): look for control VMs that were declared dead

Cause: a split of the gossip group. While all control VMs have no power, the nodes declare them dead and poll none. The restarted control VMs start with an empty table, join each other and are satisfied. From then on neither side sends the other anything; only the anti-entropy of nodes with a contact, every 10 s and at the same time on all nodes, brings them together. Versions are announced to members only, so none reached a node.

Evidence: events 413 of the nodes at 15.1 s and 16.2 s, no event 410 of the other side until 23.03 s, then on all processes within 10 ms, and views that go from 41 to 85 in one step.

Change: a process sends a digest to control VMs that were declared dead once a second: to one of them while others are alive, and to three of them and of the contacts while none is. The answer carries the version and the records that both sides lack. This is independent of who restarted, and also heals fleets with leases in which control VMs are the only seeds, which stayed split for good.

In contacts.rs the known control VM answers probes now: without answers it was declared dead after 4 s, and the check was made on a fleet without a control VM. The bound is as it was, and the old code passes it too.

--- a/crates/nutmegwheel-membership/src/gossip.rs
+++ b/crates/nutmegwheel-membership/src/gossip.rs
@@ -74,6 +74,7 @@
         last_anti_entropy: Option<Instant>,
         last_join: Option<Instant>,
         last_contact: Option<Instant>,
+        last_reconnect: Option<Instant>,
         is_joined: bool,
     }
 }
@@ -153,6 +154,7 @@
             last_anti_entropy: None,
             last_join: None,
             last_contact: None,
+            last_reconnect: None,
             is_joined: false,
         }
     }
--- a/crates/nutmegwheel-membership/src/gossip/dissemination.rs
+++ b/crates/nutmegwheel-membership/src/gossip/dissemination.rs
@@ -23,6 +23,11 @@
 /// centre, or no member of any other data centre: it may have been partitioned, or have joined
 /// through a process that had itself just started.
 const ISOLATED_CONTACT_INTERVAL: Duration = Duration::from_secs(1);
+/// The interval of anti-entropy with control VMs that were declared dead.
+const RECONNECT_INTERVAL: Duration = Duration::from_secs(1);
+/// The number of addresses at which a process that knows no live control VM looks for one at a
+/// time.
+const RECONNECT_FAN_OUT: usize = 3;
 /// The maximum number of records on a probe or its answer.
 const MAX_PIGGYBACKED_RECORDS: usize = 4;
 /// The time until the next round of anti-entropy after a round in which updates were received.
@@ -183,16 +188,41 @@
             }
             self.send_digest_to_one_of(&contacts);
         }
+        if is_due(&mut self.timers.last_reconnect, now, RECONNECT_INTERVAL) {
+            self.reconnect_to_control();
+        }
+    }
+
+    /// Sends digests to control VMs that were declared dead. One that restarted knows only the
+    /// other control VMs, and no member sends it anything otherwise.
+    fn reconnect_to_control(&mut self) {
+        let mut lost = self.table.dead_control().to_vec();
+        if self.table.control().is_empty() {
+            lost.extend(&self.options.contacts);
+            lost.retain(|address| *address != self.options.link);
+            lost.sort_unstable();
+            lost.dedup();
+            for to in self.random.draw(&mut lost, RECONNECT_FAN_OUT) {
+                self.send(to, Body::Digest(self.digest()));
+            }
+        } else if self.runs_contact_anti_entropy() {
+            self.send_digest_to_one_of(&lost);
+        }
+    }
+
+    /// Whether this process compares its records with contacts. Seeds do it for their data centre;
+    /// without leases there are no seeds, and every process does.
+    fn runs_contact_anti_entropy(&self) -> bool {
+        self.seed_state.is_some() || !self.options.needs_lease
     }
 
     /// The interval of anti-entropy with a contact, or `None` if this process does not run it.
-    /// Seeds run it for their data centre; without seeds, control VMs run it often and nodes
-    /// rarely.
+    /// Without seeds, control VMs run it often and nodes rarely.
     fn contact_interval(&self) -> Option<Duration> {
-        let is_seed = self.seed_state.is_some();
-        if !is_seed && self.options.needs_lease {
+        if !self.runs_contact_anti_entropy() {
             return None;
         }
+        let is_seed = self.seed_state.is_some();
         let is_isolated = self.table.local().is_empty() && !is_seed;
         let has_other_data_centres = self.options.data_centres.len() > 1;
         if is_isolated || (has_other_data_centres && !self.table.knows_other_data_centres()) {
--- a/crates/nutmegwheel-membership/src/table.rs
+++ b/crates/nutmegwheel-membership/src/table.rs
@@ -25,6 +25,7 @@
         local: Vec<LinkAddress>,
         remote: Vec<Remote>,
         control: Vec<LinkAddress>,
+        dead_control: Vec<LinkAddress>,
         knows_other_data_centres: bool,
     }
 
@@ -76,6 +77,7 @@
                 local: Vec::new(),
                 remote: Vec::new(),
                 control: Vec::new(),
+                dead_control: Vec::new(),
                 knows_other_data_centres: false,
             },
             are_routes_stale: true,
@@ -194,6 +196,7 @@
             return;
         };
         self.ingress_nodes -= usize::from(is_ingress(&record));
+        self.are_routes_stale = true;
         if self.by_address.get(&record.link) == Some(name) {
             self.by_address.remove(&record.link);
         }
@@ -255,6 +258,11 @@
         &self.routes.control
     }
 
+    /// The control VMs that were declared dead without having announced that they leave.
+    pub(crate) fn dead_control(&self) -> &[LinkAddress] {
+        &self.routes.dead_control
+    }
+
     /// Whether a live process of another data centre is known.
     pub(crate) fn knows_other_data_centres(&self) -> bool {
         self.routes.knows_other_data_centres
@@ -324,10 +332,17 @@
             .filter(|record| record.role == Role::Control && record.name != self.own.name)
             .map(|record| record.link)
             .collect();
+        let dead_control = self
+            .all()
+            .filter(|record| record.role == Role::Control && record.name != self.own.name)
+            .filter(|record| record.health == Health::Dead && record.status == MemberStatus::Active)
+            .map(|record| record.link)
+            .collect();
         Routes {
             local,
             remote,
             control,
+            dead_control,
             knows_other_data_centres,
         }
     }
--- a/crates/nutmegwheel-membership/tests/contacts.rs
+++ b/crates/nutmegwheel-membership/tests/contacts.rs
@@ -45,8 +45,8 @@
     control_record(host, data_centre(host))
 }
 
-/// Sends the records of the `known` control VMs to the process, runs it without delivering its
-/// messages, and returns the peers to which it sent digests.
+/// Sends the records of the `known` control VMs to the process, which answer its probes and nothing
+/// else, and returns the peers to which it sent digests.
 fn anti_entropy_targets(mut gossip: Gossip, known: &[usize], time: Duration) -> Vec<SocketAddr> {
     let start = Instant::now();
     gossip.tick(start);
@@ -60,11 +60,17 @@
     let mut targets = Vec::new();
     while now < start + time {
         now += TICK;
-        let sent: Vec<Outgoing> = gossip.tick(now);
-        let digests = sent
-            .into_iter()
-            .filter(|out| matches!(out.message.body, Body::Digest(_)));
-        targets.extend(digests.map(|out| out.to));
+        for Outgoing { to, message } in gossip.tick(now) {
+            match message.body {
+                Body::Digest(_) => targets.push(to),
+                Body::Ping { sequence, .. } => {
+                    let records = Vec::new();
+                    let body = Body::Ack { sequence, records };
+                    gossip.receive(now, to, Message { version: 0, body });
+                }
+                _ => {}
+            }
+        }
     }
     targets
 }
