feat(web): record connections that a listener cannot accept or watch

An accept that fails is not logged at all, and a connection that cannot be watched for its caller's end is treated as open in silence.

Change: event 107, limited in rate, with the listener, the step, the error and the number of connections. No change of behaviour.

--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -188,8 +188,8 @@
         body_limit: MAX_REQUEST_BODY_BYTES,
         read_timeout: REQUEST_READ_TIMEOUT,
     };
-    let handler = Arc::new(operators);
-    nutmegwheel_web::bind(opts, handler).context("open listen.platform")
+    let journal = operators.journal.clone();
+    nutmegwheel_web::bind(opts, journal, Arc::new(operators)).context("open listen.platform")
 }
 
 impl Control {
--- a/crates/nutmegwheel-events/src/catalogue.rs
+++ b/crates/nutmegwheel-events/src/catalogue.rs
@@ -50,6 +50,8 @@
     SettingsReloaded = 105, "settings-reloaded", Info;
     /// Newer settings were rejected, and the process keeps the previous ones.
     SettingsRefused = 106, "settings-refused", Error;
+    /// A listener could not accept or keep a connection.
+    ConnectionRefused = 107, "connection-refused", Warn;
     /// A backend server announced itself or changed its state.
     BackendAnnounced = 200, "backend-announced", Info;
     /// A backend server's announcement expired without a renewal.
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -117,7 +117,7 @@
             },
             read_timeout: REQUEST_READ_TIMEOUT,
         };
-        servers.push(nutmegwheel_web::bind(opts, handler).context(name)?);
+        servers.push(nutmegwheel_web::bind(opts, shared.journal.clone(), handler).context(name)?);
         anyhow::Ok(())
     };
     let shared = || shared.clone();
--- a/crates/nutmegwheel-web/src/connections.rs
+++ b/crates/nutmegwheel-web/src/connections.rs
@@ -14,6 +14,7 @@
     },
 };
 
+use nutmegwheel_events::{Event, Journal};
 use xitca_io::net::Stream;
 use xitca_server::net::{IntoListener, Listen};
 
@@ -63,10 +64,10 @@
         }
     }
 
-    fn add(&self, peer: SocketAddr, stream: &std::net::TcpStream) {
-        if let Ok(duplicate) = stream.try_clone() {
-            self.lock().insert(peer, duplicate);
-        }
+    fn add(&self, peer: SocketAddr, stream: &std::net::TcpStream) -> io::Result<()> {
+        let duplicate = stream.try_clone()?;
+        self.lock().insert(peer, duplicate);
+        Ok(())
     }
 
     /// Drops the duplicates of connections that their peer has closed.
@@ -91,6 +92,7 @@
 pub(crate) struct WatchedSocket {
     pub(crate) listener: TcpListener,
     pub(crate) connections: Connections,
+    pub(crate) journal: Arc<Journal>,
 }
 
 impl IntoListener for WatchedSocket {
@@ -101,6 +103,7 @@
         Ok(WatchedListener {
             listener: tokio::net::TcpListener::from_std(self.listener)?,
             connections: self.connections,
+            journal: self.journal,
         })
     }
 }
@@ -108,14 +111,35 @@
 pub(crate) struct WatchedListener {
     listener: tokio::net::TcpListener,
     connections: Connections,
+    journal: Arc<Journal>,
+}
+
+impl WatchedListener {
+    fn report(&self, step: &str, error: &io::Error) {
+        let listener = self.listener.local_addr();
+        let listener = listener.map_or_else(|e| e.to_string(), |address| address.to_string());
+        let open = self.connections.lock().len();
+        self.journal.emit_rate_limited(
+            Event::ConnectionRefused,
+            &[
+                ("listener", &listener),
+                ("step", &step),
+                ("open", &open),
+                ("error", error),
+            ],
+        );
+    }
 }
 
 impl Listen for WatchedListener {
     async fn accept(&self) -> io::Result<Stream> {
-        let (stream, peer) = self.listener.accept().await?;
+        let accepted = self.listener.accept().await;
+        let (stream, peer) = accepted.inspect_err(|e| self.report("accept", e))?;
         stream.set_nodelay(true)?;
         let stream = stream.into_std()?;
-        self.connections.add(peer, &stream);
+        if let Err(e) = self.connections.add(peer, &stream) {
+            self.report("watch", &e);
+        }
         Ok(Stream::Tcp(stream, peer))
     }
 }
--- a/crates/nutmegwheel-web/src/server.rs
+++ b/crates/nutmegwheel-web/src/server.rs
@@ -10,6 +10,7 @@
 };
 
 use bytes::Bytes;
+use nutmegwheel_events::Journal;
 use xitca_web::{
     HttpServer,
     body::{RequestBody, ResponseBody},
@@ -96,12 +97,13 @@
     }
 }
 
-/// Opens a listener whose requests are handled by `handler`.
+/// Opens a listener whose requests are handled by `handler`. Connections that it cannot accept are
+/// recorded in `journal`.
 ///
 /// # Errors
 ///
 /// Returns the socket error if the address cannot be bound.
-pub fn bind(opts: Options, handler: Arc<dyn Handler>) -> io::Result<Server> {
+pub fn bind(opts: Options, journal: Arc<Journal>, handler: Arc<dyn Handler>) -> io::Result<Server> {
     let listener = TcpListener::bind(opts.address)?;
     let address = listener.local_addr()?;
     let connections = Connections::default();
@@ -109,6 +111,7 @@
     let watched = WatchedSocket {
         listener,
         connections: connections.clone(),
+        journal,
     };
     let service_connections = connections.clone();
     let service = fn_service(move |req: http::Request<RequestExt<RequestBody>>| {
