fix(web): do not start a request whose caller has left

Cause: a request was handed on as soon as it was read. The end of its caller was only looked for while it ran: a watch on a duplicate of the socket, made for each request, whose first result comes after the request was sent on, and which is missing without a word when no descriptor is left. So a request that had waited, unaccepted or unread, until its caller had left ran in full, and its time counted from the reading.

Change: the watch belongs to the connection, so it costs no descriptor and no registration a request, and the end of the caller is looked for, without waiting, before the handler is called. Event 314 records a request that is dropped so.

--- a/crates/nutmegwheel-events/src/catalogue.rs
+++ b/crates/nutmegwheel-events/src/catalogue.rs
@@ -80,6 +80,8 @@
     CallRetried = 312, "call-retried", Info;
     /// The coordinator of limits did not answer an ingress node's request for another token.
     CoordinatorSilent = 313, "hub-silent", Warn;
+    /// A request was dropped before it was started, because its caller had left.
+    RequestAbandoned = 314, "request-abandoned", Info;
     /// This process applied a newer configuration.
     ConfigurationInForce = 400, "configuration-in-force", Info;
     /// A configuration or view from another process was rejected.
--- a/crates/nutmegwheel-web/src/connections.rs
+++ b/crates/nutmegwheel-web/src/connections.rs
@@ -7,84 +7,100 @@
 use std::{
     collections::HashMap,
     io,
+    mem::MaybeUninit,
     net::{Shutdown, SocketAddr, TcpListener},
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
 };
 
 use nutmegwheel_events::{Event, Journal};
+use socket2::SockRef;
+use tokio::net::TcpStream;
 use xitca_io::net::Stream;
 use xitca_server::net::{IntoListener, Listen};
 
-/// Duplicates of the accepted sockets, by the address of the peer. A duplicate is dropped after the
-/// peer has closed the connection and the last request on it has ended.
+/// The accepted connections, by the address of the peer. A connection is dropped from this list
+/// after the peer has closed it and the last request on it has ended.
 #[derive(Clone, Default)]
 pub(crate) struct Connections {
-    duplicates: Arc<Mutex<HashMap<SocketAddr, std::net::TcpStream>>>,
+    open: Arc<Mutex<HashMap<SocketAddr, Arc<Connection>>>>,
     is_closing: Arc<AtomicBool>,
 }
 
-impl Connections {
+/// The duplicate of an accepted socket.
+pub(crate) struct Connection {
+    socket: TcpStream,
+    is_closing: Arc<AtomicBool>,
+}
+
+impl Connection {
+    /// Whether the peer has closed its side of the connection.
+    pub(crate) fn is_peer_closed(&self) -> bool {
+        matches!(self.peek(), Ok(0)) && !self.is_closing.load(Ordering::SeqCst)
+    }
+
     /// Waits until the peer has closed its side of the connection.
-    ///
-    /// Never returns if the connection cannot be watched. The response is then written even if the
-    /// peer is gone.
-    pub(crate) async fn peer_closed(&self, peer: SocketAddr) {
-        match self.watch(peer) {
-            Ok(stream) => self.wait_closed(stream).await,
-            Err(_) => std::future::pending().await,
+    pub(crate) async fn peer_closed(&self) {
+        match self.socket.peek(&mut [0]).await {
+            Ok(0) if self.is_closing.load(Ordering::SeqCst) => std::future::pending().await,
+            Ok(0) | Err(_) => {}
+            // The next request of the same caller has arrived, so the connection is open.
+            Ok(_) => std::future::pending().await,
         }
     }
 
-    /// Shuts down the read half of every connection, so that each closes after its pending requests
-    /// are answered. From then on no connection is reported as closed by its peer.
-    pub(crate) fn close_idle(&self) {
-        self.is_closing.store(true, Ordering::SeqCst);
-        for stream in self.lock().values() {
-            // An error means that the connection is closed already.
-            let _ = stream.shutdown(Shutdown::Read);
+    /// Looks for received bytes without waiting. The runtime may not have noticed them yet.
+    fn peek(&self) -> io::Result<usize> {
+        SockRef::from(&self.socket).peek(&mut [MaybeUninit::uninit()])
+    }
+
+    fn is_open(&self) -> bool {
+        match self.peek() {
+            Ok(n) => n > 0,
+            Err(e) => e.kind() == io::ErrorKind::WouldBlock,
         }
     }
 
-    fn watch(&self, peer: SocketAddr) -> io::Result<tokio::net::TcpStream> {
-        let duplicates = self.lock();
-        let stream = duplicates.get(&peer).ok_or(io::ErrorKind::NotFound)?;
-        tokio::net::TcpStream::from_std(stream.try_clone()?)
+    fn shutdown_read(&self) {
+        // An error means that the connection is closed already.
+        let _ = SockRef::from(&self.socket).shutdown(Shutdown::Read);
     }
+}
 
-    async fn wait_closed(&self, stream: tokio::net::TcpStream) {
-        let mut byte = [0];
-        match stream.peek(&mut byte).await {
-            Ok(0) if self.is_closing.load(Ordering::SeqCst) => std::future::pending().await,
-            Ok(0) | Err(_) => {}
-            // The next request of the same caller has arrived, so the connection is open.
-            Ok(_) => std::future::pending().await,
+impl Connections {
+    /// The connection from a peer, or `None` if it cannot be watched. Its responses are then
+    /// written even if the peer is gone.
+    pub(crate) fn get(&self, peer: SocketAddr) -> Option<Arc<Connection>> {
+        self.lock().get(&peer).cloned()
+    }
+
+    /// Shuts down the read half of every connection, so that each closes after its pending requests
+    /// are answered. From then on no connection is reported as closed by its peer.
+    pub(crate) fn close_idle(&self) {
+        self.is_closing.store(true, Ordering::SeqCst);
+        for connection in self.lock().values() {
+            connection.shutdown_read();
         }
     }
 
     fn add(&self, peer: SocketAddr, stream: &std::net::TcpStream) -> io::Result<()> {
-        let duplicate = stream.try_clone()?;
-        self.lock().insert(peer, duplicate);
+        let connection = Connection {
+            socket: TcpStream::from_std(stream.try_clone()?)?,
+            is_closing: self.is_closing.clone(),
+        };
+        self.lock().insert(peer, Arc::new(connection));
         Ok(())
     }
 
-    /// Drops the duplicates of connections that their peer has closed.
+    /// Drops the connections that their peer has closed.
     pub(crate) fn sweep(&self) {
-        let mut byte = [0];
-        self.lock()
-            .retain(|_, stream| match stream.peek(&mut byte) {
-                Ok(0) => false,
-                Ok(_) => true,
-                Err(e) => e.kind() == io::ErrorKind::WouldBlock,
-            });
+        self.lock().retain(|_, connection| connection.is_open());
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, std::net::TcpStream>> {
-        self.duplicates
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<Connection>>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/nutmegwheel-web/src/server.rs
+++ b/crates/nutmegwheel-web/src/server.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use nutmegwheel_events::Journal;
+use nutmegwheel_events::{Event, Journal};
 use xitca_web::{
     HttpServer,
     body::{RequestBody, ResponseBody},
@@ -111,14 +111,14 @@
     let watched = WatchedSocket {
         listener,
         connections: connections.clone(),
-        journal,
+        journal: journal.clone(),
     };
-    let service_connections = connections.clone();
+    let (service_journal, service_connections) = (journal, connections.clone());
     let service = fn_service(move |req: http::Request<RequestExt<RequestBody>>| {
         let handler = handler.clone();
-        let connections = service_connections.clone();
+        let (journal, connections) = (service_journal.clone(), service_connections.clone());
         let (limit, read_timeout) = (opts.body_limit, opts.read_timeout);
-        async move { answer(req, &*handler, &connections, limit, read_timeout).await }
+        async move { answer(req, &*handler, &journal, &connections, limit, read_timeout).await }
     });
     let mut server = HttpServer::serve(service)
         .worker_threads(1)
@@ -157,6 +157,7 @@
 async fn answer(
     req: http::Request<RequestExt<RequestBody>>,
     handler: &dyn Handler,
+    journal: &Journal,
     connections: &Connections,
     limit: usize,
     read_timeout: Duration,
@@ -168,11 +169,22 @@
         Ok(body) => body,
         Err(problem) => return Ok(problem.into_response().map(Into::into)),
     };
+    let connection = connections.get(peer);
+    if connection.as_ref().is_some_and(|c| c.is_peer_closed()) {
+        journal.emit_rate_limited(
+            Event::RequestAbandoned,
+            &[("caller", &peer), ("path", &head.uri.path())],
+        );
+        return Ok(close_response().map(Into::into));
+    }
     let answer = handler.handle(Request { head, body, peer });
-    let res = tokio::select! {
-        res = answer => res,
-        // The caller does not receive this response. It only ends the connection.
-        () = connections.peer_closed(peer) => close_response(),
+    let res = match connection {
+        Some(connection) => tokio::select! {
+            res = answer => res,
+            // The caller does not receive this response. It only ends the connection.
+            () = connection.peer_closed() => close_response(),
+        },
+        None => answer.await,
     };
     Ok(res.map(Into::into))
 }
