fix(web): close idle connections instead of running out of descriptors

Requests waited unaccepted until their callers had left, which is how they came to run late. It went on after the surge, as idle connections kept the descriptors.

Cause: a listener had no limit of its own. A connection takes two descriptors, so 4,100 were used up by some 1,850 connections, most of them idle. From then on each accept failed, and the library waits 1 s after that.

At the maximum, and whenever an accept fails for more than one connection, it closes a small part of the connections that wait for a request, the longest waiting first (event 108), and accepts again after 10 ms.

--- a/crates/nutmegwheel-config/src/settings.rs
+++ b/crates/nutmegwheel-config/src/settings.rs
@@ -21,6 +21,10 @@
 const MIN_STOP_TIMEOUT_MS: u64 = 1000;
 /// The maximum of `stop_within_ms`.
 const MAX_STOP_TIMEOUT_MS: u64 = 600_000;
+/// The minimum of `max_descriptors`.
+const MIN_DESCRIPTORS: usize = 256;
+/// The maximum of `max_descriptors`.
+const MAX_DESCRIPTORS: usize = 1 << 30;
 
 plain_copy! {
     /// The role of a process in the fleet.
@@ -78,6 +82,9 @@
         pub backend_server: Option<BackendServer>,
         /// The time that a process has to stop; it may be killed afterwards.
         pub stop_timeout: Duration,
+        /// The number of descriptors that the process may have open. Without it, callers may use
+        /// all of them.
+        pub max_descriptors: Option<usize>,
     }
 
     /// The addresses of some control VMs, possibly outdated, in place of a complete list of seeds.
@@ -215,6 +222,10 @@
             }
             None => DEFAULT_STOP_TIMEOUT,
         },
+        max_descriptors: match table.take("max_descriptors") {
+            Some(field) => Some(field.number(&(MIN_DESCRIPTORS..=MAX_DESCRIPTORS))?),
+            None => None,
+        },
     };
     check_secrets(&settings, &table)?;
     if settings.contacts.is_none() {
--- a/crates/nutmegwheel-config/tests/settings.rs
+++ b/crates/nutmegwheel-config/tests/settings.rs
@@ -89,7 +89,7 @@
   "backend_server": {
     "service": "intake", "address": "10.1.0.11:8547", "concurrency": "announced"
   },
-  "stop_within_ms": 6000,
+  "stop_within_ms": 6000, "max_descriptors": 4100,
   "fleet_secret": "secret-of-the-fleet-01"
 }"#;
 
@@ -104,6 +104,7 @@
         .collect();
     assert_eq!(links, ["10.1.0.32:7000", "10.2.0.28:7000"]);
     assert_eq!(settings.data_centres().len(), 2);
+    assert_eq!(settings.max_descriptors, Some(4100));
     assert_eq!(
         settings.operator_secret, None,
         "the native interface is closed"
@@ -127,6 +128,7 @@
         ),
         ("\"announced\"", "\"many\"", "backend_server.concurrency"),
         ("6000", "5", "stop_within_ms"),
+        ("4100", "3", "max_descriptors"),
         ("\"platform\",", "\"other\",", "dialect"),
     ];
     for (old, new, field) in cases {
--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -187,6 +187,7 @@
         address,
         body_limit: MAX_REQUEST_BODY_BYTES,
         read_timeout: REQUEST_READ_TIMEOUT,
+        max_connections: None,
     };
     let journal = operators.journal.clone();
     nutmegwheel_web::bind(opts, journal, Arc::new(operators)).context("open listen.platform")
--- a/crates/nutmegwheel-events/src/catalogue.rs
+++ b/crates/nutmegwheel-events/src/catalogue.rs
@@ -52,6 +52,8 @@
     SettingsRefused = 106, "settings-refused", Error;
     /// A listener could not accept or keep a connection.
     ConnectionRefused = 107, "connection-refused", Warn;
+    /// A listener closed connections that waited for a request, to make room for new ones.
+    ConnectionsClosed = 108, "connections-closed", Warn;
     /// A backend server announced itself or changed its state.
     BackendAnnounced = 200, "backend-announced", Info;
     /// A backend server's announcement expired without a renewal.
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -45,6 +45,9 @@
 /// The fraction of `stop_timeout` within which a shutdown drains the requests in flight and closes
 /// the connections. The rest is reserved for stopping the tasks.
 const DRAIN_FRACTION: f64 = 0.9;
+/// The percentage of the descriptors that connections of callers may take. The rest is left for
+/// links, the backend server and files.
+const CALLERS_DESCRIPTOR_PERCENT: usize = 75;
 /// The interval at which a shutdown checks whether requests are still in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -107,7 +110,14 @@
 fn bind_listeners(shared: &Arc<Shared>) -> anyhow::Result<Vec<Server>> {
     let listen = &shared.settings.listen;
     let mut servers = Vec::new();
-    let mut bind = |name, address: Option<SocketAddr>, handler: Arc<dyn Handler>| {
+    let max_descriptors = shared.settings.max_descriptors;
+    let max_callers = max_descriptors.map(|n| {
+        n * CALLERS_DESCRIPTOR_PERCENT / 100 / nutmegwheel_web::DESCRIPTORS_PER_CONNECTION
+    });
+    let mut bind = |name,
+                    address: Option<SocketAddr>,
+                    max_connections: Option<usize>,
+                    handler: Arc<dyn Handler>| {
         let address = address.context(name)?;
         let opts = nutmegwheel_web::Options {
             address,
@@ -116,6 +126,7 @@
                 None => MAX_BODY_BYTES,
             },
             read_timeout: REQUEST_READ_TIMEOUT,
+            max_connections,
         };
         servers.push(nutmegwheel_web::bind(opts, shared.journal.clone(), handler).context(name)?);
         anyhow::Ok(())
@@ -124,6 +135,7 @@
     bind(
         "open listen.platform",
         Some(listen.platform),
+        None,
         Arc::new(PlatformHandler { shared: shared() }),
     )?;
     let (backend, callers): (Arc<dyn Handler>, Arc<dyn Handler>) = match shared().dialect.clone() {
@@ -142,8 +154,8 @@
             Arc::new(Ingress { shared: shared() }),
         ),
     };
-    bind("open listen.backend", listen.backend, backend)?;
-    bind("open listen.callers", listen.callers, callers)?;
+    bind("open listen.backend", listen.backend, None, backend)?;
+    bind("open listen.callers", listen.callers, max_callers, callers)?;
     Ok(servers)
 }
 
--- a/crates/nutmegwheel-web/src/connections.rs
+++ b/crates/nutmegwheel-web/src/connections.rs
@@ -13,6 +13,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
+    time::{Duration, Instant},
 };
 
 use nutmegwheel_events::{Event, Journal};
@@ -21,21 +22,51 @@
 use xitca_io::net::Stream;
 use xitca_server::net::{IntoListener, Listen};
 
+/// The delay before connections are accepted again after the process ran out of descriptors.
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
+/// The part of the connections that is closed at a time to make room for new ones. Finding them
+/// looks at all connections.
+const EVICTED_FRACTION: usize = 32;
+
 /// The accepted connections, by the address of the peer. A connection is dropped from this list
 /// after the peer has closed it and the last request on it has ended.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(crate) struct Connections {
     open: Arc<Mutex<HashMap<SocketAddr, Arc<Connection>>>>,
     is_closing: Arc<AtomicBool>,
+    max: usize,
 }
 
 /// The duplicate of an accepted socket.
 pub(crate) struct Connection {
     socket: TcpStream,
     is_closing: Arc<AtomicBool>,
+    /// Since when the connection has waited for a request; `None` while one is handled.
+    idle_since: Mutex<Option<Instant>>,
+}
+
+/// Marks a connection as handling a request until dropped.
+pub(crate) struct Busy<'a>(&'a Connection);
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        *self.0.idle_since() = Some(Instant::now());
+    }
 }
 
 impl Connection {
+    /// Marks the connection as handling a request.
+    pub(crate) fn begin(&self) -> Busy<'_> {
+        *self.idle_since() = None;
+        Busy(self)
+    }
+
+    fn idle_since(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.idle_since
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Whether the peer has closed its side of the connection.
     pub(crate) fn is_peer_closed(&self) -> bool {
         matches!(self.peek(), Ok(0)) && !self.is_closing.load(Ordering::SeqCst)
@@ -63,6 +94,10 @@
         }
     }
 
+    fn has_unread(&self) -> bool {
+        self.peek().is_ok_and(|n| n > 0)
+    }
+
     fn shutdown_read(&self) {
         // An error means that the connection is closed already.
         let _ = SockRef::from(&self.socket).shutdown(Shutdown::Read);
@@ -70,6 +105,16 @@
 }
 
 impl Connections {
+    /// Opens an empty list for `max` connections, or for as many as the process has descriptors
+    /// for.
+    pub(crate) fn open(max: Option<usize>) -> Self {
+        Self {
+            open: Arc::default(),
+            is_closing: Arc::default(),
+            max: max.unwrap_or(usize::MAX),
+        }
+    }
+
     /// The connection from a peer, or `None` if it cannot be watched. Its responses are then
     /// written even if the peer is gone.
     pub(crate) fn get(&self, peer: SocketAddr) -> Option<Arc<Connection>> {
@@ -89,6 +134,7 @@
         let connection = Connection {
             socket: TcpStream::from_std(stream.try_clone()?)?,
             is_closing: self.is_closing.clone(),
+            idle_since: Mutex::new(Some(Instant::now())),
         };
         self.lock().insert(peer, Arc::new(connection));
         Ok(())
@@ -99,6 +145,34 @@
         self.lock().retain(|_, connection| connection.is_open());
     }
 
+    fn is_full(&self) -> bool {
+        self.lock().len() >= self.max
+    }
+
+    /// Makes room for new connections: drops those that their peer has closed and, if these are too
+    /// few, closes some that wait for a request, the longest waiting first. Returns the number of
+    /// those.
+    fn make_room(&self) -> usize {
+        let mut open = self.lock();
+        let wanted = open.len().div_ceil(EVICTED_FRACTION);
+        let target = open.len() - wanted;
+        open.retain(|_, connection| connection.is_open());
+        let excess = open.len().saturating_sub(target);
+        let mut idle: Vec<(Instant, SocketAddr)> = open
+            .iter()
+            .filter(|(_, connection)| !connection.has_unread())
+            .filter_map(|(peer, connection)| Some(((*connection.idle_since())?, *peer)))
+            .collect();
+        idle.sort_unstable();
+        idle.truncate(excess);
+        for (_, peer) in &idle {
+            if let Some(connection) = open.remove(peer) {
+                connection.shutdown_read();
+            }
+        }
+        idle.len()
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<Connection>>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -131,31 +205,65 @@
 }
 
 impl WatchedListener {
-    fn report(&self, step: &str, error: &io::Error) {
+    fn keep(&self, stream: TcpStream, peer: SocketAddr) -> io::Result<std::net::TcpStream> {
+        if self.connections.is_full() {
+            self.make_room();
+        }
+        if self.connections.is_full() {
+            return Err(io::Error::new(
+                io::ErrorKind::ConnectionRefused,
+                "all connections are in use",
+            ));
+        }
+        stream.set_nodelay(true)?;
+        let stream = stream.into_std()?;
+        self.connections.add(peer, &stream)?;
+        Ok(stream)
+    }
+
+    fn make_room(&self) {
+        let closed = self.connections.make_room();
+        self.report(Event::ConnectionsClosed, ("closed", &closed));
+    }
+
+    fn report(&self, event: Event, detail: (&str, &dyn ToString)) {
         let listener = self.listener.local_addr();
         let listener = listener.map_or_else(|e| e.to_string(), |address| address.to_string());
         let open = self.connections.lock().len();
-        self.journal.emit_rate_limited(
-            Event::ConnectionRefused,
-            &[
-                ("listener", &listener),
-                ("step", &step),
-                ("open", &open),
-                ("error", error),
-            ],
-        );
+        self.journal
+            .emit_rate_limited(event, &[("listener", &listener), ("open", &open), detail]);
     }
 }
 
 impl Listen for WatchedListener {
+    /// Accepts the next connection. It closes what it cannot keep instead of leaving it in the
+    /// queue of the kernel, where requests outlive their callers.
     async fn accept(&self) -> io::Result<Stream> {
-        let accepted = self.listener.accept().await;
-        let (stream, peer) = accepted.inspect_err(|e| self.report("accept", e))?;
-        stream.set_nodelay(true)?;
-        let stream = stream.into_std()?;
-        if let Err(e) = self.connections.add(peer, &stream) {
-            self.report("watch", &e);
+        loop {
+            let error = match self.listener.accept().await {
+                Ok((stream, peer)) => match self.keep(stream, peer) {
+                    Ok(stream) => return Ok(Stream::Tcp(stream, peer)),
+                    Err(e) => e,
+                },
+                Err(e) if e.raw_os_error().is_none() => return Err(e),
+                Err(e) => e,
+            };
+            self.report(Event::ConnectionRefused, ("error", &error));
+            if !is_of_one_connection(&error) {
+                self.make_room();
+                tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
+            }
         }
-        Ok(Stream::Tcp(stream, peer))
     }
 }
+
+/// Whether the error concerns one connection only. All others, such as a lack of descriptors, are
+/// likely to affect the next connection too.
+fn is_of_one_connection(e: &io::Error) -> bool {
+    matches!(
+        e.kind(),
+        io::ErrorKind::ConnectionRefused
+            | io::ErrorKind::ConnectionAborted
+            | io::ErrorKind::ConnectionReset
+    )
+}
--- a/crates/nutmegwheel-web/src/lib.rs
+++ b/crates/nutmegwheel-web/src/lib.rs
@@ -14,4 +14,6 @@
 
 pub use operator::{authorize, bearer, events, json, with_content_type};
 pub use problem::Problem;
-pub use server::{Handler, HandlerFuture, Options, Request, Response, Server, bind};
+pub use server::{
+    DESCRIPTORS_PER_CONNECTION, Handler, HandlerFuture, Options, Request, Response, Server, bind,
+};
--- a/crates/nutmegwheel-web/src/server.rs
+++ b/crates/nutmegwheel-web/src/server.rs
@@ -67,8 +67,16 @@
     pub body_limit: usize,
     /// The time limit for receiving a head, and again for receiving a body.
     pub read_timeout: Duration,
+    /// The maximum number of connections, each of which takes
+    /// [`DESCRIPTORS_PER_CONNECTION`] descriptors. At the limit, a new connection replaces the one
+    /// that has waited longest for a request, and is closed if all are in use. `None` allows as
+    /// many as the process has descriptors for.
+    pub max_connections: Option<usize>,
 }
 
+/// The number of descriptors that a connection takes.
+pub const DESCRIPTORS_PER_CONNECTION: usize = 2;
+
 /// A handle of a running listener. The listener runs until [`Server::stop`], even if the handle is
 /// dropped.
 pub struct Server {
@@ -106,7 +114,7 @@
 pub fn bind(opts: Options, journal: Arc<Journal>, handler: Arc<dyn Handler>) -> io::Result<Server> {
     let listener = TcpListener::bind(opts.address)?;
     let address = listener.local_addr()?;
-    let connections = Connections::default();
+    let connections = Connections::open(opts.max_connections);
     tokio::spawn(sweep(connections.clone()));
     let watched = WatchedSocket {
         listener,
@@ -164,12 +172,13 @@
 ) -> Result<http::Response<ResponseBody>, Infallible> {
     let (head, ext) = req.into_parts();
     let peer = *ext.socket_addr();
+    let connection = connections.get(peer);
+    let _busy = connection.as_ref().map(|connection| connection.begin());
     let (_, body) = ext.replace_body(());
     let body = match body::read(body, limit, read_timeout).await {
         Ok(body) => body,
         Err(problem) => return Ok(problem.into_response().map(Into::into)),
     };
-    let connection = connections.get(peer);
     if connection.as_ref().is_some_and(|c| c.is_peer_closed()) {
         journal.emit_rate_limited(
             Event::RequestAbandoned,
@@ -178,7 +187,7 @@
         return Ok(close_response().map(Into::into));
     }
     let answer = handler.handle(Request { head, body, peer });
-    let res = match connection {
+    let res = match &connection {
         Some(connection) => tokio::select! {
             res = answer => res,
             // The caller does not receive this response. It only ends the connection.
