fix(link): count the time that a request is held up on the way

What callers would see: work that goes on after they left.

Cause: a call carried the duration that was left, and the receiver counted it from the delivery. Bytes that a cut or a full link had held up ran with all of their time, although their cancellations were behind them.

Change: a request names its deadline on the receiver's clock of the link, which starts at the handshake and which pongs report. The sender's estimate is never ahead of that clock for longer than a ping interval, also when either VM was suspended. A request whose deadline has passed when it is whole is refused as not begun; a node counts the rest from the same deadline. Besides, a link starts the requests that it has read only after it has looked at all that has arrived, and none that was cancelled in it or whose connection has ended. Older processes ignore the new fields, and a missing one means no deadline.

--- a/crates/nutmegwheel-control/src/service.rs
+++ b/crates/nutmegwheel-control/src/service.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use bytes::Bytes;
 use nutmegwheel_link::{Peer, Reply, Request, ServeFuture, Service, Topic};
@@ -24,7 +24,7 @@
 }
 
 impl Service for ControlService {
-    fn serve(&self, _peer: Peer, req: Request) -> ServeFuture {
+    fn serve(&self, _peer: Peer, req: Request, _deadline: Option<Instant>) -> ServeFuture {
         let (log, seed_service) = (self.log.clone(), self.seed_service.clone());
         let (shares, allotments) = (self.shares.clone(), self.allotments.clone());
         Box::pin(async move {
--- a/crates/nutmegwheel-link/examples/link_bench.rs
+++ b/crates/nutmegwheel-link/examples/link_bench.rs
@@ -23,7 +23,7 @@
 struct Echo;
 
 impl Service for Echo {
-    fn serve(&self, _peer: Peer, req: Request) -> ServeFuture {
+    fn serve(&self, _peer: Peer, req: Request, _deadline: Option<Instant>) -> ServeFuture {
         Box::pin(async move {
             Reply {
                 head: req.head,
--- a/crates/nutmegwheel-link/src/endpoint.rs
+++ b/crates/nutmegwheel-link/src/endpoint.rs
@@ -231,7 +231,7 @@
     deadline: Instant,
 ) -> Result<Reply, CallError> {
     let link = choose_link(pool, peer, deadline).await?;
-    let mut call = open(&link, peer, req)?;
+    let mut call = open(&link, peer, req, deadline)?;
     match tokio::time::timeout_at(deadline.into(), call.wait()).await {
         Ok(outcome) => outcome.map_err(|failed| call_error(&link, peer, &failed)),
         Err(_) => expire(&link, peer, call),
@@ -254,17 +254,23 @@
     }
 }
 
-fn open(link: &Arc<Link>, peer: SocketAddr, req: Request) -> Result<OpenCall, CallError> {
+fn open(
+    link: &Arc<Link>,
+    peer: SocketAddr,
+    req: Request,
+    deadline: Instant,
+) -> Result<OpenCall, CallError> {
     let not_sent = |step, reason: &str| CallError::NotSent {
         peer,
         step,
         reason: reason.into(),
     };
-    link.open(req).map_err(|rejection| match rejection {
-        Rejection::TooLarge => CallError::TooLarge { peer },
-        Rejection::Busy => not_sent(Step::Admit, "too much is open on the link"),
-        Rejection::Draining => not_sent(Step::Queue, "the link takes no more calls"),
-    })
+    link.open(req, deadline)
+        .map_err(|rejection| match rejection {
+            Rejection::TooLarge => CallError::TooLarge { peer },
+            Rejection::Busy => not_sent(Step::Admit, "too much is open on the link"),
+            Rejection::Draining => not_sent(Step::Queue, "the link takes no more calls"),
+        })
 }
 
 fn call_error(link: &Link, peer: SocketAddr, failed: &CallFailure) -> CallError {
--- a/crates/nutmegwheel-link/src/error.rs
+++ b/crates/nutmegwheel-link/src/error.rs
@@ -32,6 +32,8 @@
         Incomplete,
         /// The request exceeds the peer's limits on its size.
         TooLarge,
+        /// The deadline had passed when the request arrived.
+        Expired,
     }
 }
 
@@ -64,6 +66,7 @@
             Self::Busy => "it is busy",
             Self::Incomplete => "the request did not arrive whole",
             Self::TooLarge => "the request is too large",
+            Self::Expired => "the deadline passed on the way",
         })
     }
 }
--- a/crates/nutmegwheel-link/src/link/driver.rs
+++ b/crates/nutmegwheel-link/src/link/driver.rs
@@ -1,4 +1,4 @@
-use std::{io, sync::Arc, time::Instant};
+use std::{collections::HashSet, io, sync::Arc, time::Instant};
 
 use bytes::{Buf, BytesMut};
 use thiserror::Error;
@@ -8,7 +8,7 @@
 use super::{Link, now, serve};
 use crate::{
     Service,
-    mux::{Event, PeerTimeout, Violation},
+    mux::{Event, PeerTimeout, StreamId, Violation},
     wire::{FrameDecoder, FrameError, Kind},
 };
 
@@ -16,6 +16,8 @@
 const READ_CHUNK_BYTES: usize = 32 * 1024;
 /// The number of bytes after which reading pauses until the received frames are processed.
 const READ_BATCH_BYTES: usize = 2 * READ_CHUNK_BYTES;
+/// The number of bytes after which received requests are started although more has arrived.
+const MAX_READ_BYTES: usize = 64 * READ_BATCH_BYTES;
 /// The number of bytes of frames to encode for one write.
 const WRITE_BATCH_BYTES: usize = 64 * 1024;
 /// The maximum number of consecutive writes before the driver reads again.
@@ -117,7 +119,10 @@
         stop: &CancellationToken,
         drain: &CancellationToken,
     ) -> Result<(), CloseReason> {
-        self.process_frames()?;
+        let mut events = Vec::new();
+        let result = self.process_frames(&mut events);
+        self.dispatch(events, result.is_ok());
+        result?;
         let mut timer = std::pin::pin!(tokio::time::sleep_until(now().into()));
         let mut is_draining = false;
         while let Some(wait) = self.send_pending()? {
@@ -216,31 +221,46 @@
         Ok(())
     }
 
+    /// Reads what has arrived, and only then starts the requests in it, since their cancellations
+    /// or the end of the connection may have arrived too.
     fn read(&mut self) -> Result<(), CloseReason> {
+        let mut events = Vec::new();
+        let result = self.receive(&mut events);
+        self.dispatch(events, result.is_ok());
+        result
+    }
+
+    fn receive(&mut self, events: &mut Vec<Event>) -> Result<(), CloseReason> {
+        let mut total = 0;
+        while total < MAX_READ_BYTES {
+            let n = self.read_batch()?;
+            if n == 0 {
+                break;
+            }
+            self.process_frames(events)?;
+            total += n;
+        }
+        Ok(())
+    }
+
+    /// Reads up to a batch, and returns 0 if nothing has arrived.
+    fn read_batch(&mut self) -> Result<usize, CloseReason> {
         let mut total = 0;
-        let mut is_closed = false;
         while total < READ_BATCH_BYTES {
             self.input.reserve(READ_CHUNK_BYTES);
             match self.stream.try_read_buf(&mut self.input) {
-                Ok(0) => {
-                    is_closed = true;
-                    break;
-                }
+                Ok(0) if total == 0 => return Err(CloseReason::Closed),
+                Ok(0) => break,
                 Ok(n) => total += n,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e) => return Err(e.into()),
             }
         }
-        self.process_frames()?;
-        if is_closed {
-            Err(CloseReason::Closed)
-        } else {
-            Ok(())
-        }
+        Ok(total)
     }
 
     /// Decodes the received frames without the lock, then takes it once to apply all of them.
-    fn process_frames(&mut self) -> Result<(), CloseReason> {
+    fn process_frames(&mut self, events: &mut Vec<Event>) -> Result<(), CloseReason> {
         let decode_error = loop {
             match self.decoder.decode(&mut self.input) {
                 Ok(Some(kind)) => self.frames.push(kind),
@@ -248,12 +268,27 @@
                 Err(e) => break Some(e),
             }
         };
-        let (events, violation) = self.apply_frames();
+        let (applied, violation) = self.apply_frames();
+        events.extend(applied);
+        violation?;
+        decode_error.map_or(Ok(()), |e| Err(e.into()))
+    }
+
+    /// Handles events, but starts no request that was cancelled among them, and none if the
+    /// connection is closed.
+    fn dispatch(&self, mut events: Vec<Event>, is_open: bool) {
+        let cancelled = events.iter().filter_map(|event| match event {
+            Event::Cancelled { stream } => Some(*stream),
+            _ => None,
+        });
+        let cancelled: HashSet<StreamId> = cancelled.collect();
+        events.retain(|event| match event {
+            Event::Requested { stream, .. } => is_open && !cancelled.contains(stream),
+            _ => true,
+        });
         for event in events {
             self.handle(event);
         }
-        violation?;
-        decode_error.map_or(Ok(()), |e| Err(e.into()))
     }
 
     fn apply_frames(&mut self) -> (Vec<Event>, Result<(), Violation>) {
@@ -267,9 +302,11 @@
     fn handle(&self, event: Event) {
         let link = &self.link;
         match event {
-            Event::Requested { stream, req } => {
-                serve::spawn(link, self.service.clone(), stream, req);
-            }
+            Event::Requested {
+                stream,
+                req,
+                deadline,
+            } => serve::spawn(link, self.service.clone(), stream, req, deadline),
             Event::Cancelled { stream } => {
                 if let Some(task) = link.state().running.remove(&stream) {
                     task.abort();
--- a/crates/nutmegwheel-link/src/link/mod.rs
+++ b/crates/nutmegwheel-link/src/link/mod.rs
@@ -114,10 +114,14 @@
 }
 
 impl Link {
-    pub(crate) fn open(self: &Arc<Self>, req: Request) -> Result<OpenCall, Rejection> {
+    pub(crate) fn open(
+        self: &Arc<Self>,
+        req: Request,
+        deadline: Instant,
+    ) -> Result<OpenCall, Rejection> {
         let (tx, outcome) = oneshot::channel();
         let mut state = self.state();
-        let key = state.mux.open(req, now())?;
+        let key = state.mux.open(req, Some(deadline), now())?;
         state.waiters.insert(key, tx);
         drop(state);
         self.wake.notify_one();
--- a/crates/nutmegwheel-link/src/link/serve.rs
+++ b/crates/nutmegwheel-link/src/link/serve.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use super::{Link, now};
 use crate::{Reply, Request, Service, mux::StreamId};
@@ -7,7 +7,13 @@
 ///
 /// The task is spawned and registered while holding the lock that it needs to remove itself, so
 /// that it cannot finish before it is registered and leave a stale entry.
-pub(super) fn spawn(link: &Arc<Link>, service: Arc<dyn Service>, stream: StreamId, req: Request) {
+pub(super) fn spawn(
+    link: &Arc<Link>,
+    service: Arc<dyn Service>,
+    stream: StreamId,
+    req: Request,
+    deadline: Option<Instant>,
+) {
     let responder = Responder {
         link: link.clone(),
         stream,
@@ -16,7 +22,7 @@
     let peer = link.peer.clone();
     let mut state = link.state();
     let task = tokio::spawn(async move {
-        let reply = service.serve(peer, req).await;
+        let reply = service.serve(peer, req, deadline).await;
         responder.send(reply);
     });
     state.running.insert(stream, task.abort_handle());
--- a/crates/nutmegwheel-link/src/mux/calls.rs
+++ b/crates/nutmegwheel-link/src/mux/calls.rs
@@ -1,4 +1,7 @@
-use std::collections::{HashMap, VecDeque};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
 
 use slotmap::SlotMap;
 
@@ -82,7 +85,13 @@
 }
 
 impl Calls {
-    pub(crate) fn open(&mut self, req: Request, one_way: bool) -> Result<CallKey, Rejection> {
+    /// Queues a request; `deadline` is a time on the peer's clock.
+    pub(crate) fn open(
+        &mut self,
+        req: Request,
+        deadline: Option<Duration>,
+        one_way: bool,
+    ) -> Result<CallKey, Rejection> {
         let size = req.head.len() + req.body.len();
         if req.head.len() > self.limits.max_head || req.body.len() > self.limits.max_body {
             return Err(Rejection::TooLarge);
@@ -97,7 +106,7 @@
         let key = self.table.insert(Call {
             id: None,
             one_way,
-            outbound: Outbound::new(req.topic.0, one_way, req.head, req.body),
+            outbound: Outbound::new(req.topic.0, one_way, deadline, req.head, req.body),
             end_position: None,
             inbound: None,
             granted_bytes: 0,
@@ -281,6 +290,7 @@
                 RefuseReason::Busy => Failure::Refused(Refusal::Busy),
                 RefuseReason::Incomplete => Failure::Refused(Refusal::Incomplete),
                 RefuseReason::TooLarge => Failure::Refused(Refusal::TooLarge),
+                RefuseReason::Expired => Failure::Refused(Refusal::Expired),
             };
             self.fail(key, failure, events);
         }
--- a/crates/nutmegwheel-link/src/mux/control.rs
+++ b/crates/nutmegwheel-link/src/mux/control.rs
@@ -1,4 +1,4 @@
-use std::collections::VecDeque;
+use std::{collections::VecDeque, time::Duration};
 
 use super::StreamId;
 use crate::wire::{Cancel, Credit, GoAway, Kind, Ping, Pong, Refuse, RefuseReason};
@@ -53,9 +53,16 @@
         !self.ping && self.pong.is_none() && self.queue.is_empty()
     }
 
-    pub(crate) fn next(&mut self) -> Option<Kind> {
+    /// The number of the newest ping.
+    pub(crate) fn last_ping(&self) -> u64 {
+        self.last_ping
+    }
+
+    /// Returns the next frame to send; `clock` is the time on this side's clock.
+    pub(crate) fn next(&mut self, clock: Duration) -> Option<Kind> {
         if let Some(number) = self.pong.take() {
-            return Some(Kind::Pong(Pong { number }));
+            let clock_us = u64::try_from(clock.as_micros()).unwrap_or(u64::MAX);
+            return Some(Kind::Pong(Pong { number, clock_us }));
         }
         if std::mem::take(&mut self.ping) {
             self.last_ping += 1;
--- a/crates/nutmegwheel-link/src/mux/incoming_requests.rs
+++ b/crates/nutmegwheel-link/src/mux/incoming_requests.rs
@@ -1,9 +1,13 @@
-use std::collections::{HashMap, VecDeque};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 
 use super::{
     Event, StreamId, Violation,
+    clock::Clocks,
     control::ControlQueue,
     inbound::{Inbound, Progress, message_length},
     outbound::Outbound,
@@ -35,6 +39,8 @@
     topic: Topic,
     one_way: bool,
     size: usize,
+    /// When the caller stops waiting, on this side's clock.
+    deadline: Option<Duration>,
     state: State,
 }
 
@@ -75,6 +81,8 @@
     pub(crate) fn request(
         &mut self,
         data: &Data,
+        clocks: &Clocks,
+        now: Instant,
         control: &mut ControlQueue,
         events: &mut VecDeque<Event>,
     ) -> Result<(), Violation> {
@@ -91,7 +99,14 @@
         };
         match inbound.push(data) {
             Progress::Partial => {}
-            Progress::Complete(head, body) => self.complete(data.stream, head, body, events),
+            Progress::Complete(head, body) => {
+                let deadline = request.deadline.map(|at| clocks.instant(at));
+                if deadline.flatten().is_some_and(|at| at <= now) {
+                    self.refuse(data.stream, RefuseReason::Expired, control);
+                } else {
+                    self.complete(data.stream, head, body, deadline.flatten(), events);
+                }
+            }
             Progress::Damaged => self.refuse(data.stream, RefuseReason::Incomplete, control),
             Progress::Overrun => return Err(Violation::Overrun(data.stream)),
         }
@@ -127,6 +142,7 @@
             topic: Topic(u16::try_from(start.topic).unwrap_or(u16::MAX)),
             one_way: start.one_way,
             size,
+            deadline: (start.deadline_us > 0).then(|| Duration::from_micros(start.deadline_us)),
             state: State::Receiving(inbound),
         };
         self.table.insert(stream, request);
@@ -151,6 +167,7 @@
         stream: StreamId,
         head: Bytes,
         body: Bytes,
+        deadline: Option<Instant>,
         events: &mut VecDeque<Event>,
     ) {
         let Some(request) = self.table.get_mut(&stream) else {
@@ -164,7 +181,11 @@
         }
         request.state = State::Running;
         let req = Request { topic, head, body };
-        events.push_back(Event::Requested { stream, req });
+        events.push_back(Event::Requested {
+            stream,
+            req,
+            deadline,
+        });
     }
 
     pub(crate) fn cancel(
@@ -213,7 +234,7 @@
         if !matches!(request.state, State::Running) {
             return;
         }
-        request.state = State::Replying(Outbound::new(0, false, reply.head, reply.body));
+        request.state = State::Replying(Outbound::new(0, false, None, reply.head, reply.body));
         self.queued_bytes += size;
         self.ready.push_back(stream);
     }
--- a/crates/nutmegwheel-link/src/mux/liveness.rs
+++ b/crates/nutmegwheel-link/src/mux/liveness.rs
@@ -50,6 +50,11 @@
         self.last_used = now;
     }
 
+    /// When the newest ping was due to be sent.
+    pub(crate) fn last_ping(&self) -> Instant {
+        self.last_ping
+    }
+
     /// When the link last carried a message.
     pub(crate) fn last_used(&self) -> Instant {
         self.last_used
--- a/crates/nutmegwheel-link/src/mux/mod.rs
+++ b/crates/nutmegwheel-link/src/mux/mod.rs
@@ -5,6 +5,7 @@
 //! virtual clock in a single thread.
 
 mod calls;
+mod clock;
 mod control;
 mod inbound;
 mod incoming_requests;
@@ -26,6 +27,7 @@
     wire::{self, Kind, RefuseReason},
 };
 use calls::Calls;
+use clock::Clocks;
 use control::ControlQueue;
 use incoming_requests::IncomingRequests;
 use liveness::Liveness;
@@ -39,6 +41,7 @@
     incoming: IncomingRequests,
     control: ControlQueue,
     liveness: Liveness,
+    clocks: Clocks,
     events: VecDeque<Event>,
     /// The total bytes encoded, and the total bytes handed to the socket. The difference tells
     /// which requests cannot have reached the peer.
@@ -57,6 +60,7 @@
             incoming: IncomingRequests::new(limits),
             control: ControlQueue::default(),
             liveness: Liveness::new(limits, now),
+            clocks: Clocks::new(now),
             events: VecDeque::new(),
             encoded: 0,
             written: 0,
@@ -142,14 +146,21 @@
 }
 
 impl Mux {
-    /// Queues a request.
+    /// Queues a request. The peer does not start it after the deadline, if there is one, even if
+    /// it arrives later.
     ///
     /// # Errors
     ///
     /// Fails when the link is full or draining, or when the request exceeds the limits.
-    pub fn open(&mut self, req: Request, now: Instant) -> Result<CallKey, Rejection> {
+    pub fn open(
+        &mut self,
+        req: Request,
+        deadline: Option<Instant>,
+        now: Instant,
+    ) -> Result<CallKey, Rejection> {
         self.liveness.record_use(now);
-        self.calls.open(req, false)
+        let deadline = deadline.map(|at| self.clocks.peer(at));
+        self.calls.open(req, deadline, false)
     }
 
     /// Queues a one-way message.
@@ -161,7 +172,7 @@
         self.liveness.record_use(now);
         let head = Bytes::new();
         self.calls
-            .open(Request { topic, head, body }, true)
+            .open(Request { topic, head, body }, None, true)
             .map(|_| ())
     }
 
@@ -195,10 +206,17 @@
         let (control, events) = (&mut self.control, &mut self.events);
         match (self.side, frame) {
             (_, Kind::Ping(ping)) => control.pong(ping.number),
-            (_, Kind::Pong(_)) => {}
+            (_, Kind::Pong(pong)) => {
+                if pong.number == control.last_ping() {
+                    let reported = Duration::from_micros(pong.clock_us);
+                    let asked_at = self.liveness.last_ping();
+                    self.clocks.observe(now, asked_at, reported);
+                }
+            }
             (Side::Acceptor, Kind::Request(data)) => {
                 self.liveness.record_use(now);
-                self.incoming.request(&data, control, events)?;
+                self.incoming
+                    .request(&data, &self.clocks, now, control, events)?;
             }
             (Side::Acceptor, Kind::Cancel(frame)) => self.incoming.cancel(frame.stream, events)?,
             (Side::Acceptor, Kind::Credit(credit)) => {
@@ -246,7 +264,7 @@
         let may_start = !self.liveness.needs_probe(now);
         while out.len() < target_len {
             let start = out.len();
-            if let Some(kind) = self.control.next() {
+            if let Some(kind) = self.control.next(self.clocks.own(now)) {
                 wire::encode(kind, out);
                 self.encoded += (out.len() - start) as u64;
             } else if let Some((call, data)) = self.calls.next(may_start) {
--- a/crates/nutmegwheel-link/src/mux/outbound.rs
+++ b/crates/nutmegwheel-link/src/mux/outbound.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use bytes::Bytes;
 
 use super::{StreamId, inbound::INITIAL_WINDOW_BYTES};
@@ -15,12 +17,20 @@
 }
 
 impl Outbound {
-    pub(crate) fn new(topic: u16, one_way: bool, head: Bytes, body: Bytes) -> Self {
+    pub(crate) fn new(
+        topic: u16,
+        one_way: bool,
+        deadline: Option<Duration>,
+        head: Bytes,
+        body: Bytes,
+    ) -> Self {
+        let deadline_us = deadline.map_or(0, |at| at.as_micros().max(1));
         let start = Start {
             topic: u32::from(topic),
             head_length: wire_length(&head),
             body_length: wire_length(&body),
             one_way,
+            deadline_us: u64::try_from(deadline_us).unwrap_or(u64::MAX),
         };
         Self {
             start: Some(start),
--- a/crates/nutmegwheel-link/src/mux/types.rs
+++ b/crates/nutmegwheel-link/src/mux/types.rs
@@ -1,3 +1,5 @@
+use std::time::Instant;
+
 use bytes::Bytes;
 use nutmegwheel_types::{plain, plain_copy};
 use slotmap::new_key_type;
@@ -66,6 +68,8 @@
             stream: StreamId,
             /// The complete request of the peer.
             req: Request,
+            /// When the caller stops waiting, if it named a time.
+            deadline: Option<Instant>,
         },
         /// The peer cancelled a request.
         Cancelled {
--- a/crates/nutmegwheel-link/src/service.rs
+++ b/crates/nutmegwheel-link/src/service.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, pin::Pin};
+use std::{net::SocketAddr, pin::Pin, time::Instant};
 
 use bytes::Bytes;
 use nutmegwheel_types::{DataCentreId, Incarnation, ProcessName, plain, plain_copy};
@@ -46,8 +46,9 @@
 /// Handles the messages that a process receives.
 pub trait Service: Send + Sync + 'static {
     /// Answers a request. The future is dropped when the caller cancels or the link is lost, so the
-    /// service has to spawn work that must continue.
-    fn serve(&self, peer: Peer, req: Request) -> ServeFuture;
+    /// service has to spawn work that must continue. `deadline` is when the caller stops waiting,
+    /// if it named a time; what the request was held up on the way is taken off.
+    fn serve(&self, peer: Peer, req: Request, deadline: Option<Instant>) -> ServeFuture;
 
     /// Handles a one-way message, which gets no reply. It must not block, since it delays the link
     /// that the message arrived on.
--- a/crates/nutmegwheel-link/tests/common/mod.rs
+++ b/crates/nutmegwheel-link/tests/common/mod.rs
@@ -54,7 +54,7 @@
 }
 
 impl Service for CountingService {
-    fn serve(&self, _peer: Peer, req: Request) -> ServeFuture {
+    fn serve(&self, _peer: Peer, req: Request, _deadline: Option<Instant>) -> ServeFuture {
         self.started.fetch_add(1, Ordering::SeqCst);
         self.open.fetch_add(1, Ordering::SeqCst);
         let open = OpenGuard(self.open.clone());
--- a/crates/nutmegwheel-link/tests/faults.rs
+++ b/crates/nutmegwheel-link/tests/faults.rs
@@ -163,6 +163,36 @@
     pair.echo_until_success().await;
 }
 
+/// Makes calls that expire while their bytes are held up, and delivers the bytes after that.
+async fn deliver_after_expiry(pair: &RelayedPair) {
+    const CALLS: usize = 100;
+    const BODY: usize = 8 * 1024;
+    const DEADLINE: Duration = Duration::from_millis(200);
+    pair.relay.hold();
+    let calls = (0..CALLS).map(|_| {
+        let (a, to) = (pair.a.clone(), pair.to());
+        tokio::spawn(async move {
+            let sent = request(NEVER, "head", vec![1; BODY]);
+            a.call(to, sent, within(DEADLINE)).await.map(|_| ())
+        })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        call.await.unwrap().unwrap_err();
+    }
+    pair.relay.release();
+}
+
+// Guards against GONE: requests whose bytes were held up until their callers had left ran when the
+// bytes arrived, although the cancellations were among them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn does_not_start_requests_that_arrive_with_their_cancellations() {
+    let pair = RelayedPair::with_one_link().await;
+    let before = pair.started();
+    deliver_after_expiry(&pair).await;
+    pair.echo_until_success().await;
+    assert_eq!(pair.started(), before + 1);
+}
+
 #[tokio::test]
 async fn reports_lost_when_connection_breaks() {
     let pair = RelayedPair::new().await;
--- a/crates/nutmegwheel-link/tests/mux.rs
+++ b/crates/nutmegwheel-link/tests/mux.rs
@@ -37,7 +37,9 @@
     }
 
     fn call(&mut self, body: impl Into<Bytes>) -> CallKey {
-        self.a.open(request(ECHO, "head", body), self.now).unwrap()
+        self.a
+            .open(request(ECHO, "head", body), None, self.now)
+            .unwrap()
     }
 
     /// Exchanges frames until nothing is left to send.
@@ -56,7 +58,7 @@
     fn requested(&mut self) -> Vec<(StreamId, Bytes)> {
         let events = events(&mut self.b).into_iter();
         let requested = |event| match event {
-            Event::Requested { stream, req } => Some((stream, req.body)),
+            Event::Requested { stream, req, .. } => Some((stream, req.body)),
             _ => None,
         };
         events.filter_map(requested).collect()
@@ -107,6 +109,96 @@
     }
 }
 
+// Guards against GONE: the time of a request that was held up on the way counted anew from its
+// arrival.
+#[test]
+fn refuses_requests_whose_deadline_passed_on_the_way() {
+    let mut pair = Pair::new(&Limits::default());
+    let deadline = Some(pair.now + 100 * MS);
+    let late = pair
+        .a
+        .open(request(ECHO, "", "late"), deadline, pair.now)
+        .unwrap();
+    let in_time = pair
+        .a
+        .open(
+            request(ECHO, "", "in time"),
+            Some(pair.now + 300 * MS),
+            pair.now,
+        )
+        .unwrap();
+    let held = frames(&mut pair.a, pair.now);
+    pair.now += 200 * MS;
+    for frame in held {
+        pair.b.receive(frame, pair.now).unwrap();
+    }
+    let requested = events(&mut pair.b);
+    let [
+        Event::Requested {
+            req,
+            deadline: Some(at),
+            stream,
+        },
+    ] = &requested[..]
+    else {
+        panic!("{requested:?}");
+    };
+    assert_eq!(req.body, "in time");
+    assert_eq!(*at, pair.now + 100 * MS);
+    let stream = *stream;
+    pair.answer(stream, "");
+    pair.exchange();
+    let refused = Failure::Refused(Refusal::Expired);
+    let outcomes = events(&mut pair.a);
+    assert!(outcomes.contains(&Event::Failed {
+        call: late,
+        failure: refused
+    }));
+    assert!(matches!(&outcomes[..], [.., Event::Replied { call, .. }] if *call == in_time));
+}
+
+// Guards against requests that are refused although they are in time, because a VM was suspended
+// and its clock stood still.
+#[test]
+fn clocks_agree_again_after_suspension_of_either_side() {
+    for (lag_of_a, lag_of_b) in [(5000, 0), (0, 5000)] {
+        let mut pair = Pair::new(&Limits::default());
+        let (mut a, mut b) = (pair.now, pair.now + lag_of_a * MS);
+        a += lag_of_b * MS;
+        // Two intervals, so that both sides have pinged and answered since.
+        for _ in 0..2 {
+            a += 300 * MS;
+            b += 300 * MS;
+            pair.a.tick(a).unwrap();
+            for frame in frames(&mut pair.a, a) {
+                pair.b.receive(frame, b).unwrap();
+            }
+            for frame in frames(&mut pair.b, b) {
+                pair.a.receive(frame, a).unwrap();
+            }
+        }
+        let deadline = Some(a + 100 * MS);
+        pair.a.open(request(ECHO, "", ""), deadline, a).unwrap();
+        for frame in frames(&mut pair.a, a) {
+            pair.b.receive(frame, b).unwrap();
+        }
+        let requested = events(&mut pair.b);
+        let [
+            Event::Requested {
+                deadline: Some(at), ..
+            },
+        ] = &requested[..]
+        else {
+            panic!("{requested:?}");
+        };
+        assert_eq!(
+            *at,
+            b + 100 * MS,
+            "a lags {lag_of_a} ms, b lags {lag_of_b} ms"
+        );
+    }
+}
+
 #[test]
 fn matches_replies_to_calls_in_any_order() {
     let mut pair = Pair::new(&Limits::default());
@@ -308,7 +400,7 @@
         pair.answer(stream, body);
         pair.exchange();
     }
-    let rejected = pair.a.open(request(ECHO, "", ""), pair.now);
+    let rejected = pair.a.open(request(ECHO, "", ""), None, pair.now);
     assert_eq!(rejected, Err(Rejection::Draining));
     assert!(pair.a.is_finished(pair.now));
 }
@@ -330,7 +422,7 @@
     let replied = events(&mut pair.a);
     assert!(matches!(replied[..], [Event::Replied { call, .. }] if call == accepted));
     assert!(pair.b.is_drained() && pair.a.is_finished(pair.now));
-    assert!(pair.a.open(request(ECHO, "", ""), pair.now).is_err());
+    assert!(pair.a.open(request(ECHO, "", ""), None, pair.now).is_err());
 }
 
 #[test]
@@ -348,7 +440,7 @@
         failed(calls[2], Failure::Refused(Refusal::Busy))
     );
     let body = vec![0; limits.max_body + 1];
-    let rejected = pair.a.open(request(ECHO, "", body), pair.now);
+    let rejected = pair.a.open(request(ECHO, "", body), None, pair.now);
     assert_eq!(rejected, Err(Rejection::TooLarge));
 }
 
@@ -445,18 +537,27 @@
 }
 
 fn any_data() -> impl Strategy<Value = Data> {
-    let start = (0..3u32, 0..100_000u32, 0..20_000_000u32, any::<bool>());
+    let start = (
+        0..3u32,
+        0..100_000u32,
+        0..20_000_000u32,
+        any::<bool>(),
+        any::<u64>(),
+    );
     let end = prop::option::of(any::<u32>().prop_map(|checksum| End { checksum }));
     let chunk = || prop::collection::vec(any::<u8>(), 0..40).prop_map(Bytes::from);
     (0..40u32, prop::option::of(start), chunk(), chunk(), end).prop_map(
         |(stream, start, head, body, end)| Data {
             stream,
-            start: start.map(|(topic, head_length, body_length, one_way)| Start {
-                topic,
-                head_length,
-                body_length,
-                one_way,
-            }),
+            start: start.map(
+                |(topic, head_length, body_length, one_way, deadline_us)| Start {
+                    topic,
+                    head_length,
+                    body_length,
+                    one_way,
+                    deadline_us,
+                },
+            ),
             head,
             body,
             end,
@@ -474,7 +575,7 @@
         1 => (0..40u32).prop_map(|stream| Kind::Cancel(Cancel { stream })),
         1 => (0..40u32, -1..5i32).prop_map(|(stream, reason)| Kind::Refuse(Refuse { stream, reason })),
         1 => any::<u64>().prop_map(|number| Kind::Ping(Ping { number })),
-        1 => any::<u64>().prop_map(|number| Kind::Pong(Pong { number })),
+        1 => any::<(u64, u64)>().prop_map(|(number, clock_us)| Kind::Pong(Pong { number, clock_us })),
         1 => (0..40u32).prop_map(|last_stream| Kind::GoAway(GoAway { last_stream })),
     ]
 }
--- a/crates/nutmegwheel-node/src/attempt.rs
+++ b/crates/nutmegwheel-node/src/attempt.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use nutmegwheel_link::CallError;
+use nutmegwheel_link::{CallError, Refusal as LinkRefusal};
 use nutmegwheel_policy::{
     deadline::{self, Deadline},
     routing::{BackendKey, LoadReport, Outcome as RouteOutcome},
@@ -175,7 +175,11 @@
 
 fn link_refusal(e: &CallError) -> Refusal {
     let reason = match e {
-        CallError::Expired { .. } => Reason::Deadline,
+        CallError::Expired { .. }
+        | CallError::Refused {
+            reason: LinkRefusal::Expired,
+            ..
+        } => Reason::Deadline,
         _ => Reason::LinkLost,
     };
     if e.proves_not_run() {
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -210,11 +210,11 @@
 }
 
 impl Service for NodeService {
-    fn serve(&self, _peer: Peer, req: Request) -> ServeFuture {
+    fn serve(&self, _peer: Peer, req: Request, deadline: Option<Instant>) -> ServeFuture {
         let shared = self.shared.clone();
         Box::pin(async move {
             match req.topic {
-                topic::CALL => answer_call(&shared, req).await,
+                topic::CALL => answer_call(&shared, req, deadline).await,
                 topic::FENCE => reply(at_most_once::answer_fence(&shared, req.head)),
                 topic => match &shared.seed_service {
                     Some(seed_service) => reply(seed_service.serve(topic, req.head)),
@@ -236,9 +236,12 @@
     }
 }
 
-async fn answer_call(shared: &Arc<Shared>, req: Request) -> Reply {
+async fn answer_call(shared: &Arc<Shared>, req: Request, deadline: Option<Instant>) -> Reply {
     let served = match read_call(shared, req, Instant::now()) {
-        Ok(call) => serve(shared, call).await,
+        Ok(mut call) => {
+            call.deadline = deadline.map_or(call.deadline, |at| at.min(call.deadline));
+            serve(shared, call).await
+        }
         Err(refusal) => Served::lost(refusal),
     };
     let mut head = ReplyHead {
