fix(node): hold a backend server to the limit that it names

Cause: nothing read the field. It was passed on to the caller, and routing went on by slots.

Evidence: the servers got 20 to 43 and 13 to 27 requests a second after the naming as before it; the stand-in's backend server that names 5 a second got 68 in 4 s, allowed 35.

Change: the adapter reads the field into a plain value; nutmegwheel-limits decides (server_limit.rs). The node beside the backend server is its only caller and keeps the rate for all, whichever node a request began at. Requests wait for a token in their place of admission; the node announces the slots that the rate keeps busy, so that others send less. Events 207 and 208 record each change and what cannot be read.

--- a/crates/nutmegwheel-events/src/catalogue.rs
+++ b/crates/nutmegwheel-events/src/catalogue.rs
@@ -68,6 +68,10 @@
     BackendFailing = 205, "backend-failing", Warn;
     /// The failure rate of a backend server is back to normal.
     BackendHealthy = 206, "backend-sound", Info;
+    /// A backend server named, changed or took back a limit of its requests per second.
+    BackendLimited = 207, "backend-limited", Warn;
+    /// A backend server's answer has a field that could not be decoded.
+    AnswerFieldRefused = 208, "answer-field-refused", Warn;
     /// The load shedding level of a node changed.
     ShedLevelChanged = 300, "shed-level-changed", Warn;
     /// A request used up the retry budget of its call chain.
--- a/crates/nutmegwheel-limits/src/lib.rs
+++ b/crates/nutmegwheel-limits/src/lib.rs
@@ -5,7 +5,8 @@
 //! centre's [`token_server`], elected by a quorum [`lease`], grants tokens of that share to the
 //! [`token_cache`] of each ingress node. docs/spec/SHARES.md explains why the tokens spent never
 //! exceed the workspace's rate and burst. Where there are no token servers, [`allotment`] divides
-//! the limits.
+//! the limits. Apart from workspaces, [`server_limit`] holds a backend server to the rate that it
+//! asked for.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
@@ -15,6 +16,7 @@
 mod limit;
 pub mod messages;
 mod meter;
+pub mod server_limit;
 pub mod share;
 pub mod token_cache;
 pub mod token_server;
--- a/crates/nutmegwheel-node/src/backend.rs
+++ b/crates/nutmegwheel-node/src/backend.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     call::{Answer, Call},
-    dialect::{AnswerKind, Dialect, TargetFields},
+    dialect::{AnswerKind, Dialect, Notice, TargetFields},
     headers,
     refusal::{Reason, Refusal},
     running::Token,
@@ -141,26 +141,41 @@
         }
     }
 
-    /// Sends a request to the backend server and returns the complete answer.
+    /// Whether the announced backend server is still the instance of this announcement.
+    pub(crate) fn is_current(&self, server: &Announcement) -> bool {
+        let announced = self.lock();
+        let current = announced.as_ref().map(|a| a.backend.incarnation);
+        current == Some(server.backend.incarnation)
+    }
+
+    /// Sends a request to the backend server and returns the complete answer. `notice` is set as
+    /// soon as the head of the answer arrives.
     pub(crate) async fn run(
         &self,
         server: &Announcement,
         call: &Call,
         token: Token,
+        notice: &mut Option<Notice>,
     ) -> Result<Answer, Refusal> {
         let mut req = request(server.address, call)?;
         match &self.dialect {
             Some(dialect) => dialect.set_target_fields(req.headers_mut(), &target(server, call)),
             None => set_own_fields(req.headers_mut(), call, token)?,
         }
-        let timeout = tokio::time::timeout_at(call.deadline.into(), self.exchange(call, req));
+        let exchange = self.exchange(call, req, notice);
+        let timeout = tokio::time::timeout_at(call.deadline.into(), exchange);
         timeout.await.unwrap_or_else(|_| {
             let detail = "the deadline passed while the backend server worked";
             Err(Refusal::may_have_run(Reason::Deadline, detail))
         })
     }
 
-    async fn exchange(&self, call: &Call, req: Request<Full<Bytes>>) -> Result<Answer, Refusal> {
+    async fn exchange(
+        &self,
+        call: &Call,
+        req: Request<Full<Bytes>>,
+        notice: &mut Option<Notice>,
+    ) -> Result<Answer, Refusal> {
         let res = self.client.request(req).await.map_err(|e| {
             let detail = format!("the backend server broke off: {e}");
             if e.is_connect() {
@@ -170,9 +185,14 @@
             }
         })?;
         let (parts, body) = res.into_parts();
+        let kind = self.classify(call, &parts);
+        if matches!(kind, AnswerKind::Answered | AnswerKind::Shed) {
+            let dialect = self.dialect.as_ref();
+            *notice = dialect.map(|dialect| dialect.read_notice(&parts));
+        }
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         let body = body.map_err(|e| read_error(&*e))?.to_bytes();
-        self.check_answer(call, &parts)?;
+        check_kind(kind)?;
         Ok(Answer {
             status: parts.status,
             fields: headers::forwarded_fields(&parts.headers),
@@ -190,27 +210,30 @@
 }
 
 impl LocalBackend {
-    /// Checks that the answer belongs to the call and that the backend server ran it.
-    fn check_answer(&self, call: &Call, parts: &http::response::Parts) -> Result<(), Refusal> {
-        let kind = match &self.dialect {
+    fn classify(&self, call: &Call, parts: &http::response::Parts) -> AnswerKind {
+        match &self.dialect {
             Some(dialect) => dialect.classify_answer(&call.fields, parts),
             None if is_shed(parts) => AnswerKind::Shed,
             None => AnswerKind::Answered,
-        };
-        match kind {
-            AnswerKind::Answered => Ok(()),
-            AnswerKind::Shed => {
-                let detail = "the backend server sheds load";
-                Err(Refusal::not_run(Reason::BackendShed, detail))
-            }
-            AnswerKind::OtherServer => {
-                let detail = "another backend server has the address";
-                Err(Refusal::not_run(Reason::NoBackendServer, detail))
-            }
-            AnswerKind::OtherRequest => {
-                let detail = "the backend server answered another request";
-                Err(Refusal::may_have_run(Reason::BackendLost, detail))
-            }
+        }
+    }
+}
+
+/// Checks that the answer belongs to the call and that the backend server ran it.
+fn check_kind(kind: AnswerKind) -> Result<(), Refusal> {
+    match kind {
+        AnswerKind::Answered => Ok(()),
+        AnswerKind::Shed => {
+            let detail = "the backend server sheds load";
+            Err(Refusal::not_run(Reason::BackendShed, detail))
+        }
+        AnswerKind::OtherServer => {
+            let detail = "another backend server has the address";
+            Err(Refusal::not_run(Reason::NoBackendServer, detail))
+        }
+        AnswerKind::OtherRequest => {
+            let detail = "the backend server answered another request";
+            Err(Refusal::may_have_run(Reason::BackendLost, detail))
         }
     }
 }
--- a/crates/nutmegwheel-node/src/backend_handler.rs
+++ b/crates/nutmegwheel-node/src/backend_handler.rs
@@ -129,12 +129,12 @@
         expires_at: now + report.valid_for,
     });
     if before.is_none_or(|before| before.backend != backend) {
-        shared
-            .admission
-            .set_announced_slots(now, backend.slots, is_new);
         if is_new {
             shared.failure_rate().reset();
+            shared.server_limit().reset();
         }
+        let slots = shared.server_limit().slots(backend.slots);
+        shared.admission.set_announced_slots(now, slots, is_new);
         journal_announcement(shared, &backend);
         shared.backend_changed();
     }
--- a/crates/nutmegwheel-node/src/dialect.rs
+++ b/crates/nutmegwheel-node/src/dialect.rs
@@ -103,6 +103,24 @@
     }
 }
 
+/// The limit that an answer of a backend server names, in requests per second of all nodes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum NamedRate {
+    /// It names none, so an earlier one has ended.
+    None,
+    /// It names this one, which is finite and not negative.
+    PerSecond(f64),
+    /// It names one that cannot be read, with this text.
+    Malformed(String),
+}
+
+/// What a backend server says about itself in an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Notice {
+    /// The limit that it names.
+    pub rate: NamedRate,
+}
+
 /// Header fields in the order in which they are forwarded.
 pub type Fields = Vec<(HeaderName, HeaderValue)>;
 
@@ -135,6 +153,8 @@
         fields: &[(HeaderName, HeaderValue)],
         head: &response::Parts,
     ) -> AnswerKind;
+    /// Reads what a backend server says about itself in an answer.
+    fn read_notice(&self, head: &response::Parts) -> Notice;
     /// Writes a refusal as a response.
     fn refuse(&self, refused: &Refused<'_>) -> Response;
 }
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -30,14 +30,15 @@
 mod routes;
 mod running;
 mod serve;
+mod server_limit;
 mod shared;
 mod state_watcher;
 mod token_limiter;
 mod views;
 
 pub use dialect::{
-    Alive, AnswerKind, Dialect, Fields, Heartbeat, IngressFields, Refused, RequestInfo,
-    TargetFields,
+    Alive, AnswerKind, Dialect, Fields, Heartbeat, IngressFields, NamedRate, Notice, Refused,
+    RequestInfo, TargetFields,
 };
 pub use node::{Node, spawn};
 pub use refusal::{Outcome, Reason};
--- a/crates/nutmegwheel-node/src/members.rs
+++ b/crates/nutmegwheel-node/src/members.rs
@@ -68,12 +68,13 @@
 /// Announces the current state of the local backend server to the fleet.
 pub(crate) fn announce(shared: &Arc<Shared>) {
     let announced = shared.local_backend.announced();
-    let announcement = announced.map(|announced| Announcement {
-        service: announced.backend.service,
-        slots: shared
-            .failure_rate()
-            .announced_slots(announced.backend.slots),
-        state: announced.backend.state.into(),
+    let announcement = announced.map(|announced| {
+        let slots = shared.server_limit().slots(announced.backend.slots);
+        Announcement {
+            service: announced.backend.service,
+            slots: shared.failure_rate().announced_slots(slots),
+            state: announced.backend.state.into(),
+        }
     });
     handle(shared, shared.gossip.announce(announcement));
     // The gossip reports other members only, and the ingress node routes to its local backend
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -24,6 +24,7 @@
     members,
     platform::PlatformHandler,
     serve::NodeService,
+    server_limit,
     shared::{LEAVE_PROPAGATION_TIME, Shared},
     token_limiter::TokenLimiter,
 };
@@ -173,7 +174,10 @@
     let cx = shared.clone();
     tree.spawn_interval("expiry", EXPIRY_INTERVAL, move || {
         let cx = cx.clone();
-        async move { cx.expire(Instant::now()) }
+        async move {
+            cx.expire(Instant::now());
+            server_limit::refresh(&cx);
+        }
     });
     let cx = shared.clone();
     tree.spawn_interval("seed", RECOVERY_INTERVAL, move || {
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -18,6 +18,7 @@
     failure_rate, members, quarantine,
     refusal::{Outcome, Reason, Refusal},
     running::{DownstreamServer, Parent},
+    server_limit,
     shared::Shared,
 };
 
@@ -135,6 +136,7 @@
     let endpoint = call.endpoint.clone();
     let req = admission::Request::from_context(&call.context, endpoint, call.deadline);
     let permit = shared.admission.admit(req).await?;
+    server_limit::wait_for_start(shared, call).await?;
     // The conditions may have changed while the request waited.
     check_start(shared, call)?;
     let server = shared.local_backend.ready_for(&call.service)?;
@@ -145,7 +147,15 @@
         .running
         .enter(parent.clone(), shared.local_backend.request_id(call));
     let started_at = Instant::now();
-    let result = shared.local_backend.run(&server, call, entry.token).await;
+    let mut notice = None;
+    let local_backend = &shared.local_backend;
+    let result = local_backend
+        .run(&server, call, entry.token, &mut notice)
+        .await;
+    if let Some(notice) = notice {
+        shared.server_limit().record_duration(started_at.elapsed());
+        server_limit::observe(shared, &server, &notice.rate);
+    }
     permit.complete(completion(&result));
     failure_rate::record(shared, call, parent, &result, started_at.elapsed());
     match &result {
--- /dev/null
+++ b/crates/nutmegwheel-node/src/server_limit.rs
@@ -0,0 +1,88 @@
+//! Holds the local backend server to the rate that it names in its answers.
+//!
+//! This node is its only caller, so no other node has to know the rate. The others see fewer slots
+//! and send less.
+
+use std::{sync::Arc, time::Instant};
+
+use nutmegwheel_events::Event;
+
+use crate::{
+    backend::Announcement,
+    call::Call,
+    dialect::NamedRate,
+    members,
+    refusal::{Reason, Refusal},
+    shared::Shared,
+};
+
+/// Waits until the limit allows another request.
+///
+/// The request keeps its place in admission meanwhile, so that the requests behind it stay in the
+/// order of their priorities.
+pub(crate) async fn wait_for_start(shared: &Shared, call: &Call) -> Result<(), Refusal> {
+    loop {
+        let now = Instant::now();
+        let Err(wait) = shared.server_limit().try_start(now) else {
+            return Ok(());
+        };
+        if wait >= call.deadline.saturating_duration_since(now) {
+            let detail = "the backend server's limit allows no start before the deadline";
+            let refusal = Refusal::not_run(Reason::Overloaded, detail);
+            return Err(refusal.with_retry_after(wait));
+        }
+        tokio::time::sleep(wait).await;
+    }
+}
+
+/// Records the rate that an answer of `server` names. Answers of earlier instances are ignored.
+pub(crate) fn observe(shared: &Arc<Shared>, server: &Announcement, rate: &NamedRate) {
+    if !shared.local_backend.is_current(server) {
+        return;
+    }
+    let rate = match rate {
+        NamedRate::None => None,
+        NamedRate::PerSecond(rate) => Some(*rate),
+        NamedRate::Malformed(text) => {
+            shared
+                .journal
+                .emit_rate_limited(Event::AnswerFieldRefused, &[("value", text)]);
+            return;
+        }
+    };
+    let before = shared.server_limit().rate();
+    if !shared.server_limit().observe(Instant::now(), rate) {
+        return;
+    }
+    shared.journal.emit_rate_limited(
+        Event::BackendLimited,
+        &[
+            ("service", &server.backend.service),
+            ("per_second", &rate_to_text(rate)),
+            ("before", &rate_to_text(before)),
+        ],
+    );
+    apply_slots(shared);
+}
+
+/// Adapts the slots to the time that the backend server needs now, if it named a limit.
+pub(crate) fn refresh(shared: &Arc<Shared>) {
+    if shared.server_limit().rate().is_some() {
+        apply_slots(shared);
+    }
+}
+
+fn apply_slots(shared: &Arc<Shared>) {
+    let Some(announced) = shared.local_backend.announced() else {
+        return;
+    };
+    let slots = shared.server_limit().slots(announced.backend.slots);
+    shared
+        .admission
+        .set_announced_slots(Instant::now(), slots, false);
+    members::announce(shared);
+}
+
+fn rate_to_text(rate: Option<f64>) -> String {
+    rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string())
+}
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -9,7 +9,7 @@
 
 use nutmegwheel_config::{Concurrency, Dialect, Settings};
 use nutmegwheel_events::{Journal, Timestamp};
-use nutmegwheel_limits::messages::IngressId;
+use nutmegwheel_limits::{messages::IngressId, server_limit::ServerLimit};
 use nutmegwheel_link::Endpoint;
 use nutmegwheel_policy::{
     dependencies::Dependencies,
@@ -70,6 +70,7 @@
     pub(crate) splits: Mutex<TrafficSplits>,
     registration: Mutex<Registration>,
     failure_rate: Mutex<FailureRate>,
+    server_limit: Mutex<ServerLimit>,
     pub(crate) running: Running,
     pub(crate) routes: Routes,
     pub(crate) admission: AdmissionController,
@@ -145,6 +146,7 @@
             splits: Mutex::default(),
             registration: Mutex::default(),
             failure_rate: Mutex::new(FailureRate::open(failure_rate::Options::default())),
+            server_limit: Mutex::default(),
             running: Running::default(),
             metrics: Metrics::open(),
             state_watcher: StateWatcher::default(),
@@ -224,6 +226,12 @@
         failure_rate.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The limit that the local backend server named.
+    pub(crate) fn server_limit(&self) -> MutexGuard<'_, ServerLimit> {
+        let server_limit = self.server_limit.lock();
+        server_limit.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The number of callers' requests and nested calls that this process is handling.
     pub(crate) fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::SeqCst)
--- a/crates/nutmegwheel/tests/platform_notices.rs
+++ b/crates/nutmegwheel/tests/platform_notices.rs
@@ -104,8 +104,12 @@
     let most = most_in_window(&runs);
     assert!(most <= ALLOWED, "{most} in {WINDOW:?}, allowed {ALLOWED}");
     assert!(most >= PER_SECOND, "{most} in {WINDOW:?}: it takes more");
-    let served = statuses.iter().filter(|status| **status == 200).count();
-    assert_eq!(served, statuses.len(), "the other backend server has room");
+    let answered = statuses.iter().filter(|status| **status == 200).count();
+    assert_eq!(
+        answered,
+        statuses.len(),
+        "the other backend server has room"
+    );
 }
 
 // Guards against a limit that outlives its naming.
@@ -136,6 +140,10 @@
     let statuses = load(&fleet, DRAIN + WINDOW).await;
     let late = runs_after(&fleet, server, said_at + DRAIN);
     assert!(late.is_empty(), "{} late runs", late.len());
-    let served = statuses.iter().filter(|status| **status == 200).count();
-    assert_eq!(served, statuses.len(), "the other backend server has room");
+    let answered = statuses.iter().filter(|status| **status == 200).count();
+    assert_eq!(
+        answered,
+        statuses.len(),
+        "the other backend server has room"
+    );
 }
