--- a/crates/nutmegwheel-node/src/dialect.rs
+++ b/crates/nutmegwheel-node/src/dialect.rs
@@ -103,22 +103,13 @@
     }
 }
 
-/// The limit that an answer of a backend server names, in requests per second of all nodes.
-#[derive(Clone, Debug, PartialEq)]
-pub enum NamedRate {
-    /// It names none, so an earlier one has ended.
-    None,
-    /// It names this one, which is finite and not negative.
-    PerSecond(f64),
-    /// It names one that cannot be read, with this text.
-    Malformed(String),
-}
-
-/// What a backend server says about itself in an answer.
+/// What a backend server says about itself in an answer. A field that cannot be read is an error
+/// with its text.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Notice {
-    /// The limit that it names.
-    pub rate: NamedRate,
+    /// The limit that it names, in requests per second of all nodes, or `None` if it names none, so
+    /// that an earlier one has ended. It is finite and not negative.
+    pub rate: Result<Option<f64>, String>,
 }
 
 /// Header fields in the order in which they are forwarded.
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -37,8 +37,8 @@
 mod views;
 
 pub use dialect::{
-    Alive, AnswerKind, Dialect, Fields, Heartbeat, IngressFields, NamedRate, Notice, Refused,
-    RequestInfo, TargetFields,
+    Alive, AnswerKind, Dialect, Fields, Heartbeat, IngressFields, Notice, Refused, RequestInfo,
+    TargetFields,
 };
 pub use node::{Node, spawn};
 pub use refusal::{Outcome, Reason};
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -154,7 +154,7 @@
         .await;
     if let Some(notice) = notice {
         shared.server_limit().record_duration(started_at.elapsed());
-        server_limit::observe(shared, &server, &notice.rate);
+        server_limit::observe(shared, &server, notice.rate);
     }
     permit.complete(completion(&result));
     failure_rate::record(shared, call, parent, &result, started_at.elapsed());
--- a/crates/nutmegwheel-node/src/server_limit.rs
+++ b/crates/nutmegwheel-node/src/server_limit.rs
@@ -10,7 +10,6 @@
 use crate::{
     backend::Announcement,
     call::Call,
-    dialect::NamedRate,
     members,
     refusal::{Reason, Refusal},
     shared::Shared,
@@ -36,17 +35,20 @@
 }
 
 /// Records the rate that an answer of `server` names. Answers of earlier instances are ignored.
-pub(crate) fn observe(shared: &Arc<Shared>, server: &Announcement, rate: &NamedRate) {
+pub(crate) fn observe(
+    shared: &Arc<Shared>,
+    server: &Announcement,
+    rate: Result<Option<f64>, String>,
+) {
     if !shared.local_backend.is_current(server) {
         return;
     }
     let rate = match rate {
-        NamedRate::None => None,
-        NamedRate::PerSecond(rate) => Some(*rate),
-        NamedRate::Malformed(text) => {
+        Ok(rate) => rate,
+        Err(text) => {
             shared
                 .journal
-                .emit_rate_limited(Event::AnswerFieldRefused, &[("value", text)]);
+                .emit_rate_limited(Event::AnswerFieldRefused, &[("value", &text)]);
             return;
         }
     };
