fix(node): send nothing new to a backend server that says it leaves

Cause: only heartbeats told a node that its backend server leaves; the field of the answers was passed on unread, and a heartbeat that says ready may arrive seconds after it was sent.

Change: the adapter reads the field; the first answer that has it makes the instance leaving, as a heartbeat would, for as long as that instance runs (policy, registration.rs).

--- a/crates/nutmegwheel-events/src/catalogue.rs
+++ b/crates/nutmegwheel-events/src/catalogue.rs
@@ -72,6 +72,8 @@
     BackendLimited = 207, "backend-limited", Warn;
     /// A backend server's answer has a field that could not be decoded.
     AnswerFieldRefused = 208, "answer-field-refused", Warn;
+    /// A backend server says in its answers that it leaves, and gets no new requests.
+    BackendLeaving = 209, "backend-leaving", Info;
     /// The load shedding level of a node changed.
     ShedLevelChanged = 300, "shed-level-changed", Warn;
     /// A request used up the retry budget of its call chain.
--- a/crates/nutmegwheel-node/src/backend.rs
+++ b/crates/nutmegwheel-node/src/backend.rs
@@ -96,6 +96,15 @@
         self.lock().replace(announcement)
     }
 
+    /// Marks the backend server as leaving, if it is still this incarnation.
+    pub(crate) fn set_leaving(&self, incarnation: Incarnation) {
+        let mut announced = self.lock();
+        let current = announced.as_mut();
+        if let Some(current) = current.filter(|a| a.backend.incarnation == incarnation) {
+            current.backend.state = BackendState::Leaving;
+        }
+    }
+
     /// Removes and returns the announcement of a backend server that was found to have crashed.
     pub(crate) fn remove_crashed(&self, address: SocketAddr) -> Option<Announcement> {
         self.lock()
--- a/crates/nutmegwheel-node/src/dialect.rs
+++ b/crates/nutmegwheel-node/src/dialect.rs
@@ -110,6 +110,8 @@
     /// The limit that it names, in requests per second of all nodes, or `None` if it names none, so
     /// that an earlier one has ended. It is finite and not negative.
     pub rate: Result<Option<f64>, String>,
+    /// Whether it says that it leaves, after which it must get no new requests.
+    pub is_leaving: Result<bool, String>,
 }
 
 /// Header fields in the order in which they are forwarded.
--- a/crates/nutmegwheel-node/src/heartbeat_handler.rs
+++ b/crates/nutmegwheel-node/src/heartbeat_handler.rs
@@ -83,7 +83,7 @@
 }
 
 fn announce(shared: &Arc<Shared>, alive: Alive, is_new: bool) {
-    let state = if alive.is_ready {
+    let state = if alive.is_ready && !shared.registration().is_leaving() {
         BackendState::Ready
     } else {
         BackendState::Leaving
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -24,6 +24,7 @@
 mod members;
 mod metrics;
 mod node;
+mod notice;
 mod platform;
 mod quarantine;
 mod refusal;
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -15,7 +15,7 @@
 use crate::{
     at_most_once,
     call::{self, Answer, Call},
-    failure_rate, members, quarantine,
+    failure_rate, members, notice, quarantine,
     refusal::{Outcome, Reason, Refusal},
     running::{DownstreamServer, Parent},
     server_limit,
@@ -147,14 +147,13 @@
         .running
         .enter(parent.clone(), shared.local_backend.request_id(call));
     let started_at = Instant::now();
-    let mut notice = None;
+    let mut said = None;
     let local_backend = &shared.local_backend;
     let result = local_backend
-        .run(&server, call, entry.token, &mut notice)
+        .run(&server, call, entry.token, &mut said)
         .await;
-    if let Some(notice) = notice {
-        shared.server_limit().record_duration(started_at.elapsed());
-        server_limit::observe(shared, &server, notice.rate);
+    if let Some(notice) = said {
+        notice::apply(shared, &server, notice, started_at.elapsed());
     }
     permit.complete(completion(&result));
     failure_rate::record(shared, call, parent, &result, started_at.elapsed());
--- a/crates/nutmegwheel-node/src/server_limit.rs
+++ b/crates/nutmegwheel-node/src/server_limit.rs
@@ -6,9 +6,9 @@
 use std::{sync::Arc, time::Instant};
 
 use nutmegwheel_events::Event;
+use nutmegwheel_types::ServiceId;
 
 use crate::{
-    backend::Announcement,
     call::Call,
     members,
     refusal::{Reason, Refusal},
@@ -34,24 +34,8 @@
     }
 }
 
-/// Records the rate that an answer of `server` names. Answers of earlier instances are ignored.
-pub(crate) fn observe(
-    shared: &Arc<Shared>,
-    server: &Announcement,
-    rate: Result<Option<f64>, String>,
-) {
-    if !shared.local_backend.is_current(server) {
-        return;
-    }
-    let rate = match rate {
-        Ok(rate) => rate,
-        Err(text) => {
-            shared
-                .journal
-                .emit_rate_limited(Event::AnswerFieldRefused, &[("value", &text)]);
-            return;
-        }
-    };
+/// Records the rate that the newest answer of the backend server names.
+pub(crate) fn observe(shared: &Arc<Shared>, service: &ServiceId, rate: Option<f64>) {
     let before = shared.server_limit().rate();
     if !shared.server_limit().observe(Instant::now(), rate) {
         return;
@@ -59,7 +43,7 @@
     shared.journal.emit_rate_limited(
         Event::BackendLimited,
         &[
-            ("service", &server.backend.service),
+            ("service", service),
             ("per_second", &rate_to_text(rate)),
             ("before", &rate_to_text(before)),
         ],
--- a/crates/nutmegwheel-policy/src/registration.rs
+++ b/crates/nutmegwheel-policy/src/registration.rs
@@ -41,6 +41,9 @@
     struct Current {
         instance: Instance,
         sequence: u64,
+        /// Whether the instance has said in an answer that it leaves. Heartbeats that were sent
+        /// before may arrive later.
+        is_leaving: bool,
     }
 }
 
@@ -63,8 +66,12 @@
             _ => {
                 self.newest_start_ms = instance.started_at_ms;
                 self.is_down = false;
-                let instance = instance.clone();
-                if let Some(previous) = self.current.replace(Current { instance, sequence }) {
+                let current = Current {
+                    instance: instance.clone(),
+                    sequence,
+                    is_leaving: false,
+                };
+                if let Some(previous) = self.current.replace(current) {
                     self.record_ended(previous.instance);
                 }
                 HeartbeatStatus::NewInstance
@@ -72,6 +79,25 @@
         }
     }
 
+    /// Records that the instance with this id says in an answer that it leaves, and returns whether
+    /// it is the current one and has not said so before. It does not come back.
+    pub fn record_leaving(&mut self, id: &str) -> bool {
+        let current = self.current.as_mut();
+        let staying = current.filter(|current| &*current.instance.id == id && !current.is_leaving);
+        staying.is_some_and(|current| {
+            current.is_leaving = true;
+            true
+        })
+    }
+
+    /// Whether the current instance has said in an answer that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.current
+            .as_ref()
+            .is_some_and(|current| current.is_leaving)
+    }
+
     /// Records that an instance has ended and returns whether it was the current one.
     ///
     /// Without `started_at_ms`, the current instance has ended if it has this id.
--- a/crates/nutmegwheel-policy/tests/registration.rs
+++ b/crates/nutmegwheel-policy/tests/registration.rs
@@ -94,3 +94,22 @@
         HeartbeatStatus::NewInstance
     );
 }
+
+// Guards against DRAIN: a heartbeat that was sent before the instance said that it leaves arrives
+// after that and revives it.
+#[test]
+fn leaving_instance_stays_leaving_until_another_one_runs() {
+    let mut registration = Registration::default();
+    registration.heartbeat(&instance("a", 10), 1);
+    assert!(!registration.record_leaving("b"), "an earlier instance");
+    assert!(!registration.is_leaving());
+    assert!(registration.record_leaving("a"));
+    assert!(!registration.record_leaving("a"), "it has said so before");
+    registration.heartbeat(&instance("a", 10), 2);
+    assert!(registration.is_leaving());
+    registration.mark_down();
+    registration.heartbeat(&instance("a", 10), 3);
+    assert!(registration.is_leaving());
+    registration.heartbeat(&instance("a", 20), 1);
+    assert!(!registration.is_leaving(), "it started again under its id");
+}
