fix(node): try elsewhere when a backend server's answer does not end

What callers would see: 502 for a request that may be repeated, while another backend server would answer it.

Cause: an answer that passed 4 MiB counted as too large whatever it was, and is not asked for again, as a true answer of that size would come again.

Change: an answer whose announced length is too large is refused before it is read. One that announces none and does not end within the size is a bad answer: it counts as a failure of the backend server, its connection is closed, and the request is sent to another one where it may run twice.

--- a/crates/nutmegwheel-node/src/attempt.rs
+++ b/crates/nutmegwheel-node/src/attempt.rs
@@ -99,7 +99,9 @@
             | Reason::NoBackendServer
             | Reason::Leaving => RouteOutcome::Refused,
             Reason::LinkLost if refusal.outcome == Outcome::NotRun => RouteOutcome::Unreachable,
-            Reason::BackendLost | Reason::LinkLost | Reason::AnswerTooLarge => RouteOutcome::Failed,
+            Reason::BackendLost | Reason::LinkLost | Reason::BadAnswer | Reason::AnswerTooLarge => {
+                RouteOutcome::Failed
+            }
             Reason::Deadline if refusal.outcome == Outcome::MayHaveRun => RouteOutcome::Failed,
             _ => RouteOutcome::Cancelled,
         },
--- a/crates/nutmegwheel-node/src/backend.rs
+++ b/crates/nutmegwheel-node/src/backend.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Uri};
 use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::body::Body as _;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
@@ -199,6 +200,10 @@
             let dialect = self.dialect.as_ref();
             *notice = dialect.map(|dialect| dialect.read_notice(&parts));
         }
+        if body.size_hint().lower() > MAX_ANSWER_BYTES as u64 {
+            let detail = format!("the answer is larger than {MAX_ANSWER_BYTES} bytes");
+            return Err(Refusal::may_have_run(Reason::AnswerTooLarge, detail));
+        }
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         let body = body.map_err(|e| read_error(&*e))?.to_bytes();
         check_kind(kind)?;
@@ -262,8 +267,8 @@
 
 fn read_error(e: &(dyn std::error::Error + 'static)) -> Refusal {
     if e.is::<http_body_util::LengthLimitError>() {
-        let detail = format!("the answer is larger than {MAX_ANSWER_BYTES} bytes");
-        Refusal::may_have_run(Reason::AnswerTooLarge, detail)
+        let detail = format!("the answer does not end within {MAX_ANSWER_BYTES} bytes");
+        Refusal::may_have_run(Reason::BadAnswer, detail)
     } else {
         let detail = format!("the answer broke off: {e}");
         Refusal::may_have_run(Reason::BackendLost, detail)
--- a/crates/nutmegwheel-node/src/failure_rate.rs
+++ b/crates/nutmegwheel-node/src/failure_rate.rs
@@ -51,7 +51,7 @@
         _ if parent.with_chain(|chain| chain.depends_on_calls()) => None,
         Ok(_) => Some(true),
         Err(refusal) => match refusal.reason {
-            Reason::BackendLost | Reason::BackendShed => Some(true),
+            Reason::BackendLost | Reason::BadAnswer | Reason::BackendShed => Some(true),
             Reason::Deadline => {
                 let enough =
                     shared.admission.service_time_lower_bound(&call.endpoint) * MIN_SERVICE_TIMES;
--- a/crates/nutmegwheel-node/src/refusal.rs
+++ b/crates/nutmegwheel-node/src/refusal.rs
@@ -79,7 +79,9 @@
     BackendLost = "backend-lost", SERVICE_UNAVAILABLE;
     /// The link to the backend server's node failed.
     LinkLost = "link-lost", SERVICE_UNAVAILABLE;
-    /// The answer exceeds the maximum size.
+    /// The backend server sends bytes that do not end within the maximum size of an answer.
+    BadAnswer = "bad-answer", SERVICE_UNAVAILABLE;
+    /// The length of the answer exceeds the maximum size.
     AnswerTooLarge = "answer-too-large", SERVICE_UNAVAILABLE;
     /// The deadline passed.
     Deadline = "deadline", GATEWAY_TIMEOUT;
