--- a/crates/nutmegwheel-web/src/connections.rs
+++ b/crates/nutmegwheel-web/src/connections.rs
@@ -223,7 +223,9 @@
 
     fn make_room(&self) {
         let closed = self.connections.make_room();
-        self.report(Event::ConnectionsClosed, ("closed", &closed));
+        if closed > 0 {
+            self.report(Event::ConnectionsClosed, ("closed", &closed));
+        }
     }
 
     fn report(&self, event: Event, detail: (&str, &dyn ToString)) {
