fix(node): answer the platform after the listener for callers is open

Cause: a node opened the platform's listener first, so /livez and the readiness check could answer while connections of callers were still refused. That made killed_token_server_grants_no_token_twice fail now and then, which waits for /livez after a restart.

Change: the platform's listener is opened last.

--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -133,12 +133,6 @@
         anyhow::Ok(())
     };
     let shared = || shared.clone();
-    bind(
-        "open listen.platform",
-        Some(listen.platform),
-        None,
-        Arc::new(PlatformHandler { shared: shared() }),
-    )?;
     let (backend, callers): (Arc<dyn Handler>, Arc<dyn Handler>) = match shared().dialect.clone() {
         Some(dialect) => (
             Arc::new(HeartbeatHandler {
@@ -157,6 +151,13 @@
     };
     bind("open listen.backend", listen.backend, None, backend)?;
     bind("open listen.callers", listen.callers, max_callers, callers)?;
+    // The last one, since the platform sends callers to a node that answers there.
+    bind(
+        "open listen.platform",
+        Some(listen.platform),
+        None,
+        Arc::new(PlatformHandler { shared: shared() }),
+    )?;
     Ok(servers)
 }
 
