fix(link): do not take a deadline for passed on a new link

Cause: found while a test that failed once was traced. A dialler that noticed the end of the handshake late put the acceptor's clock that much too low, so for a ping interval a deadline named there was too early, and requests with little time left could be refused though they were in time.

Change: the estimate of the peer's clock is never below it. It starts at the time since the last message of the handshake that the peer had to wait for, and pongs only lower it, unless this side was suspended.

Test: deadline_on_new_link_is_not_too_early; it needs the new argument, so it could not fail before.

--- a/crates/nutmegwheel-link/src/accept.rs
+++ b/crates/nutmegwheel-link/src/accept.rs
@@ -74,7 +74,12 @@
 
 async fn run_link(connected: Connected, core: &Core) {
     let _counted = CountGuard::new(&core.counts.accepted);
-    let link = Link::new(Side::Acceptor, connected.peer, &core.limits);
+    let link = Link::new(
+        Side::Acceptor,
+        connected.peer,
+        &core.limits,
+        connected.peer_opened_after,
+    );
     let service = core.service.clone();
     let driver = Driver::new(link.clone(), connected.stream, connected.input, service);
     let reason = driver
--- a/crates/nutmegwheel-link/src/connect.rs
+++ b/crates/nutmegwheel-link/src/connect.rs
@@ -1,6 +1,6 @@
 //! Opens and accepts the TCP connections of links, and runs the handshake over them.
 
-use std::{io, net::SocketAddr};
+use std::{io, net::SocketAddr, time::Instant};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
@@ -44,6 +44,8 @@
 pub(crate) struct Connected {
     pub(crate) stream: TcpStream,
     pub(crate) peer: Peer,
+    /// A time before the peer could complete its side of the handshake.
+    pub(crate) peer_opened_after: Instant,
     /// The bytes that were read after the end of the handshake.
     pub(crate) input: BytesMut,
 }
@@ -86,9 +88,10 @@
     framed.send(hello).await?;
     let challenge = receive(&mut framed).await?;
     let (identity, proof) = dialler.prove(&credentials.secret, challenge)?;
+    let peer_opened_after = Instant::now();
     framed.send(proof).await?;
     receive(&mut framed).await?;
-    finish(framed, identity)
+    finish(framed, identity, peer_opened_after)
 }
 
 /// Runs the acceptor's side of the handshake.
@@ -107,8 +110,9 @@
     )?;
     framed.send(challenge).await?;
     let identity = acceptor.finish(receive(&mut framed).await?)?;
+    let peer_opened_after = Instant::now();
     framed.send(Bytes::new()).await?;
-    finish(framed, identity)
+    finish(framed, identity, peer_opened_after)
 }
 
 type HandshakeStream = Framed<TcpStream, LengthDelimitedCodec>;
@@ -127,11 +131,16 @@
     }
 }
 
-fn finish(framed: HandshakeStream, identity: Identity) -> Result<Connected, ConnectError> {
+fn finish(
+    framed: HandshakeStream,
+    identity: Identity,
+    peer_opened_after: Instant,
+) -> Result<Connected, ConnectError> {
     let parts = framed.into_parts();
     let remote = parts.io.peer_addr()?;
     Ok(Connected {
         peer: peer(identity, remote),
+        peer_opened_after,
         stream: parts.io,
         input: parts.read_buf,
     })
--- a/crates/nutmegwheel-link/src/link/mod.rs
+++ b/crates/nutmegwheel-link/src/link/mod.rs
@@ -75,9 +75,15 @@
 }
 
 impl Link {
-    pub(crate) fn new(side: Side, peer: Peer, limits: &Limits) -> Arc<Self> {
+    /// Creates one side of a link; see [`Mux::new`].
+    pub(crate) fn new(
+        side: Side,
+        peer: Peer,
+        limits: &Limits,
+        peer_opened_after: Instant,
+    ) -> Arc<Self> {
         let state = State {
-            mux: Mux::new(side, limits, now()),
+            mux: Mux::new(side, limits, now(), peer_opened_after),
             waiters: SecondaryMap::new(),
             running: HashMap::new(),
             reason: Arc::from("by the far side"),
--- a/crates/nutmegwheel-link/src/mux/clock.rs
+++ b/crates/nutmegwheel-link/src/mux/clock.rs
@@ -1,23 +1,24 @@
 use std::time::{Duration, Instant};
 
-/// The clocks of both sides of a link, each of which starts when the handshake ends on its side.
+/// The clocks of both sides of a link, each of which starts with the link on its side.
 ///
 /// A deadline is sent as a time on the receiver's clock, so that the time in which the request was
 /// held up on the way counts.
 #[derive(Debug)]
 pub(crate) struct Clocks {
     opened_at: Instant,
-    /// The peer's clock at `estimated_at`, or less.
+    /// The peer's clock at `estimated_at`, or more, so that no deadline is too early.
     estimate: Duration,
     estimated_at: Instant,
 }
 
 impl Clocks {
-    pub(crate) fn new(now: Instant) -> Self {
+    /// Starts the clocks at `now`; the link on the peer's side was opened after `peer_opened_after`.
+    pub(crate) fn new(now: Instant, peer_opened_after: Instant) -> Self {
         Self {
             opened_at: now,
             estimate: Duration::ZERO,
-            estimated_at: now,
+            estimated_at: peer_opened_after,
         }
     }
 
@@ -31,17 +32,22 @@
         self.opened_at.checked_add(time)
     }
 
-    /// The time on the peer's clock at `at`, or less.
+    /// The time on the peer's clock at `at`, or more.
     pub(crate) fn peer(&self, at: Instant) -> Duration {
         self.estimate + at.saturating_duration_since(self.estimated_at)
     }
 
     /// Records the time that the peer reported in answer to a ping sent at `asked_at`.
-    ///
-    /// Its clock may have stood still, or this side's, while a VM was suspended.
     pub(crate) fn observe(&mut self, now: Instant, asked_at: Instant, reported: Duration) {
         let latest = reported + now.saturating_duration_since(asked_at);
-        self.estimate = self.peer(now).clamp(reported, latest);
+        let estimate = self.peer(now);
+        // The estimate is behind if this side's VM was suspended and its clock stood still.
+        let is_behind = estimate < reported;
+        self.estimate = if is_behind {
+            latest
+        } else {
+            estimate.min(latest)
+        };
         self.estimated_at = now;
     }
 }
--- a/crates/nutmegwheel-link/src/mux/mod.rs
+++ b/crates/nutmegwheel-link/src/mux/mod.rs
@@ -50,9 +50,10 @@
 }
 
 impl Mux {
-    /// Creates one side of a link whose handshake has completed.
+    /// Creates one side of a link whose handshake has completed. The peer's side was created after
+    /// `peer_opened_after`.
     #[must_use]
-    pub fn new(side: Side, limits: &Limits, now: Instant) -> Self {
+    pub fn new(side: Side, limits: &Limits, now: Instant, peer_opened_after: Instant) -> Self {
         Self {
             side,
             limits: limits.clone(),
@@ -60,7 +61,7 @@
             incoming: IncomingRequests::new(limits),
             control: ControlQueue::default(),
             liveness: Liveness::new(limits, now),
-            clocks: Clocks::new(now),
+            clocks: Clocks::new(now, peer_opened_after),
             events: VecDeque::new(),
             encoded: 0,
             written: 0,
--- a/crates/nutmegwheel-link/src/pool.rs
+++ b/crates/nutmegwheel-link/src/pool.rs
@@ -259,7 +259,12 @@
 async fn run_link(pool: &Arc<Pool>, connected: Connected) {
     let core = &pool.core;
     let _counted = CountGuard::new(&core.counts.dialled);
-    let link = Link::new(Side::Dialler, connected.peer, &core.limits);
+    let link = Link::new(
+        Side::Dialler,
+        connected.peer,
+        &core.limits,
+        connected.peer_opened_after,
+    );
     let service = core.service.clone();
     let driver = Driver::new(link.clone(), connected.stream, connected.input, service);
     pool.add(&link);
--- a/crates/nutmegwheel-link/tests/mux.rs
+++ b/crates/nutmegwheel-link/tests/mux.rs
@@ -31,8 +31,8 @@
 impl Pair {
     fn new(limits: &Limits) -> Self {
         let now = Instant::now();
-        let a = Mux::new(Side::Dialler, limits, now);
-        let b = Mux::new(Side::Acceptor, limits, now);
+        let a = Mux::new(Side::Dialler, limits, now, now);
+        let b = Mux::new(Side::Acceptor, limits, now, now);
         Self { a, b, now }
     }
 
@@ -157,6 +157,30 @@
     assert!(matches!(&outcomes[..], [.., Event::Replied { call, .. }] if *call == in_time));
 }
 
+// Guards against requests on a new link that are refused although they are in time, because the
+// dialler noticed the end of the handshake late.
+#[test]
+fn deadline_on_new_link_is_not_too_early() {
+    let limits = Limits::default();
+    let start = Instant::now();
+    let late = start + 200 * MS;
+    let mut a = Mux::new(Side::Dialler, &limits, late, start);
+    let mut b = Mux::new(Side::Acceptor, &limits, start, start);
+    a.open(request(ECHO, "", ""), Some(late + 50 * MS), late)
+        .unwrap();
+    deliver(&mut a, &mut b, late + 10 * MS);
+    let requested = events(&mut b);
+    let [
+        Event::Requested {
+            deadline: Some(at), ..
+        },
+    ] = &requested[..]
+    else {
+        panic!("{requested:?}");
+    };
+    assert!(*at >= late + 50 * MS);
+}
+
 // Guards against requests that are refused although they are in time, because a VM was suspended
 // and its clock stood still.
 #[test]
@@ -432,7 +456,7 @@
         ..Limits::default()
     };
     let mut pair = Pair::new(&limits);
-    pair.a = Mux::new(Side::Dialler, &Limits::default(), pair.now);
+    pair.a = Mux::new(Side::Dialler, &Limits::default(), pair.now, pair.now);
     let calls = [pair.call("1"), pair.call("2"), pair.call("3")];
     pair.exchange();
     assert_eq!(
