--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -147,12 +147,12 @@
         .running
         .enter(parent.clone(), shared.local_backend.request_id(call));
     let started_at = Instant::now();
-    let mut said = None;
+    let mut notice = None;
     let local_backend = &shared.local_backend;
     let result = local_backend
-        .run(&server, call, entry.token, &mut said)
+        .run(&server, call, entry.token, &mut notice)
         .await;
-    if let Some(notice) = said {
+    if let Some(notice) = notice {
         notice::apply(shared, &server, notice, started_at.elapsed());
     }
     permit.complete(completion(&result));
