fix(membership): look for lost control VMs only after joining

What callers saw: right after the start of a fleet, a request with an idempotency key got 503 claim-unavailable, "a majority of the home's seeds is out of reach".

Cause: the search for lost control VMs began at the first tick. A process that starts knows no control VM, so it sent digests to three contacts a second, with leases the seeds of all data centres, most of which were not listening yet. The failed connections put those peers into backoff, in which calls fail at once.

Change: the search waits until the process has joined, as joining looks for contacts one at a time; with leases it never takes contacts for control VMs.

--- a/crates/nutmegwheel-membership/src/gossip/dissemination.rs
+++ b/crates/nutmegwheel-membership/src/gossip/dissemination.rs
@@ -196,9 +196,16 @@
     /// Sends digests to control VMs that were declared dead. One that restarted knows only the
     /// other control VMs, and no member sends it anything otherwise.
     fn reconnect_to_control(&mut self) {
+        // Until then, peers may not have started, and joining looks for them.
+        if !self.timers.is_joined {
+            return;
+        }
         let mut lost = self.table.dead_control().to_vec();
         if self.table.control().is_empty() {
-            lost.extend(&self.options.contacts);
+            // With leases, the contacts are the seeds of all data centres.
+            if !self.options.needs_lease {
+                lost.extend(&self.options.contacts);
+            }
             lost.retain(|address| *address != self.options.link);
             lost.sort_unstable();
             lost.dedup();
--- a/crates/nutmegwheel-membership/tests/contacts.rs
+++ b/crates/nutmegwheel-membership/tests/contacts.rs
@@ -105,3 +105,24 @@
     let max_contacts = usize::try_from(OBSERVATION_TIME.as_secs() / 2).unwrap();
     assert!(contacted <= max_contacts, "{contacted} digests to contacts");
 }
+
+// Guards against failed connections at the start of a fleet, which delay the first calls to peers
+// that start at the same time.
+#[test]
+fn contacts_one_process_at_a_time_before_it_has_joined() {
+    for needs_lease in [true, false] {
+        let mut gossip = process(needs_lease, &CONTROL);
+        let start = Instant::now();
+        let mut now = start;
+        let mut digests = 0;
+        while now < start + PROPAGATION_LIMIT {
+            let sent = gossip.tick(now).into_iter();
+            digests += sent
+                .filter(|out| matches!(out.message.body, Body::Digest(_)))
+                .count();
+            now += TICK;
+        }
+        let seconds = usize::try_from(PROPAGATION_LIMIT.as_secs()).unwrap();
+        assert!(digests <= seconds, "with leases {needs_lease}: {digests}");
+    }
+}
