fix(node): run few requests until a backend server says if it has a limit

Change: until the first answer of an instance that may name limits, four requests run at a time; the others wait in the order of admission for as long as that answer takes. Other nodes see the slots as before.

--- a/crates/nutmegwheel-limits/src/server_limit.rs
+++ b/crates/nutmegwheel-limits/src/server_limit.rs
@@ -12,12 +12,16 @@
 const MIN_RATE: f64 = 0.5;
 /// The maximum rate, above which a limit has no effect.
 const MAX_RATE: f64 = 1e9;
+/// The number of concurrent requests until the first answer says whether there is a limit.
+const FIRST_REQUESTS: u16 = 4;
 /// The weight of a new duration in the mean.
 const DURATION_WEIGHT: f64 = 0.1;
 
 /// The limit of one backend server, and what is needed to keep to it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ServerLimit {
+    /// Whether no answer has said yet if there is a limit.
+    is_unknown: bool,
     named: Option<Named>,
     /// The mean time in which the backend server answers, in seconds.
     mean_duration: Option<f64>,
@@ -33,8 +37,9 @@
     /// Records the limit that an answer names, in requests per second, or that it names none, and
     /// returns whether that is a change.
     pub fn observe(&mut self, now: Instant, rate: Option<f64>) -> bool {
+        let was_unknown = std::mem::take(&mut self.is_unknown);
         if rate == self.rate() {
-            return false;
+            return was_unknown;
         }
         self.named = rate.map(|rate| {
             let limit = limit(rate);
@@ -59,9 +64,13 @@
         self.mean_duration = Some(mean);
     }
 
-    /// Forgets everything, because another instance of the backend server runs.
-    pub fn reset(&mut self) {
-        *self = Self::default();
+    /// Forgets everything, because another instance of the backend server runs, or this process
+    /// does not know what the instance said before. `names_limits` says whether its answers tell.
+    pub fn reset(&mut self, names_limits: bool) {
+        *self = Self {
+            is_unknown: names_limits,
+            ..Self::default()
+        };
     }
 
     /// Takes a request's token, or returns the time until there is one if nobody takes it before.
@@ -87,6 +96,17 @@
         self.named.as_ref().map(|named| named.rate)
     }
 
+    /// The number of requests that may run at the same time. Until the first answer these are few,
+    /// since the backend server may have named a limit to an earlier process of this node.
+    #[must_use]
+    pub fn concurrency(&self, slots: u16) -> u16 {
+        if self.is_unknown {
+            slots.min(FIRST_REQUESTS)
+        } else {
+            self.slots(slots)
+        }
+    }
+
     /// The number of concurrent requests, of `slots` that the backend server announced, that keep
     /// it busy at the limit. More would only wait.
     #[must_use]
--- a/crates/nutmegwheel-limits/tests/server_limit.rs
+++ b/crates/nutmegwheel-limits/tests/server_limit.rs
@@ -136,3 +136,18 @@
         assert_kept(&started, low);
     }
 }
+
+// Guards against LIMIT: a node that restarted let requests through by slots until the first answer
+// named the limit again.
+#[test]
+fn few_requests_run_until_first_answer() {
+    let mut limit = ServerLimit::default();
+    assert_eq!(limit.concurrency(72), 72, "answers name no limits");
+    limit.reset(true);
+    assert_eq!(limit.concurrency(72), 4);
+    assert_eq!(limit.concurrency(2), 2);
+    assert_eq!(limit.slots(72), 72, "others send as before");
+    assert!(limit.observe(Instant::now(), None), "there is none");
+    assert_eq!(limit.concurrency(72), 72);
+    assert!(!limit.observe(Instant::now(), None));
+}
--- a/crates/nutmegwheel-node/src/backend_handler.rs
+++ b/crates/nutmegwheel-node/src/backend_handler.rs
@@ -131,9 +131,9 @@
     if before.is_none_or(|before| before.backend != backend) {
         if is_new {
             shared.failure_rate().reset();
-            shared.server_limit().reset();
+            shared.server_limit().reset(shared.dialect.is_some());
         }
-        let slots = shared.server_limit().slots(backend.slots);
+        let slots = shared.server_limit().concurrency(backend.slots);
         shared.admission.set_announced_slots(now, slots, is_new);
         journal_announcement(shared, &backend);
         shared.backend_changed();
--- a/crates/nutmegwheel-node/src/server_limit.rs
+++ b/crates/nutmegwheel-node/src/server_limit.rs
@@ -40,14 +40,16 @@
     if !shared.server_limit().observe(Instant::now(), rate) {
         return;
     }
-    shared.journal.emit_rate_limited(
-        Event::BackendLimited,
-        &[
-            ("service", service),
-            ("per_second", &rate_to_text(rate)),
-            ("before", &rate_to_text(before)),
-        ],
-    );
+    if rate != before {
+        shared.journal.emit_rate_limited(
+            Event::BackendLimited,
+            &[
+                ("service", service),
+                ("per_second", &rate_to_text(rate)),
+                ("before", &rate_to_text(before)),
+            ],
+        );
+    }
     apply_slots(shared);
 }
 
@@ -62,7 +64,7 @@
     let Some(announced) = shared.local_backend.announced() else {
         return;
     };
-    let slots = shared.server_limit().slots(announced.backend.slots);
+    let slots = shared.server_limit().concurrency(announced.backend.slots);
     shared
         .admission
         .set_announced_slots(Instant::now(), slots, false);
--- a/crates/nutmegwheel/tests/platform_notices.rs
+++ b/crates/nutmegwheel/tests/platform_notices.rs
@@ -112,6 +112,26 @@
     );
 }
 
+// Guards against LIMIT: the node beside the backend server restarts, has forgotten the limit, and
+// lets as many requests through as there are slots.
+#[tokio::test(flavor = "multi_thread")]
+async fn limit_is_kept_after_restart_of_node() {
+    const PER_SECOND: usize = 2;
+    const ALLOWED: usize = PER_SECOND * 4 * 3 / 2 + 5;
+    let mut fleet = start().await;
+    let server = &fleet.servers[0];
+    server.set_limit(Some("2"));
+    server.set_work(Duration::from_secs(1));
+    load(&fleet, CONTACT).await;
+    let since = Instant::now();
+    let node = fleet.nodes[0].clone();
+    fleet.kill(&node.name);
+    fleet.launch(&node, false);
+    load(&fleet, CONTACT + WINDOW).await;
+    let most = most_in_window(&runs_after(&fleet, &fleet.servers[0], since));
+    assert!(most <= ALLOWED, "{most} in {WINDOW:?}, allowed {ALLOWED}");
+}
+
 // Guards against a limit that outlives its naming.
 #[tokio::test(flavor = "multi_thread")]
 async fn limit_ends_when_backend_server_takes_it_back() {
