fix(link): stop reading while too many control frames wait

Cause: since a link reads all that has arrived, up to 4 MiB, before it starts requests, and looked only afterwards whether the peer leaves too many control frames unread; before, it looked every 64 KiB.

Change: it looks after each batch, as before. No test of its own: what the kernel buffers hides the difference from a peer. The tests of the crate pass three times.

--- a/crates/nutmegwheel-link/src/link/driver.rs
+++ b/crates/nutmegwheel-link/src/link/driver.rs
@@ -232,7 +232,7 @@
 
     fn receive(&mut self, events: &mut Vec<Event>) -> Result<(), CloseReason> {
         let mut total = 0;
-        while total < MAX_READ_BYTES {
+        while total < MAX_READ_BYTES && self.link.state().mux.wants_read() {
             let n = self.read_batch()?;
             if n == 0 {
                 break;
