--- a/crates/nutmegwheel-node/src/notice.rs
+++ b/crates/nutmegwheel-node/src/notice.rs
@@ -18,16 +18,16 @@
         return;
     }
     shared.server_limit().record_duration(duration);
-    if let Some(rate) = accept(shared, notice.rate) {
+    if let Some(rate) = readable(shared, notice.rate) {
         server_limit::observe(shared, &server.backend.service, rate);
     }
-    if accept(shared, notice.is_leaving) == Some(true) {
+    if readable(shared, notice.is_leaving) == Some(true) {
         record_leaving(shared, server);
     }
 }
 
-/// Returns what a field says, or records that it cannot be read.
-fn accept<T>(shared: &Shared, field: Result<T, String>) -> Option<T> {
+/// Returns what a field says, or `None` after recording that it cannot be read.
+fn readable<T>(shared: &Shared, field: Result<T, String>) -> Option<T> {
     let record = |text: &String| {
         shared
             .journal
--- a/crates/nutmegwheel-web/src/connections.rs
+++ b/crates/nutmegwheel-web/src/connections.rs
@@ -251,7 +251,7 @@
                 Err(e) => e,
             };
             self.report(Event::ConnectionRefused, ("error", &error));
-            if !is_of_one_connection(&error) {
+            if !affects_one_connection(&error) {
                 self.make_room();
                 tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
             }
@@ -259,9 +259,9 @@
     }
 }
 
-/// Whether the error concerns one connection only. All others, such as a lack of descriptors, are
+/// Whether the error affects one connection only. All others, such as a lack of descriptors, are
 /// likely to affect the next connection too.
-fn is_of_one_connection(e: &io::Error) -> bool {
+fn affects_one_connection(e: &io::Error) -> bool {
     matches!(
         e.kind(),
         io::ErrorKind::ConnectionRefused
