feat(node): the event of a silent coordinator says why it was silent

A request that was refused with 429 inside its limit left only `hub-silent` with the workspace's name. It did not tell a coordinator that was slow from one that was never asked. The event now has `detail` (the address and the error of the call, or that no control VM is known) and `waited_ms`.

--- a/crates/nutmegwheel-node/src/allotment_limiter.rs
+++ b/crates/nutmegwheel-node/src/allotment_limiter.rs
@@ -14,10 +14,11 @@
     Limit,
     allotment::{Answer, BorrowOutcome, Ingress, REPORT_INTERVAL, Report, Spend},
 };
-use nutmegwheel_link::{Request, Topic};
+use nutmegwheel_link::{CallError, Request, Topic};
 use nutmegwheel_types::WorkspaceId;
 use nutmegwheel_wire::{self as wire, topic};
 use prost::Message;
+use thiserror::Error;
 
 use crate::{refusal::Refusal, shared::Shared};
 
@@ -50,9 +51,9 @@
         loop {
             let sent = Instant::now();
             let message = report_to_wire(shared.allotment_limiter.report(shared, sent));
-            let answer: Option<wire::AllotmentAnswer> =
+            let answer: Result<wire::AllotmentAnswer, _> =
                 call_coordinator(shared, topic::ALLOTMENT, &message).await;
-            if let Some(answer) = answer {
+            if let Ok(answer) = answer {
                 let fractions = answer.parts.into_iter();
                 let fractions = fractions.map(|(workspace, fraction)| (workspace.into(), fraction));
                 let answer = Answer {
@@ -129,18 +130,23 @@
         let message = wire::Borrow {
             workspace: workspace.to_string(),
         };
-        let answer: Option<wire::BorrowAnswer> =
+        let sent = Instant::now();
+        let answer: Result<wire::BorrowAnswer, _> =
             call_coordinator(shared, topic::BORROW, &message).await;
         let outcome = match answer {
-            Some(answer) if answer.granted => BorrowOutcome::Granted,
-            Some(answer) => BorrowOutcome::Denied {
+            Ok(answer) if answer.granted => BorrowOutcome::Granted,
+            Ok(answer) => BorrowOutcome::Denied {
                 retry_after: Duration::from_micros(answer.retry_after_us),
             },
-            None => {
-                let event = Event::CoordinatorSilent;
+            Err(silent) => {
+                let fields: &[(&str, &dyn ToString)] = &[
+                    ("workspace", workspace),
+                    ("waited_ms", &sent.elapsed().as_millis()),
+                    ("detail", &silent),
+                ];
                 shared
                     .journal
-                    .emit_rate_limited(event, &[("workspace", workspace)]);
+                    .emit_rate_limited(Event::CoordinatorSilent, fields);
                 return None;
             }
         };
@@ -182,36 +188,59 @@
 
 coordinator_answer! { AllotmentAnswer BorrowAnswer }
 
+/// Why the coordinator did not answer.
+#[derive(Debug, Error)]
+enum CoordinatorError {
+    #[error("no control VM is known")]
+    NoControlVm,
+    #[error(transparent)]
+    Call(#[from] CallError),
+    #[error("{from}: malformed answer: {source}")]
+    Malformed {
+        from: SocketAddr,
+        source: prost::DecodeError,
+    },
+    #[error("{from} does not know the coordinator")]
+    NotKnown { from: SocketAddr },
+    #[error("{from} was the last of too many redirects")]
+    Redirects { from: SocketAddr },
+}
+
 /// Sends a request to the coordinator, or to any control VM while the coordinator is not known.
 async fn call_coordinator<T: CoordinatorAnswer>(
     shared: &Shared,
     topic: Topic,
     message: &impl Message,
-) -> Option<T> {
-    let endpoint = shared.endpoint()?;
+) -> Result<T, CoordinatorError> {
+    let endpoint = shared.endpoint().ok_or(CoordinatorError::NoControlVm)?;
     let deadline = Instant::now() + ANSWER_TIMEOUT;
     let head = Bytes::from(message.encode_to_vec());
-    let mut to = match *shared.allotment_limiter.coordinator() {
-        Some(coordinator) => coordinator,
-        None => random_link(&shared.gossip.control_links())?,
-    };
-    for _ in 0..=MAX_REDIRECTS {
+    let known = *shared.allotment_limiter.coordinator();
+    let mut from = known
+        .or_else(|| random_link(&shared.gossip.control_links()))
+        .ok_or(CoordinatorError::NoControlVm)?;
+    let mut redirects = 0;
+    loop {
         let req = Request {
             topic,
             head: head.clone(),
             body: Bytes::new(),
         };
-        let reply = endpoint.call(to, req, deadline).await;
-        let answer = reply.ok().and_then(|reply| T::decode(reply.body).ok());
+        let reply = endpoint.call(from, req, deadline).await;
         *shared.allotment_limiter.coordinator() = None;
-        let answer = answer?;
+        let answer = T::decode(reply?.body)
+            .map_err(|source| CoordinatorError::Malformed { from, source })?;
         if answer.is_coordinator() {
-            *shared.allotment_limiter.coordinator() = Some(to);
-            return Some(answer);
+            *shared.allotment_limiter.coordinator() = Some(from);
+            return Ok(answer);
+        }
+        if redirects == MAX_REDIRECTS {
+            return Err(CoordinatorError::Redirects { from });
         }
-        to = answer.coordinator().parse().ok()?;
+        redirects += 1;
+        let leader = answer.coordinator().parse();
+        from = leader.map_err(|_| CoordinatorError::NotKnown { from })?;
     }
-    None
 }
 
 fn random_link(links: &[SocketAddr]) -> Option<SocketAddr> {
