fix(link): dial a peer that has started without waiting for the backoff

What callers saw: 429 "has used up its rate and burst" from a node that had just started, although the workspace was far inside its limit. The node's only way to a token is to borrow one from the coordinator.

Cause: the node had dialled the control VMs before they listened, and the pools of links kept backing off for up to 1 s. Calls in that time fail at once with the error of the last attempt. Neither a link accepted from the control VM nor the gossip's news that it had joined ended the wait.

Change: an accepted link ends the backoff of its peer's pool, and so does a member that joins, whoever reports it. The next attempt starts at once and calls may wait for it.

Result: both new tests failed before (calls_succeed_as_soon_as_started_peer_has_connected, member_that_joined_is_dialled_without_waiting_for_backoff).

--- a/crates/nutmegwheel-link/src/accept.rs
+++ b/crates/nutmegwheel-link/src/accept.rs
@@ -13,6 +13,7 @@
     core::{Core, CountGuard},
     link::{Driver, Link},
     mux::Side,
+    pool::Pools,
 };
 
 /// The pause after a failed accept, so that the loop does not spin while the process is out of file
@@ -20,22 +21,23 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Accepts connections until the endpoint drains or stops.
-pub(crate) async fn run(listener: TcpListener, core: Arc<Core>) {
+pub(crate) async fn run(listener: TcpListener, core: Arc<Core>, pools: Arc<Pools>) {
     tokio::select! {
-        () = accept_all(listener, &core) => {}
+        () = accept_all(listener, &core, &pools) => {}
         () = core.stop.cancelled() => {}
         () = core.drain_accepted.cancelled() => {}
     }
 }
 
-async fn accept_all(listener: TcpListener, core: &Arc<Core>) {
+async fn accept_all(listener: TcpListener, core: &Arc<Core>, pools: &Arc<Pools>) {
     let half_open = Arc::new(Semaphore::new(core.limits.max_half_open));
     loop {
         let accepted = listener.accept().await;
         // Without a permit the connection is dropped, which bounds unauthenticated connections.
         match (accepted, half_open.clone().try_acquire_owned()) {
             (Ok((stream, _)), Ok(permit)) => {
-                core.accepted.spawn(serve(stream, permit, core.clone()));
+                let task = serve(stream, permit, core.clone(), pools.clone());
+                core.accepted.spawn(task);
             }
             (Ok(_), Err(_)) => {}
             (Err(e), _) => pause(&e).await,
@@ -48,7 +50,12 @@
     tokio::time::sleep(ACCEPT_PAUSE).await;
 }
 
-async fn serve(stream: TcpStream, permit: OwnedSemaphorePermit, core: Arc<Core>) {
+async fn serve(
+    stream: TcpStream,
+    permit: OwnedSemaphorePermit,
+    core: Arc<Core>,
+    pools: Arc<Pools>,
+) {
     let result = {
         let _half_open = CountGuard::new(&core.counts.half_open);
         tokio::select! {
@@ -59,7 +66,10 @@
     };
     drop(permit);
     match result {
-        Ok(connected) => run_link(connected, &core).await,
+        Ok(connected) => {
+            pools.end_backoff(connected.peer.address);
+            run_link(connected, &core).await;
+        }
         Err(e) => log::debug!("incoming link refused: {}: {e}", e.step()),
     }
 }
--- a/crates/nutmegwheel-link/src/endpoint.rs
+++ b/crates/nutmegwheel-link/src/endpoint.rs
@@ -1,7 +1,6 @@
 use std::{
-    collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError, atomic::Ordering},
+    sync::{Arc, atomic::Ordering},
     time::Instant,
 };
 
@@ -16,7 +15,7 @@
     handshake::Identity,
     link::{CallFailure, Link, OpenCall},
     mux::{Failure, Rejection},
-    pool::{DialFailure, Pool},
+    pool::{DialFailure, Pool, Pools},
 };
 
 /// The minimum length of the fleet secret.
@@ -50,7 +49,7 @@
 struct Shared {
     core: Arc<Core>,
     address: SocketAddr,
-    pools: Mutex<HashMap<SocketAddr, Arc<Pool>>>,
+    pools: Arc<Pools>,
     calls: TaskTracker,
 }
 
@@ -84,12 +83,13 @@
         let listener = connect::listen(opts.listen).map_err(failed)?;
         let address = listener.local_addr().map_err(failed)?;
         let core = Arc::new(new_core(opts, address, service));
-        tokio::spawn(accept::run(listener, core.clone()));
+        let pools = Arc::new(Pools::open(core.clone()));
+        tokio::spawn(accept::run(listener, core.clone(), pools.clone()));
         Ok(Self {
             shared: Arc::new(Shared {
                 core,
                 address,
-                pools: Mutex::default(),
+                pools,
                 calls: TaskTracker::new(),
             }),
         })
@@ -130,7 +130,7 @@
             dialled_links: counts.dialled.load(Ordering::Relaxed),
             accepted_links: counts.accepted.load(Ordering::Relaxed),
             half_open: counts.half_open.load(Ordering::Relaxed),
-            peers: self.shared.pools().len(),
+            peers: self.shared.pools.len(),
         }
     }
 }
@@ -153,7 +153,7 @@
             return Err(CallError::ShutDown { peer: to });
         }
         let _in_flight = self.shared.calls.token();
-        let pool = self.shared.pool(to);
+        let pool = self.shared.pools.get(to);
         let mut attempts = 0;
         loop {
             attempts += 1;
@@ -169,29 +169,18 @@
         }
     }
 
+    /// Ends the wait before the next attempt to connect to a peer that is known to have started,
+    /// so that calls to it do not fail for the rest of that wait.
+    pub fn end_backoff(&self, peer: SocketAddr) {
+        self.shared.pools.end_backoff(peer);
+    }
+
     /// Sends a one-way message without a delivery guarantee: it may be dropped silently, and
     /// messages may arrive out of order.
     pub fn send(&self, to: SocketAddr, topic: Topic, body: Bytes) {
         if !self.shared.core.drain_dialled.is_cancelled() {
-            self.shared.pool(to).notify(topic, body);
-        }
-    }
-}
-
-impl Shared {
-    fn pools(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Arc<Pool>>> {
-        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn pool(&self, to: SocketAddr) -> Arc<Pool> {
-        let mut pools = self.pools();
-        if let Some(pool) = pools.get(&to) {
-            return pool.clone();
+            self.shared.pools.get(to).notify(topic, body);
         }
-        pools.retain(|_, pool| !pool.is_stale());
-        let pool = Pool::new(to, self.core.clone());
-        pools.insert(to, pool.clone());
-        pool
     }
 }
 
--- a/crates/nutmegwheel-link/src/pool.rs
+++ b/crates/nutmegwheel-link/src/pool.rs
@@ -1,7 +1,7 @@
 //! The pool of links to one peer: dials them, chooses one for each call and replaces lost ones.
 
 use std::{
-    collections::VecDeque,
+    collections::{HashMap, VecDeque},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
@@ -37,6 +37,50 @@
     pub(crate) reason: String,
 }
 
+/// The pools of links to all peers that were called recently.
+pub(crate) struct Pools {
+    core: Arc<Core>,
+    by_address: Mutex<HashMap<SocketAddr, Arc<Pool>>>,
+}
+
+impl Pools {
+    pub(crate) fn open(core: Arc<Core>) -> Self {
+        Self {
+            core,
+            by_address: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.by_address().len()
+    }
+
+    pub(crate) fn get(&self, to: SocketAddr) -> Arc<Pool> {
+        let mut pools = self.by_address();
+        if let Some(pool) = pools.get(&to) {
+            return pool.clone();
+        }
+        pools.retain(|_, pool| !pool.is_stale());
+        let pool = Pool::new(to, self.core.clone());
+        pools.insert(to, pool.clone());
+        pool
+    }
+
+    /// Lets a peer that is known to have started be dialled without waiting for the backoff to end.
+    pub(crate) fn end_backoff(&self, peer: SocketAddr) {
+        let pool = self.by_address().get(&peer).cloned();
+        if let Some(pool) = pool {
+            pool.end_backoff();
+        }
+    }
+
+    fn by_address(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<Pool>>> {
+        self.by_address
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// The links to one address.
 pub(crate) struct Pool {
     address: SocketAddr,
@@ -66,7 +110,7 @@
 }
 
 impl Pool {
-    pub(crate) fn new(address: SocketAddr, core: Arc<Core>) -> Arc<Self> {
+    fn new(address: SocketAddr, core: Arc<Core>) -> Arc<Self> {
         let state = State {
             links: Vec::new(),
             dialling: 0,
@@ -89,7 +133,7 @@
     }
 
     /// Whether the pool can be dropped: it has no links and has been idle for the idle timeout.
-    pub(crate) fn is_stale(&self) -> bool {
+    fn is_stale(&self) -> bool {
         let state = self.state();
         let idle = now().saturating_duration_since(state.last_use);
         state.links.is_empty() && state.dialling == 0 && idle >= self.core.limits.idle_timeout
@@ -204,6 +248,19 @@
         }
     }
 
+    /// Dials again now if the last attempt failed, and lets calls wait for the result.
+    fn end_backoff(self: &Arc<Self>) {
+        {
+            let mut state = self.state();
+            if state.failures == 0 {
+                return;
+            }
+            state.failures = 1;
+            state.next_dial_at = now();
+        }
+        self.replace_lost();
+    }
+
     /// Replaces a lost link before the next call needs it, if the peer was used recently.
     fn replace_lost(self: &Arc<Self>) {
         let now = now();
--- a/crates/nutmegwheel-link/tests/endpoint.rs
+++ b/crates/nutmegwheel-link/tests/endpoint.rs
@@ -8,7 +8,9 @@
 };
 
 use bytes::Bytes;
-use common::{ECHO, LONG, NEVER, endpoint, eventually, request, unused_addr, within};
+use common::{
+    ECHO, LONG, NEVER, endpoint, endpoint_with, eventually, options, request, unused_addr, within,
+};
 use nutmegwheel_link::{CallError, Step};
 
 #[tokio::test]
@@ -101,3 +103,27 @@
     );
     assert!(failed.proves_not_run());
 }
+
+// Guards against calls that fail for the rest of a long backoff although the peer has started.
+#[tokio::test]
+async fn calls_succeed_as_soon_as_started_peer_has_connected() {
+    let mut opts = options("a");
+    opts.limits.min_backoff = LONG;
+    opts.limits.max_backoff = LONG;
+    let (a, _) = endpoint_with(opts).await;
+    let mut opts = options("b");
+    opts.listen = unused_addr();
+    let call = || a.call(opts.listen, request(ECHO, "", ""), within(LONG));
+    for _ in 0..2 {
+        let failed = call().await;
+        assert!(
+            matches!(failed, Err(CallError::NotSent { .. })),
+            "{failed:?}"
+        );
+    }
+    let (b, _) = endpoint_with(opts.clone()).await;
+    b.call(a.local_addr(), request(ECHO, "", ""), within(LONG))
+        .await
+        .unwrap();
+    call().await.unwrap();
+}
--- a/crates/nutmegwheel-spread/src/gossip_service.rs
+++ b/crates/nutmegwheel-spread/src/gossip_service.rs
@@ -200,6 +200,11 @@
         let events = gossip.take_events();
         drop(gossip);
         if let Some(endpoint) = self.endpoint.get() {
+            for event in &events {
+                if let Event::Joined(record) = event {
+                    endpoint.end_backoff(record.link);
+                }
+            }
             for Outgoing { to, message } in outgoing {
                 endpoint.send(to, topic::GOSSIP, wire::encode(&message).into());
             }
