fix(policy): prefer other backend servers for a moment after a failure

What callers saw: 503 retries-spent in place of an answer for an idempotent request, while one of three backend servers broke off every connection and the other two were idle.

Cause: outstanding requests alone were compared, and a backend server that fails fast has none, so it went on getting its part until the fifth failure in a row ejected it. A node that gets little traffic of a fleet of four may make 10/4 retries in 10 s plus 10 % of the first attempts, and had spent them before.

Change: a backend server that failed a request counts as full for 200 ms, doubling with each further failure in a row, as one that refused does for 200 ms. It still serves when the others are fuller.

--- a/crates/nutmegwheel-policy/src/routing/server.rs
+++ b/crates/nutmegwheel-policy/src/routing/server.rs
@@ -6,9 +6,11 @@
 
 /// The fraction of its limit to which a backend server is held at the beginning of a slow start.
 const SLOW_START_MIN_FACTOR: f64 = 0.1;
-/// The penalty that is added to the load after a refusal, or if the server sheds requests of the
-/// priority; 1 is a full limit.
-const REFUSAL_PENALTY: f64 = 1.0;
+/// The penalty that is added to the load after a refusal or failure, or if the server sheds
+/// requests of the priority; 1 is a full limit.
+const PENALTY: f64 = 1.0;
+/// The maximum number of doublings of the time for which a server is penalised or ejected.
+const MAX_DOUBLINGS: u32 = 16;
 
 /// The routing state of one backend server.
 #[derive(Debug)]
@@ -99,7 +101,7 @@
 
     /// Ejects the server; the duration doubles with each ejection up to a maximum.
     pub(crate) fn eject(&mut self, now: Instant, options: &Options) {
-        let factor = 1_u32 << self.ejections.min(16);
+        let factor = 1_u32 << self.ejections.min(MAX_DOUBLINGS);
         let duration = (options.base_ejection_time * factor).min(options.max_ejection_time);
         self.ejections = self.ejections.saturating_add(1);
         self.consecutive_failures = 0;
@@ -135,7 +137,7 @@
     /// The present load, as a multiple of the limit.
     pub(crate) fn current_load(&self, now: Instant, priority: Priority, options: &Options) -> f64 {
         let requests = f64::from(self.outstanding) + self.other_senders_requests(now, options);
-        requests / self.capacity(now, options) + self.refusal_penalty(now, priority, options)
+        requests / self.capacity(now, options) + self.penalty(now, priority, options)
     }
 
     fn capacity(&self, now: Instant, options: &Options) -> f64 {
@@ -169,7 +171,7 @@
         })
     }
 
-    fn refusal_penalty(&self, now: Instant, priority: Priority, options: &Options) -> f64 {
+    fn penalty(&self, now: Instant, priority: Priority, options: &Options) -> f64 {
         let refused_recently = self
             .refused_at
             .is_some_and(|at| now.saturating_duration_since(at) < options.refusal_penalty_time);
@@ -177,12 +179,24 @@
             .fresh_report(now, options)
             .and_then(|(_, report, _)| report.shed_level)
             .is_some_and(|level| priority > level);
-        if refused_recently || sheds_priority {
-            REFUSAL_PENALTY
+        if refused_recently || sheds_priority || self.failed_recently(now, options) {
+            PENALTY
         } else {
             0.0
         }
     }
+
+    /// Whether the last request failed, within a time that doubles with each consecutive failure.
+    ///
+    /// A server that fails fast has few requests outstanding, so its load alone would attract more.
+    fn failed_recently(&self, now: Instant, options: &Options) -> bool {
+        let Some(doublings) = self.consecutive_failures.checked_sub(1) else {
+            return false;
+        };
+        let time = options.failure_penalty_time * (1 << doublings.min(MAX_DOUBLINGS));
+        self.last_failure
+            .is_some_and(|at| now.saturating_duration_since(at) < time)
+    }
 }
 
 /// The fraction of `span` that has passed since `from`, from 0 to 1.
--- a/crates/nutmegwheel-policy/src/routing/types.rs
+++ b/crates/nutmegwheel-policy/src/routing/types.rs
@@ -22,6 +22,9 @@
         pub spill_margin_percent: u32,
         /// How long a backend server counts as full after it refused a request.
         pub refusal_penalty_time: Duration,
+        /// How long a backend server counts as full after it failed a request. The time doubles with
+        /// each further consecutive failure.
+        pub failure_penalty_time: Duration,
         /// The number of consecutive failures after which a backend server is ejected.
         pub failures_to_eject: u32,
         /// The duration of the first ejection, which doubles with each further one.
@@ -46,6 +49,7 @@
             spill_percent: 90,
             spill_margin_percent: 30,
             refusal_penalty_time: Duration::from_millis(200),
+            failure_penalty_time: Duration::from_millis(200),
             failures_to_eject: 5,
             base_ejection_time: Duration::from_secs(1),
             max_ejection_time: Duration::from_mins(1),
--- a/crates/nutmegwheel-policy/tests/routing.rs
+++ b/crates/nutmegwheel-policy/tests/routing.rs
@@ -5,8 +5,11 @@
     time::{Duration, Instant},
 };
 
-use nutmegwheel_policy::routing::{
-    Announcement, BackendKey, Error, LoadReport, Options, Outcome, Request, ServerState, Table,
+use nutmegwheel_policy::{
+    retry::{RatioOptions, RetryRatios},
+    routing::{
+        Announcement, BackendKey, Error, LoadReport, Options, Outcome, Request, ServerState, Table,
+    },
 };
 use nutmegwheel_types::Priority;
 use proptest::{prelude::*, test_runner::RngSeed};
@@ -60,6 +63,13 @@
     )
 }
 
+/// Chooses a backend server for a request that ends at once.
+fn choose_once(table: &mut Table, now: Instant, seed: u64) -> BackendKey {
+    let chosen = choose(table, now, &[], seed).unwrap();
+    table.finish(now, chosen, Outcome::Cancelled, None);
+    chosen
+}
+
 fn fail(table: &mut Table, now: Instant, key: BackendKey, times: u32) {
     for _ in 0..times {
         table.finish(now, key, Outcome::Failed, None);
@@ -172,6 +182,47 @@
     }
 }
 
+// Guards against 503 in place of a retry: a node that gets little traffic had spent the retries that
+// it may make before it had seen enough failures to eject the backend server that caused them.
+#[test]
+fn retries_suffice_until_failing_server_is_avoided() {
+    const NODES: u32 = 4;
+    const INTERVAL: Duration = Duration::from_millis(10);
+    for seed in 0..50 {
+        let start = Instant::now();
+        let mut rng = StdRng::seed_from_u64(seed);
+        let (mut table, keys) = table(start, 3, 0);
+        let mut ratios = RetryRatios::open(start, RatioOptions::default());
+        ratios.set_nodes(NODES);
+        for n in 0..100 {
+            let now = start + INTERVAL * n;
+            let req = Request {
+                priority: TOP,
+                tried: &[],
+            };
+            let chosen = table.choose(now, &req, &mut rng).unwrap();
+            ratios.record_first_attempt(now, None);
+            if chosen == keys[0] {
+                table.finish(now, chosen, Outcome::Failed, None);
+                assert!(ratios.try_acquire(now, None), "seed {seed}: request {n}");
+            } else {
+                table.finish(now, chosen, Outcome::Answered, None);
+            }
+        }
+    }
+}
+
+#[test]
+fn failing_server_is_tried_again_once_it_may_have_recovered() {
+    let now = Instant::now();
+    let (mut table, keys) = table(now, 3, 0);
+    fail(&mut table, now, keys[0], 1);
+    let later = now + Options::default().failure_penalty_time;
+    let mut is_chosen = |at| (0..100).any(|seed| choose_once(&mut table, at, seed) == keys[0]);
+    assert!(!is_chosen(now));
+    assert!(is_chosen(later));
+}
+
 #[test]
 fn ejection_times_double_and_end() {
     let mut now = Instant::now();
