fix(limits): a stopping token server releases its lease once its tokens are spent

What callers saw: 503 "the data centre's steward does not answer" from nodes that kept running, while the control VM that was the token server was stopped with SIGTERM.

Cause: a token server that stops refused token requests whole, with the reports of spent and returned tokens in them. Its batches stayed outstanding until they expired, so it kept its lease for 2 s; requests that found no token waited for the handover longer than they may.

Evidence: in the log of a failed run of control_vms_stop_without_interrupting_traffic_and_changes control-2 left at 9522 ms and had stopped granting then, and it released the lease at 11549 ms, one batch term later, although the callers had used up what the nodes held.

Change: it still refuses, but applies the reports, so that the lease goes as soon as all granted tokens are accounted for.

--- a/crates/nutmegwheel-limits/src/token_server/ledger.rs
+++ b/crates/nutmegwheel-limits/src/token_server/ledger.rs
@@ -113,9 +113,7 @@
         lease_left: Duration,
         now: Instant,
     ) -> Option<GrantItem> {
-        for report in &item.reports {
-            self.report(ingress, report, now);
-        }
+        self.apply_reports(ingress, &item.reports, now);
         let key = BatchKey {
             ingress: ingress.clone(),
             seq,
@@ -130,6 +128,17 @@
         Some(self.grant(key, item, lease_left, now))
     }
 
+    pub(super) fn apply_reports(
+        &mut self,
+        ingress: &IngressId,
+        reports: &[BatchReport],
+        now: Instant,
+    ) {
+        for report in reports {
+            self.report(ingress, report, now);
+        }
+    }
+
     fn report(&mut self, ingress: &IngressId, report: &BatchReport, now: Instant) {
         let key = BatchKey {
             ingress: ingress.clone(),
--- a/crates/nutmegwheel-limits/src/token_server/protocol.rs
+++ b/crates/nutmegwheel-limits/src/token_server/protocol.rs
@@ -53,6 +53,9 @@
     /// process.
     pub fn on_request(&mut self, req: &TokenRequest, now: Instant) -> Result<Grant, Error> {
         if !self.is_serving(now) {
+            if self.is_stopping {
+                self.apply_reports(req, now);
+            }
             return Err(Error::NotTokenServer {
                 ingress: req.ingress.name.clone(),
                 seq: req.seq,
@@ -96,6 +99,16 @@
         }
     }
 
+    /// Applies the reports of a request that gets no tokens. A stopping token server can release
+    /// its lease as soon as all tokens that it granted are accounted for.
+    fn apply_reports(&mut self, req: &TokenRequest, now: Instant) {
+        for item in &req.items {
+            if let Some(ledger) = self.ledgers.get_mut(&item.workspace) {
+                ledger.apply_reports(&req.ingress, &item.reports, now);
+            }
+        }
+    }
+
     fn poll_stop(&mut self, out: &mut Vec<Output>) {
         if self.is_stopping
             && !self.ledgers.is_empty()
--- a/crates/nutmegwheel-limits/tests/token_cache.rs
+++ b/crates/nutmegwheel-limits/tests/token_cache.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use nutmegwheel_limits::{
-    token_cache::{RefusalCause, Spend},
+    token_cache::{REPORT_INTERVAL, RefusalCause, Spend},
     token_server::BATCH_TERM,
 };
 use support::{DataCentre, assert_within, limit, ms};
@@ -144,3 +144,25 @@
     assert_eq!(late.available(slot, dc.now + BATCH_TERM), 0);
     assert_eq!(late.spend(slot, 9, dc.now + BATCH_TERM), Spend::Waiting);
 }
+
+// Guards against requests that wait for a new token server until their callers are refused: one
+// that stops ignored the reports of spent tokens, and so kept its lease until the last batch expired.
+#[test]
+fn stopping_token_server_releases_lease_once_tokens_are_spent() {
+    let mut dc = DataCentre::serving(limit(100.0, 100), 1);
+    dc.advance(500);
+    let slot = dc.slot(0);
+    for waiter in 0..20 {
+        dc.spend(0, waiter);
+        dc.advance(10);
+    }
+    dc.token_server.stop();
+    let mut waiter = 20;
+    while dc.ingress_nodes[0].available(slot, dc.now) > 0 {
+        dc.spend(0, waiter);
+        waiter += 1;
+    }
+    let reported = u64::try_from(REPORT_INTERVAL.as_millis()).unwrap();
+    dc.advance(2 * reported);
+    assert!(!dc.token_server.holds_lease(dc.now));
+}
