fix(node): requests that waited for a new token server get its first tokens

What callers saw: 429 over-rate for requests within the burst, from nodes that kept running, while the token server was replaced.

Cause: a new token server starts with an empty bucket, since it does not know what the last one granted. Requests that had waited for it on a node ask together, and all but the first were refused as over the rate, although no token server had found the workspace to be over it and tokens were due within a few hundred milliseconds.

Change: a request that waits for a handover goes on waiting if the token server says that it will have a token in the time that the request may wait anyway (half of its time left, 4 s at most). Others are refused at once as before.

--- a/crates/nutmegwheel-node/src/token_limiter.rs
+++ b/crates/nutmegwheel-node/src/token_limiter.rs
@@ -134,7 +134,8 @@
     /// Spends a token of the workspace, or refuses the request with a retry delay.
     ///
     /// While a new token server is elected, a request with enough time left waits for it, since no
-    /// token server has found the workspace to be over its rate.
+    /// token server has found the workspace to be over its rate. It goes on waiting if the new one,
+    /// which starts with an empty bucket, will have a token for it in time.
     pub(crate) async fn spend(
         &self,
         view: &View,
@@ -152,9 +153,12 @@
                 Spend::Refused(refused) => Some(refused),
                 Spend::Waiting => None,
             };
-            let is_over_rate =
-                refused.is_some_and(|refused| refused.cause == RefusalCause::OverRate);
-            if is_over_rate || Instant::now() >= wait_until || !self.has_token_server() {
+            let is_final = refused.is_some_and(|refused| {
+                let has_waited = handover_waiter.is_some();
+                let is_in_time = Instant::now() + refused.retry_after < wait_until;
+                refused.cause == RefusalCause::OverRate && !(has_waited && is_in_time)
+            });
+            if is_final || Instant::now() >= wait_until || !self.has_token_server() {
                 return Err(refusal(workspace, refused));
             }
             if handover_waiter.is_none() {
--- a/crates/nutmegwheel/tests/rates.rs
+++ b/crates/nutmegwheel/tests/rates.rs
@@ -105,6 +105,33 @@
     assert_eq!(refused, 0, "requests within the rate were refused");
 }
 
+// Guards against 429 for requests within the burst: they had waited for a new token server, whose
+// bucket is empty at first.
+#[tokio::test]
+async fn requests_that_waited_for_new_token_server_get_its_first_tokens() {
+    const FILL_TIME: Duration = Duration::from_secs(1);
+    const DEADLINE: (&str, &str) = ("nutmegwheel-deadline-ms", "10000");
+    let mut setup = Setup::start(&[("riga1", 2)], 3).await;
+    setup.give_key(3, "zemgale", LIMITED_KEY_TEXT).await;
+    setup.wait_for_version(3).await;
+    setup.start_backend("riga1-1", "tally-portal", |_| {}).await;
+    setup.wait_for_services(&["tally-portal"]).await;
+    for control_vm in ["control-0", "control-1", "control-2"] {
+        tokio::time::sleep(FILL_TIME).await;
+        setup.signal(control_vm, "TERM");
+        let fields = [("authorization", LIMITED_KEY), DEADLINE];
+        let call = || setup.call("riga1-0", PATH, &fields, "");
+        let (a, b, c) = tokio::join!(call(), call(), call());
+        for answer in [a, b, c] {
+            assert_eq!(answer.status, 200, "{control_vm}: {}", answer.text());
+        }
+        let process = setup.fleet.process(control_vm);
+        process.wait_for_exit(Duration::from_secs(15)).await;
+        setup.fleet.restart(control_vm).await.expect("it starts");
+        setup.wait_until_serving(control_vm).await;
+    }
+}
+
 #[tokio::test]
 async fn killed_token_server_grants_no_token_twice() {
     let mut setup = start_fleet().await;
