feat(node): tell also the reports that the coordinator does not answer

A failed report was dropped without a line, so a log did not show whether a node was out of touch or only its loans were late. `hub-silent` now names the `request`, a report or a loan, with `waited_ms` and `detail` as before.

--- a/crates/nutmegwheel-node/src/allotment_limiter.rs
+++ b/crates/nutmegwheel-node/src/allotment_limiter.rs
@@ -53,17 +53,9 @@
             let message = report_to_wire(shared.allotment_limiter.report(shared, sent));
             let answer: Result<wire::AllotmentAnswer, _> =
                 call_coordinator(shared, topic::ALLOTMENT, &message).await;
-            if let Ok(answer) = answer {
-                let fractions = answer.parts.into_iter();
-                let fractions = fractions.map(|(workspace, fraction)| (workspace.into(), fraction));
-                let answer = Answer {
-                    fractions: fractions.collect(),
-                };
-                let now = Instant::now();
-                shared
-                    .allotment_limiter
-                    .ingress()
-                    .apply_answer(now, sent, &answer);
+            match answer {
+                Ok(answer) => shared.allotment_limiter.apply_answer(sent, answer),
+                Err(e) => record_silence(shared, "report", sent, &e),
             }
             tokio::time::sleep(REPORT_INTERVAL).await;
         }
@@ -71,6 +63,15 @@
 }
 
 impl AllotmentLimiter {
+    fn apply_answer(&self, sent: Instant, answer: wire::AllotmentAnswer) {
+        let fractions = answer.parts.into_iter();
+        let fractions = fractions.map(|(workspace, fraction)| (workspace.into(), fraction));
+        let answer = Answer {
+            fractions: fractions.collect(),
+        };
+        self.ingress().apply_answer(Instant::now(), sent, &answer);
+    }
+
     fn report(&self, shared: &Shared, now: Instant) -> Report {
         let view = shared.views.current();
         let workspaces = view.configuration.workspaces.iter();
@@ -138,15 +139,8 @@
             Ok(answer) => BorrowOutcome::Denied {
                 retry_after: Duration::from_micros(answer.retry_after_us),
             },
-            Err(silent) => {
-                let fields: &[(&str, &dyn ToString)] = &[
-                    ("workspace", workspace),
-                    ("waited_ms", &sent.elapsed().as_millis()),
-                    ("detail", &silent),
-                ];
-                shared
-                    .journal
-                    .emit_rate_limited(Event::CoordinatorSilent, fields);
+            Err(e) => {
+                record_silence(shared, &format!("loan for {workspace}"), sent, &e);
                 return None;
             }
         };
@@ -191,6 +185,8 @@
 /// Why the coordinator did not answer.
 #[derive(Debug, Error)]
 enum CoordinatorError {
+    #[error("the links are not open yet")]
+    NotOpen,
     #[error("no control VM is known")]
     NoControlVm,
     #[error(transparent)]
@@ -206,13 +202,24 @@
     Redirects { from: SocketAddr },
 }
 
+fn record_silence(shared: &Shared, request: &str, sent: Instant, error: &CoordinatorError) {
+    let fields: &[(&str, &dyn ToString)] = &[
+        ("request", &request),
+        ("waited_ms", &sent.elapsed().as_millis()),
+        ("detail", error),
+    ];
+    shared
+        .journal
+        .emit_rate_limited(Event::CoordinatorSilent, fields);
+}
+
 /// Sends a request to the coordinator, or to any control VM while the coordinator is not known.
 async fn call_coordinator<T: CoordinatorAnswer>(
     shared: &Shared,
     topic: Topic,
     message: &impl Message,
 ) -> Result<T, CoordinatorError> {
-    let endpoint = shared.endpoint().ok_or(CoordinatorError::NoControlVm)?;
+    let endpoint = shared.endpoint().ok_or(CoordinatorError::NotOpen)?;
     let deadline = Instant::now() + ANSWER_TIMEOUT;
     let head = Bytes::from(message.encode_to_vec());
     let known = *shared.allotment_limiter.coordinator();
