feat(control): tell when a control VM becomes or ceases to be the token server

The events steward-elected and steward-stood-down were written by nodes only, although token servers run on control VMs too. A log of a failed handover did not show when the lease changed hands.

--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -98,7 +98,7 @@
         spawn_leases(&supervisor, &members, &log, &shares);
     }
     if let Some(seed_service) = &seed_service {
-        spawn_seed_service(&supervisor, seed_service, &endpoint);
+        spawn_seed_service(&supervisor, seed_service, &endpoint, &journal);
     }
     let operators = Operators {
         log: log.clone(),
@@ -140,16 +140,20 @@
     supervisor: &Supervisor,
     seed_service: &Arc<SeedService>,
     endpoint: &Endpoint,
+    journal: &Arc<Journal>,
 ) {
     let cx = (seed_service.clone(), endpoint.clone());
     supervisor.spawn_interval("seed", SEED_RECOVERY_INTERVAL, move || {
         let (seed_service, endpoint) = cx.clone();
         async move { seed_service.recover(&endpoint).await }
     });
-    let cx = (seed_service.clone(), endpoint.clone());
+    let cx = (seed_service.clone(), endpoint.clone(), journal.clone());
     supervisor.spawn_interval("steward", TOKEN_SERVER_INTERVAL, move || {
-        let (seed_service, endpoint) = cx.clone();
-        async move { seed_service.tick(&endpoint) }
+        let (seed_service, endpoint, journal) = cx.clone();
+        async move {
+            seed_service.tick(&endpoint);
+            seed_service.emit_role_change(&journal);
+        }
     });
 }
 
--- a/crates/nutmegwheel-node/src/state_watcher.rs
+++ b/crates/nutmegwheel-node/src/state_watcher.rs
@@ -18,7 +18,6 @@
 #[derive(Default)]
 struct LastState {
     was_serving: bool,
-    was_token_server: bool,
     shed_level: Option<Priority>,
 }
 
@@ -28,7 +27,7 @@
     pub(crate) fn emit_changes(&self, shared: &Shared) {
         let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
         last.check_fence(shared);
-        last.check_token_server(shared);
+        LastState::check_token_server(shared);
         last.check_shed_level(shared);
     }
 }
@@ -50,21 +49,10 @@
         }
     }
 
-    fn check_token_server(&mut self, shared: &Shared) {
-        let is_token_server = shared
-            .seed_service
-            .as_ref()
-            .is_some_and(|service| service.is_token_server());
-        if is_token_server == self.was_token_server {
-            return;
+    fn check_token_server(shared: &Shared) {
+        if let Some(service) = &shared.seed_service {
+            service.emit_role_change(&shared.journal);
         }
-        self.was_token_server = is_token_server;
-        let event = if is_token_server {
-            Event::TokenServerElected
-        } else {
-            Event::TokenServerStoodDown
-        };
-        shared.journal.emit(event, &[]);
     }
 
     fn check_shed_level(&mut self, shared: &Shared) {
--- a/crates/nutmegwheel-seeds/src/service.rs
+++ b/crates/nutmegwheel-seeds/src/service.rs
@@ -1,12 +1,16 @@
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
 use nutmegwheel_claims::store::{self, Bounds, ClaimStore};
 use nutmegwheel_config::Settings;
+use nutmegwheel_events::{Event, Journal};
 use nutmegwheel_link::{Endpoint, Request, Topic};
 use nutmegwheel_types::{Incarnation, ProcessName};
 use nutmegwheel_wire::{self as wire, topic};
@@ -40,6 +44,9 @@
     control_vms: Vec<SocketAddr>,
     claims: Mutex<ClaimStore>,
     token_server_role: Arc<TokenServerRole>,
+    /// Whether this process was the token server at the last call of
+    /// [`SeedService::emit_role_change`].
+    was_token_server: AtomicBool,
 }
 
 impl SeedService {
@@ -68,6 +75,7 @@
             control_vms: settings.control_vms().map(|seed| seed.link).collect(),
             claims: Mutex::new(claims),
             token_server_role: Arc::new(TokenServerRole::open(settings, incarnation, list)),
+            was_token_server: AtomicBool::new(false),
         })
     }
 
@@ -152,6 +160,24 @@
         self.token_server_role.is_token_server()
     }
 
+    /// Emits an event if this process became or ceased to be the token server since the last call.
+    pub fn emit_role_change(&self, journal: &Journal) {
+        let is_token_server = self.is_token_server();
+        if self
+            .was_token_server
+            .swap(is_token_server, Ordering::SeqCst)
+            == is_token_server
+        {
+            return;
+        }
+        let event = if is_token_server {
+            Event::TokenServerElected
+        } else {
+            Event::TokenServerStoodDown
+        };
+        journal.emit(event, &[]);
+    }
+
     /// Whether the seed has recovered and counts towards majorities again; only then may another
     /// seed be stopped.
     #[must_use]
