feat(node): log requests that the own interface refuses

Callers of a platform's dialect found the id of a refused request in request-failed, with its cause; those of the own interface did not, so none of the failed runs of graceful_shutdown.rs had a line for the refused request.

Lines are limited in rate as before.

--- a/crates/nutmegwheel-node/src/host_ingress.rs
+++ b/crates/nutmegwheel-node/src/host_ingress.rs
@@ -7,7 +7,6 @@
 
 use http::{HeaderValue, header};
 use nutmegwheel_config::{HostRoute, View};
-use nutmegwheel_events::Event;
 use nutmegwheel_types::{ClassRank, Context, Priority, RootId, ServiceId, WorkspaceId};
 use nutmegwheel_web::{Handler, HandlerFuture, Request, Response};
 
@@ -16,7 +15,7 @@
     backend_handler,
     call::{Answer, Call},
     dialect::{Dialect, IngressFields, Refused, RequestInfo},
-    forward, headers,
+    forward, headers, ingress,
     refusal::{Reason, Refusal},
     running::Parent,
     shared::Shared,
@@ -49,27 +48,14 @@
             };
             shared.metrics.count(&result, started_at.elapsed());
             if let (Err(refusal), Some(id)) = (&result, &id) {
-                journal_refusal(&shared, refusal, id, started_at);
+                let id = id.to_str().unwrap_or_default();
+                ingress::journal_refusal(&shared, refusal, id, started_at);
             }
             respond(&shared, &*dialect, result, id.as_ref())
         })
     }
 }
 
-fn journal_refusal(shared: &Shared, refusal: &Refusal, id: &HeaderValue, started_at: Instant) {
-    shared.journal.emit_rate_limited(
-        Event::RequestFailed,
-        &[
-            ("id", &id.to_str().unwrap_or_default()),
-            ("reason", &refusal.reason.word()),
-            ("outcome", &refusal.outcome.word()),
-            ("detail", &refusal.detail),
-            ("version", &shared.views.version()),
-            ("after_ms", &started_at.elapsed().as_millis()),
-        ],
-    );
-}
-
 async fn handle_request(
     shared: &Arc<Shared>,
     dialect: &dyn Dialect,
--- a/crates/nutmegwheel-node/src/ingress.rs
+++ b/crates/nutmegwheel-node/src/ingress.rs
@@ -5,6 +5,7 @@
 
 use http::{HeaderValue, header};
 use nutmegwheel_config::{NoRoute, Route, View};
+use nutmegwheel_events::Event;
 use nutmegwheel_types::{Context, Priority, RootId, WorkspaceId};
 use nutmegwheel_web::{Handler, HandlerFuture, Request, Response};
 
@@ -33,11 +34,30 @@
             let started_at = Instant::now();
             let result = handle_request(&shared, req, root).await;
             shared.metrics.count(&result, started_at.elapsed());
+            if let Err(refusal) = &result {
+                let id = format!("{root:032x}");
+                journal_refusal(&shared, refusal, &id, started_at);
+            }
             respond(&shared, result, root)
         })
     }
 }
 
+/// Writes why a request of a caller was refused or failed.
+pub(crate) fn journal_refusal(shared: &Shared, refusal: &Refusal, id: &str, started_at: Instant) {
+    shared.journal.emit_rate_limited(
+        Event::RequestFailed,
+        &[
+            ("id", &id),
+            ("reason", &refusal.reason.word()),
+            ("outcome", &refusal.outcome.word()),
+            ("detail", &refusal.detail),
+            ("version", &shared.views.version()),
+            ("after_ms", &started_at.elapsed().as_millis()),
+        ],
+    );
+}
+
 async fn handle_request(
     shared: &Arc<Shared>,
     req: Request,
