--- a/crates/nutmegwheel-limits/tests/allotment.rs
+++ b/crates/nutmegwheel-limits/tests/allotment.rs
@@ -203,8 +203,8 @@
     }
 }
 
-// Guards against QUOTA: while the coordinator answers late in a surge, each node that gave up waiting
-// for a loan helped itself to a token and to a larger fraction, and the loans were spent as well.
+// Guards against QUOTA: a node whose loan was late took a further token and a larger fraction, although
+// the coordinator had lent the token.
 #[test]
 fn late_loans_grant_no_extra_tokens() {
     for late_loans in [0.1, 0.5, 0.9] {
