feat(web): run the pipelined requests of a connection side by side

Cause: the dispatcher of xitca-web reads a request, answers it, and only then reads the next one, so a pipelined request waited for the one before it.

Change: listeners drive their connections themselves, on the codec of xitca-http. nutmegwheel-http1 decides framing, order and bounds without I/O (16 requests, 256 KiB); nutmegwheel-web accepts, reads, writes and stops. Idempotent requests start as they are read; others wait until everything before them is answered, and nothing starts behind them before that, because a caller resends what was behind the end of a connection whatever it is. Connection: close stands on the last answer only. A request with an ambiguous length is refused. A stop answers connections that the kernel had accepted. A connection takes one descriptor instead of two.

--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -194,7 +194,7 @@
         max_connections: None,
     };
     let journal = operators.journal.clone();
-    nutmegwheel_web::bind(opts, journal, Arc::new(operators)).context("open listen.platform")
+    nutmegwheel_web::bind(opts, journal, Box::new(operators)).context("open listen.platform")
 }
 
 impl Control {
--- a/crates/nutmegwheel-events/src/catalogue.rs
+++ b/crates/nutmegwheel-events/src/catalogue.rs
@@ -90,6 +90,8 @@
     CoordinatorSilent = 313, "hub-silent", Warn;
     /// A request was dropped before it was started, because its caller had left.
     RequestAbandoned = 314, "request-abandoned", Info;
+    /// The bytes of a connection were no request that could be read or passed on.
+    RequestMalformed = 315, "request-malformed", Warn;
     /// This process applied a newer configuration.
     ConfigurationInForce = 400, "configuration-in-force", Info;
     /// A configuration or view from another process was rejected.
--- a/crates/nutmegwheel-node/src/dialect.rs
+++ b/crates/nutmegwheel-node/src/dialect.rs
@@ -128,6 +128,8 @@
     fn read_heartbeat(&self, req: &Request) -> Option<Result<Heartbeat, String>>;
     /// Acknowledges a heartbeat, or refuses it with the given fault.
     fn acknowledge(&self, result: Result<(), String>) -> Response;
+    /// The host that a caller's request names, which selects its route together with the path.
+    fn host<'a>(&self, head: &'a request::Parts) -> Option<&'a str>;
     /// Reads a caller's request.
     ///
     /// # Errors
--- a/crates/nutmegwheel-node/src/host_ingress.rs
+++ b/crates/nutmegwheel-node/src/host_ingress.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use http::{HeaderValue, header};
+use http::{HeaderValue, header, request::Parts};
 use nutmegwheel_config::{HostRoute, View};
 use nutmegwheel_types::{ClassRank, Context, Priority, RootId, ServiceId, WorkspaceId};
 use nutmegwheel_web::{Handler, HandlerFuture, Request, Response};
@@ -54,6 +54,14 @@
             respond(&shared, &*dialect, result, id.as_ref())
         })
     }
+
+    /// Whether a request is idempotent follows from its route, not from its method.
+    fn may_overlap(&self, head: &Parts) -> bool {
+        let active = self.shared.views.active();
+        let host = self.dialect.host(head);
+        let route = host.and_then(|host| active.hosts.find(host, head.uri.path()));
+        route.is_some_and(|route| !route.non_idempotent)
+    }
 }
 
 async fn handle_request(
--- a/crates/nutmegwheel-node/src/ingress.rs
+++ b/crates/nutmegwheel-node/src/ingress.rs
@@ -3,7 +3,7 @@
     time::{Duration, Instant},
 };
 
-use http::{HeaderValue, header};
+use http::{HeaderValue, header, request::Parts};
 use nutmegwheel_config::{NoRoute, Route, View};
 use nutmegwheel_events::Event;
 use nutmegwheel_types::{Context, Priority, RootId, WorkspaceId};
@@ -41,6 +41,14 @@
             respond(&shared, result, root)
         })
     }
+
+    fn may_overlap(&self, head: &Parts) -> bool {
+        let view = self.shared.views.current();
+        let route = RoutePath::read(&head.uri)
+            .and_then(|path| find_route(&view, path.service, path.endpoint));
+        let marked = headers::non_idempotent(&head.headers);
+        matches!((route, marked), (Ok(route), Ok(false)) if !route.non_idempotent)
+    }
 }
 
 /// Writes why a request of a caller was refused or failed.
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -112,13 +112,11 @@
     let listen = &shared.settings.listen;
     let mut servers = Vec::new();
     let max_descriptors = shared.settings.max_descriptors;
-    let max_callers = max_descriptors.map(|n| {
-        n * CALLERS_DESCRIPTOR_PERCENT / 100 / nutmegwheel_web::DESCRIPTORS_PER_CONNECTION
-    });
+    let max_callers = max_descriptors.map(|n| n * CALLERS_DESCRIPTOR_PERCENT / 100);
     let mut bind = |name,
                     address: Option<SocketAddr>,
                     max_connections: Option<usize>,
-                    handler: Arc<dyn Handler>| {
+                    handler: Box<dyn Handler>| {
         let address = address.context(name)?;
         let opts = nutmegwheel_web::Options {
             address,
@@ -133,20 +131,20 @@
         anyhow::Ok(())
     };
     let shared = || shared.clone();
-    let (backend, callers): (Arc<dyn Handler>, Arc<dyn Handler>) = match shared().dialect.clone() {
+    let (backend, callers): (Box<dyn Handler>, Box<dyn Handler>) = match shared().dialect.clone() {
         Some(dialect) => (
-            Arc::new(HeartbeatHandler {
+            Box::new(HeartbeatHandler {
                 shared: shared(),
                 dialect: dialect.clone(),
             }),
-            Arc::new(HostIngress {
+            Box::new(HostIngress {
                 shared: shared(),
                 dialect,
             }),
         ),
         None => (
-            Arc::new(BackendHandler { shared: shared() }),
-            Arc::new(Ingress { shared: shared() }),
+            Box::new(BackendHandler { shared: shared() }),
+            Box::new(Ingress { shared: shared() }),
         ),
     };
     bind("open listen.backend", listen.backend, None, backend)?;
@@ -156,7 +154,7 @@
         "open listen.platform",
         Some(listen.platform),
         None,
-        Arc::new(PlatformHandler { shared: shared() }),
+        Box::new(PlatformHandler { shared: shared() }),
     )?;
     Ok(servers)
 }
--- /dev/null
+++ b/crates/nutmegwheel-web/src/connection.rs
@@ -0,0 +1,404 @@
+//! Serves the requests of one connection; see docs/INTERFACES.md, "Pipelined requests".
+
+use std::{
+    future::Future,
+    io,
+    net::SocketAddr,
+    pin::{Pin, pin},
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::BytesMut;
+use futures_util::stream::{FuturesUnordered, StreamExt as _};
+use http::header;
+use nutmegwheel_events::{Event, Journal};
+use nutmegwheel_http1::{Bounds, Decoder, Encoder, Framing, Malformed, Pipeline, Sequence, Stage};
+use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    Handler, HandlerFuture, Problem, Request, Response, connections::Socket, output::Output,
+};
+
+/// What may be in progress on one connection.
+const BOUNDS: Bounds = Bounds {
+    requests: 16,
+    bytes: 256 * 1024,
+};
+/// The number of received bytes from which on no more are read until a request is taken from them.
+const READ_AHEAD_BYTES: usize = nutmegwheel_http1::MAX_HEAD_BYTES;
+/// The number of bytes for which a read makes room.
+const READ_BYTES: usize = 4 * 1024;
+/// The maximum idle time of a connection.
+const KEEP_ALIVE: Duration = Duration::from_mins(2);
+/// The time after which a caller that takes no byte of a response is given up.
+const WRITE_TIMEOUT: Duration = Duration::from_mins(1);
+/// How long bytes that cross the end of a connection are read, since unread ones would reset it and
+/// destroy the last response on its way.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+
+/// What the connections of a listener have in common.
+pub(crate) struct Service {
+    pub(crate) handler: Box<dyn Handler>,
+    pub(crate) journal: std::sync::Arc<Journal>,
+    /// The maximum size of a request body, in bytes.
+    pub(crate) body_limit: usize,
+    /// The time limit for receiving a head, and again for receiving a body.
+    pub(crate) read_timeout: Duration,
+}
+
+/// The peer has closed or reset the connection, or takes no more bytes.
+struct Departed;
+
+/// A request that its handler is working on.
+struct InProgress {
+    sequence: Sequence,
+    framing: Framing,
+    future: HandlerFuture,
+}
+
+/// The response to a request, and how it is to be written.
+struct Answer {
+    res: Response,
+    framing: Framing,
+}
+
+impl Future for InProgress {
+    type Output = (Sequence, Answer);
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
+        let (sequence, framing) = (self.sequence, self.framing);
+        let poll = self.future.as_mut().poll(cx);
+        poll.map(|res| (sequence, Answer { res, framing }))
+    }
+}
+
+/// Serves a connection until it is closed. The handlers of its requests are dropped when the caller
+/// leaves.
+pub(crate) async fn serve(service: &Service, socket: &Socket, stopping: &CancellationToken) {
+    let Ok(peer) = socket.stream.peer_addr() else {
+        // The peer has reset the connection before any request of it was read.
+        return;
+    };
+    let mut connection = Connection {
+        service,
+        socket,
+        peer,
+        decoder: Decoder::open(service.body_limit),
+        encoder: Encoder::default(),
+        received: BytesMut::new(),
+        waiting: None,
+        pipeline: Pipeline::open(BOUNDS),
+        running: FuturesUnordered::new(),
+        output: Output::default(),
+        receiving: None,
+        idle_since: Instant::now(),
+        written_at: Instant::now(),
+    };
+    match connection.run(stopping).await {
+        Ok(()) => connection.linger().await,
+        Err(Departed) => connection.report_abandoned(),
+    }
+}
+
+struct Connection<'a> {
+    service: &'a Service,
+    socket: &'a Socket,
+    peer: SocketAddr,
+    decoder: Decoder,
+    encoder: Encoder,
+    /// The bytes that no request was taken from.
+    received: BytesMut,
+    /// A complete request that must not be begun yet.
+    waiting: Option<nutmegwheel_http1::Request>,
+    pipeline: Pipeline<Answer>,
+    running: FuturesUnordered<InProgress>,
+    output: Output,
+    /// The part of a request that is being received, and since when.
+    receiving: Option<(Stage, Instant)>,
+    /// When the last request ended.
+    idle_since: Instant,
+    /// When the caller last took bytes of a response.
+    written_at: Instant,
+}
+
+impl Connection<'_> {
+    /// Serves requests until the connection is to be closed from this side.
+    async fn run(&mut self, stopping: &CancellationToken) -> Result<(), Departed> {
+        let stream = &self.socket.stream;
+        let mut is_stopping = false;
+        let mut stopped = pin!(stopping.cancelled());
+        let mut timer = pin!(sleep_until(self.deadline()));
+        loop {
+            self.advance()?;
+            if self.pipeline.is_closing() && self.pipeline.is_empty() && self.output.is_empty() {
+                return Ok(());
+            }
+            let deadline = self.deadline();
+            if deadline < timer.deadline() {
+                timer.as_mut().reset(deadline);
+            }
+            tokio::select! {
+                biased;
+                () = &mut stopped, if !is_stopping => {
+                    is_stopping = true;
+                    self.stop().await?;
+                }
+                Some((sequence, answer)) = self.running.next(), if !self.running.is_empty() => {
+                    self.complete(sequence, answer);
+                }
+                ready = stream.readable(), if self.may_read() => {
+                    ready.map_err(|_| Departed)?;
+                    self.read()?;
+                }
+                ready = stream.writable(), if !self.output.is_empty() => {
+                    ready.map_err(|_| Departed)?;
+                }
+                () = &mut timer => {
+                    self.expire(Instant::now())?;
+                    timer.as_mut().reset(self.deadline());
+                }
+            }
+        }
+    }
+
+    /// Begins the requests that may be begun and sends the responses whose turn has come.
+    fn advance(&mut self) -> Result<(), Departed> {
+        loop {
+            self.begin_requests();
+            if !self.write()? {
+                break;
+            }
+        }
+        self.update_times(Instant::now());
+        Ok(())
+    }
+
+    fn begin_requests(&mut self) {
+        while self.pipeline.has_room() {
+            if self.waiting.is_none() {
+                match self.decoder.decode(&mut self.received) {
+                    Ok(Some(req)) => self.waiting = Some(req),
+                    Ok(None) => break,
+                    Err(e) => {
+                        self.refuse(malformed(e));
+                        break;
+                    }
+                }
+            }
+            let Some(req) = self.waiting.take() else {
+                break;
+            };
+            let may_overlap = self.service.handler.may_overlap(&req.head);
+            if !self.pipeline.admits(may_overlap) {
+                self.waiting = Some(req);
+                break;
+            }
+            self.begin(req, may_overlap);
+        }
+        if self.pipeline.is_empty() && self.decoder.take_expects_interim() {
+            self.output.push(Encoder::interim());
+        }
+    }
+
+    fn begin(&mut self, req: nutmegwheel_http1::Request, may_overlap: bool) {
+        self.socket.set_idle_since(None);
+        let sequence = self.pipeline.begin(may_overlap, req.body.len());
+        if req.is_last {
+            self.pipeline.close();
+        }
+        let framing = Framing::of_request(&req.head);
+        let future = self.service.handler.handle(Request {
+            head: req.head,
+            body: req.body,
+            peer: self.peer,
+        });
+        self.running.push(InProgress {
+            sequence,
+            framing,
+            future,
+        });
+    }
+
+    /// Refuses what cannot be read as a request, behind the responses to the requests before it.
+    fn refuse(&mut self, problem: Problem) {
+        self.service.journal.emit_rate_limited(
+            Event::RequestMalformed,
+            &[("caller", &self.peer), ("detail", &problem.detail)],
+        );
+        let framing = Framing {
+            is_head: false,
+            is_http10: false,
+        };
+        let res = problem.into_response();
+        let sequence = self.pipeline.begin(false, 0);
+        self.complete(sequence, Answer { res, framing });
+        self.pipeline.close();
+    }
+
+    fn complete(&mut self, sequence: Sequence, answer: Answer) {
+        if asks_for_close(&answer.res) {
+            self.pipeline.close();
+        }
+        let bytes = answer.res.body().len();
+        self.pipeline.complete(sequence, answer, bytes);
+    }
+
+    /// Sends responses as far as the caller takes them, and returns whether it has taken all of at
+    /// least one.
+    fn write(&mut self) -> Result<bool, Departed> {
+        let mut has_taken_any = false;
+        loop {
+            while !self.output.is_full()
+                && let Some(next) = self.pipeline.take_next()
+            {
+                let Answer { res, framing } = next.answer;
+                let (encoder, output) = (&mut self.encoder, &mut self.output);
+                output.push_with(|buf| encoder.encode(res, framing, next.is_last, buf));
+                self.written_at = Instant::now();
+            }
+            if self.output.is_empty() {
+                return Ok(has_taken_any);
+            }
+            match self.output.write_to(&self.socket.stream) {
+                Ok(()) => {
+                    self.written_at = Instant::now();
+                    has_taken_any |= self.output.is_empty();
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(has_taken_any),
+                Err(_) => return Err(Departed),
+            }
+        }
+    }
+
+    fn may_read(&self) -> bool {
+        self.pipeline.is_closing() || self.received.len() < READ_AHEAD_BYTES
+    }
+
+    /// Reads what has arrived. Once the connection is closing, this only finds out whether the
+    /// caller has left.
+    fn read(&mut self) -> Result<(), Departed> {
+        while self.may_read() {
+            self.received.reserve(READ_BYTES);
+            match self.socket.stream.try_read_buf(&mut self.received) {
+                Ok(0) => return Err(Departed),
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(_) => return Err(Departed),
+            }
+            if self.pipeline.is_closing() {
+                self.received.clear();
+            }
+        }
+        Ok(())
+    }
+
+    /// Begins the requests that have arrived, and none after them.
+    async fn stop(&mut self) -> Result<(), Departed> {
+        if self.socket.has_unread() {
+            // The runtime reads only from a socket that it knows to be readable.
+            let ready = self.socket.stream.readable().await;
+            ready.map_err(|_| Departed)?;
+            self.read()?;
+        }
+        self.begin_requests();
+        self.pipeline.close();
+        Ok(())
+    }
+
+    fn update_times(&mut self, now: Instant) {
+        let stage = self.decoder.stage();
+        let is_receiving = self.waiting.is_none()
+            && self.pipeline.has_room()
+            && (stage == Stage::Body || !self.received.is_empty());
+        let since = self.receiving.filter(|(receiving, _)| *receiving == stage);
+        self.receiving = is_receiving.then(|| since.unwrap_or((stage, now)));
+        let is_idle = self.pipeline.is_empty() && self.output.is_empty() && !is_receiving;
+        if !is_idle {
+            self.idle_since = now;
+        }
+        self.socket
+            .set_idle_since(is_idle.then(|| self.idle_since.into_std()));
+    }
+
+    /// The next time at which [`Self::expire`] has something to do.
+    fn deadline(&self) -> Instant {
+        let receiving = self
+            .receiving
+            .map(|(_, since)| since + self.service.read_timeout);
+        let writing = (!self.output.is_empty()).then(|| self.written_at + WRITE_TIMEOUT);
+        let idle = self.idle_since + KEEP_ALIVE;
+        [receiving, writing]
+            .into_iter()
+            .flatten()
+            .fold(idle, Instant::min)
+    }
+
+    fn expire(&mut self, now: Instant) -> Result<(), Departed> {
+        if !self.output.is_empty() && now >= self.written_at + WRITE_TIMEOUT {
+            return Err(Departed);
+        }
+        match self.receiving {
+            Some((stage, since)) if now >= since + self.service.read_timeout => match stage {
+                Stage::Head => self.pipeline.close(),
+                Stage::Body => self.refuse(Problem::bad_request("the body did not arrive in time")),
+            },
+            _ => {}
+        }
+        if self.pipeline.is_empty() && now >= self.idle_since + KEEP_ALIVE {
+            self.pipeline.close();
+        }
+        Ok(())
+    }
+
+    /// Ends the connection after its last response.
+    async fn linger(&mut self) {
+        self.socket.shutdown_write();
+        let stream = &self.socket.stream;
+        let peer_closed = async {
+            while stream.readable().await.is_ok() {
+                self.received.clear();
+                self.received.reserve(READ_BYTES);
+                match stream.try_read_buf(&mut self.received) {
+                    Ok(0) => break,
+                    Ok(_) => {}
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(_) => break,
+                }
+            }
+        };
+        // A caller that neither closes its side nor stops sending is reset.
+        let _ = timeout_at(self.written_at + LINGER_TIME, peer_closed).await;
+    }
+
+    /// Records a request that was complete when its caller left, but not begun.
+    fn report_abandoned(&mut self) {
+        let waiting = self.waiting.take();
+        let next = waiting.or_else(|| self.decoder.decode(&mut self.received).ok().flatten());
+        if let Some(req) = next {
+            self.service.journal.emit_rate_limited(
+                Event::RequestAbandoned,
+                &[("caller", &self.peer), ("path", &req.head.uri.path())],
+            );
+        }
+    }
+}
+
+fn asks_for_close(res: &Response) -> bool {
+    let values = res.headers().get_all(header::CONNECTION).iter();
+    values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|option| option.trim().eq_ignore_ascii_case("close"))
+}
+
+fn malformed(e: Malformed) -> Problem {
+    match e {
+        Malformed::HeadTooLarge => Problem::head_too_large(e.to_string()),
+        Malformed::BodyTooLarge(limit) => Problem::body_too_large(limit),
+        Malformed::Head | Malformed::Length | Malformed::Body => {
+            Problem::bad_request(e.to_string())
+        }
+    }
+}
--- a/crates/nutmegwheel-web/src/lib.rs
+++ b/crates/nutmegwheel-web/src/lib.rs
@@ -1,19 +1,19 @@
 //! HTTP listeners with bounded requests and cancellation.
 //!
-//! Every listener of docs/INTERFACES.md is a [`Server`] based on `xitca-web`. A request is read
-//! completely before it is passed to its [`Handler`]. The handler's future is dropped when the
-//! caller closes the connection, which starts the cancellation of the request.
+//! Every listener of docs/INTERFACES.md is a [`Server`]. A request is read completely before it is
+//! passed to its [`Handler`]. The handler's future is dropped when the caller closes the
+//! connection, which starts the cancellation of the request.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
-mod body;
+mod connection;
 mod connections;
+mod listener;
 mod operator;
+mod output;
 mod problem;
 mod server;
 
 pub use operator::{authorize, bearer, events, json, with_content_type};
 pub use problem::Problem;
-pub use server::{
-    DESCRIPTORS_PER_CONNECTION, Handler, HandlerFuture, Options, Request, Response, Server, bind,
-};
+pub use server::{Handler, HandlerFuture, Options, Request, Response, Server, bind};
--- a/crates/nutmegwheel-web/src/problem.rs
+++ b/crates/nutmegwheel-web/src/problem.rs
@@ -77,6 +77,12 @@
             .with_close()
     }
 
+    /// Builds a refusal with status 431 for a request head that exceeds a limit.
+    pub fn head_too_large(detail: impl Into<Box<str>>) -> Self {
+        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        Self::new(status, "head-too-large", detail).not_run()
+    }
+
     /// States that the request has certainly not run.
     #[must_use]
     pub fn not_run(mut self) -> Self {
--- a/crates/nutmegwheel-web/tests/common/mod.rs
+++ b/crates/nutmegwheel-web/tests/common/mod.rs
@@ -22,17 +22,38 @@
 /// A request that is answered after [`Recorder::finish_work`].
 pub(crate) const WORK_PATH: &str = "/work";
 
-/// Records the paths of the requests that were started.
+/// A request whose answer asks for the end of the connection.
+pub(crate) const CLOSE_PATH: &str = "/close";
+/// A request whose answer has a body of [`LARGE_BYTES`].
+pub(crate) const LARGE_PATH: &str = "/large";
+/// The size of a large body, in bytes.
+pub(crate) const LARGE_BYTES: usize = 1024 * 1024;
+/// The prefix of requests that are answered after the number of ms in their path.
+pub(crate) const DELAYED_PREFIX: &str = "/delayed/";
+
+/// Records the paths of the requests that were started, and of those whose handler ended or was
+/// dropped.
 #[derive(Clone)]
 pub(crate) struct Recorder {
     started: Arc<Mutex<Vec<String>>>,
+    ended: Arc<Mutex<Vec<String>>>,
     work: Arc<Semaphore>,
 }
 
+/// Records the end of a handler.
+struct Ended(Recorder, String);
+
+impl Drop for Ended {
+    fn drop(&mut self) {
+        self.0.ended.lock().unwrap().push(self.1.clone());
+    }
+}
+
 impl Default for Recorder {
     fn default() -> Self {
         Self {
             started: Arc::default(),
+            ended: Arc::default(),
             work: Arc::new(Semaphore::new(0)),
         }
     }
@@ -44,11 +65,11 @@
     }
 
     pub(crate) fn await_started(&self, path: &str, count: usize) {
-        let end = Instant::now() + LIMIT;
-        while self.started().iter().filter(|p| *p == path).count() < count {
-            assert!(Instant::now() < end, "{path} was not started {count} times");
-            std::thread::sleep(Duration::from_millis(5));
-        }
+        await_count(&self.started, path, count);
+    }
+
+    pub(crate) fn await_ended(&self, path: &str, count: usize) {
+        await_count(&self.ended, path, count);
     }
 
     pub(crate) fn finish_work(&self) {
@@ -63,16 +84,38 @@
         if path == STALL_PATH {
             std::thread::sleep(STALL);
         }
+        let ended = Ended(self.clone(), path.clone());
         let work = (path == WORK_PATH).then(|| self.work.clone());
         Box::pin(async move {
+            let _ended = ended;
             if let Some(work) = work {
                 let _ = work.acquire().await;
             }
-            Response::default()
+            if let Some(delay) = path.strip_prefix(DELAYED_PREFIX) {
+                tokio::time::sleep(Duration::from_millis(delay.parse().unwrap())).await;
+            }
+            let body = match path.as_str() {
+                LARGE_PATH => vec![b'a'; LARGE_BYTES],
+                _ => path.clone().into_bytes(),
+            };
+            let mut res = Response::new(body.into());
+            if path == CLOSE_PATH {
+                let close = http::HeaderValue::from_static("close");
+                res.headers_mut().insert(http::header::CONNECTION, close);
+            }
+            res
         })
     }
 }
 
+fn await_count(paths: &Mutex<Vec<String>>, path: &str, count: usize) {
+    let end = Instant::now() + LIMIT;
+    while paths.lock().unwrap().iter().filter(|p| *p == path).count() < count {
+        assert!(Instant::now() < end, "{path} did not come {count} times");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 pub(crate) fn bind_with(max_connections: Option<usize>, recorder: Recorder) -> (Server, Recorder) {
     let opts = nutmegwheel_events::Options {
         process: "web".into(),
@@ -85,7 +128,7 @@
         read_timeout: LIMIT,
         max_connections,
     };
-    let server = nutmegwheel_web::bind(opts, journal, Arc::new(recorder.clone())).unwrap();
+    let server = nutmegwheel_web::bind(opts, journal, Box::new(recorder.clone())).unwrap();
     (server, recorder)
 }
 
@@ -96,13 +139,38 @@
     stream
 }
 
-/// Reads a response without a body, and returns its version and status.
-pub(crate) fn read_status(mut stream: &TcpStream) -> String {
+/// A whole response.
+#[derive(Debug)]
+pub(crate) struct Received {
+    pub(crate) status: String,
+    pub(crate) closes: bool,
+    pub(crate) body: String,
+}
+
+/// Reads a whole response.
+pub(crate) fn read_response(mut stream: &TcpStream) -> Received {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         let mut byte = [0];
         stream.read_exact(&mut byte).unwrap();
         head.push(byte[0]);
     }
-    String::from_utf8_lossy(&head[..12]).into_owned()
+    let head = String::from_utf8(head).unwrap().to_ascii_lowercase();
+    let value = |name: &str| {
+        let line = head.lines().find_map(|line| line.strip_prefix(name));
+        line.map(|value| value.trim_start_matches(':').trim().to_owned())
+    };
+    let length = value("content-length").map_or(0, |n| n.parse().unwrap());
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).unwrap();
+    Received {
+        status: head[..12].to_ascii_uppercase(),
+        closes: value("connection").as_deref() == Some("close"),
+        body: String::from_utf8(body).unwrap(),
+    }
+}
+
+/// Reads a whole response, and returns its version and status.
+pub(crate) fn read_status(stream: &TcpStream) -> String {
+    read_response(stream).status
 }
