fix(membership): ask for entry at short intervals after a start

Cause: a node asked one contact, and the next one a second later.

Change: the interval begins at 100 ms and doubles up to 500 ms. Once a contact answers, no further question is sent, so a start with running contacts costs what it did.

Test: nodes_that_start_before_control_vms_join_soon_after_them failed before.

--- a/crates/nutmegwheel-membership/src/gossip/tick.rs
+++ b/crates/nutmegwheel-membership/src/gossip/tick.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use super::{Gossip, Outgoing, is_due};
+use super::{Gossip, Outgoing, TICK, is_due};
 use crate::Body;
 use crate::freshness::SeedState;
 use crate::probe::ProbeAction;
@@ -8,6 +8,13 @@
 /// The time between ticks above which the process assumes that it was paused itself, and does not
 /// suspect peers for missing answers.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(700);
+/// The interval between the first attempts to join. It doubles up to [`MAX_JOIN_INTERVAL`]: after a
+/// loss of power the contacts may start a moment later than the process.
+const MIN_JOIN_INTERVAL: Duration = TICK;
+/// The maximum interval between attempts to join.
+const MAX_JOIN_INTERVAL: Duration = Duration::from_millis(500);
+/// The number of doublings after which the interval has long reached [`MAX_JOIN_INTERVAL`].
+const MAX_JOIN_DOUBLINGS: u32 = 8;
 /// The number of members asked to probe a member that did not answer.
 const INDIRECT_PROBES: usize = 3;
 
@@ -90,12 +97,15 @@
     }
 
     fn join(&mut self, now: Instant) {
-        const RETRY_INTERVAL: Duration = Duration::from_secs(1);
         const FAN_OUT: usize = 1;
-        let is_first = self.timers.last_join.is_none();
-        if self.timers.is_joined || !is_due(&mut self.timers.last_join, now, RETRY_INTERVAL) {
+        let attempts = self.timers.join_attempts;
+        let doublings = attempts.saturating_sub(1).min(MAX_JOIN_DOUBLINGS);
+        let interval = MAX_JOIN_INTERVAL.min(MIN_JOIN_INTERVAL * (1 << doublings));
+        if self.timers.is_joined || !is_due(&mut self.timers.last_join, now, interval) {
             return;
         }
+        let is_first = attempts == 0;
+        self.timers.join_attempts = attempts.saturating_add(1);
         let own = self.options.link;
         let mut contacts: Vec<_> = self.options.seeds.iter().map(|seed| seed.link).collect();
         // The first attempt asks a seed of the data centre: that spreads the load of answers better
--- a/crates/nutmegwheel-membership/tests/control_restart.rs
+++ b/crates/nutmegwheel-membership/tests/control_restart.rs
@@ -14,6 +14,9 @@
 const APPLY_LIMIT: Duration = Duration::from_secs(2);
 /// The time within which news reaches every process of a fleet, docs/CAPACITY.md.
 const PROPAGATION_LIMIT: Duration = Duration::from_secs(5);
+/// The time within which a node that has just started joins once its contacts run,
+/// docs/OPERATORS.md.
+const JOIN_LIMIT: Duration = Duration::from_millis(600);
 
 /// How the processes of a fleet find each other.
 #[derive(Clone, Copy, Debug)]
@@ -91,3 +94,21 @@
         }
     }
 }
+
+// Guards against requests that are refused for a second after a loss of power, since nodes started a
+// moment before the control VMs and asked again only after a fixed interval.
+#[test]
+fn nodes_that_start_before_control_vms_join_soon_after_them() {
+    for seed in 0..20 {
+        let mut sim = converged(Discovery::Contacts, seed);
+        let nodes = CONTROL..sim.processes.len();
+        (0..nodes.end).for_each(|host| sim.crash(host));
+        sim.run_for(Duration::from_secs(1));
+        nodes.for_each(|node| sim.restart(node));
+        sim.run_for(Duration::from_millis(280 + 10 * seed));
+        (0..CONTROL).for_each(|host| sim.restart(host));
+        (0..CONTROL).for_each(|host| sim.publish(host, 2));
+        let joined = sim.run_until(JOIN_LIMIT, |sim| sim.all_have_version(2));
+        assert!(joined.is_some(), "seed {seed}");
+    }
+}
