feat(node): run an idempotent request that its backend server failed on another one

Cause: an answer with status 500 was final, although another backend server could have served the request within its attempts and the retry budget.

Change: the target's node says whether the failure is the backend server's own, that is, no call that it made has failed. Then an idempotent request whose route allows several backend servers is retried on another one, paid from both budgets, if as much time is left as the failed attempt took. Otherwise, and when the retry fails, the caller gets the backend server's answer as it was.

--- a/crates/nutmegwheel-node/src/attempt.rs
+++ b/crates/nutmegwheel-node/src/attempt.rs
@@ -156,6 +156,7 @@
         unspent: Some(head.retry_tokens),
         report,
         downstream: downstream.into_iter().map(downstream_from_wire).collect(),
+        has_failed_alone: head.failed_alone,
         result: read_result(head, body),
     }
 }
--- a/crates/nutmegwheel-node/src/call.rs
+++ b/crates/nutmegwheel-node/src/call.rs
@@ -67,6 +67,16 @@
         res
     }
 
+    /// Whether the backend server failed the request, so that another one may serve it.
+    pub(crate) fn is_failure(&self) -> bool {
+        matches!(
+            self.status,
+            StatusCode::INTERNAL_SERVER_ERROR
+                | StatusCode::BAD_GATEWAY
+                | StatusCode::SERVICE_UNAVAILABLE
+        )
+    }
+
     /// Whether callers treat this answer as a failure and resend the call.
     pub(crate) fn prompts_resend(&self) -> bool {
         let asks = [
--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -57,7 +57,11 @@
         unspent: None,
         may_have_run: false,
     };
-    let result = run_attempts(shared, parent, &mut call, &mut open_call).await;
+    let mut failure = None;
+    let result = run_attempts(shared, parent, &mut call, &mut open_call, &mut failure).await;
+    // The failure that a backend server answered with tells the caller more than the reason why no
+    // other one served the request.
+    let result = result.or_else(|refusal| failure.ok_or(refusal));
     if result.as_ref().is_ok_and(|answer| !answer.prompts_resend()) {
         open_call.end = CallEnd::Answered;
     }
@@ -83,11 +87,14 @@
     }
 }
 
+/// Sends a call until an attempt succeeds or no further one is allowed. An answer after which
+/// another attempt was made is left in `failure`.
 async fn run_attempts(
     shared: &Arc<Shared>,
     parent: &Parent,
     call: &mut Call,
     open_call: &mut FinishOnDrop<'_>,
+    failure: &mut Option<Answer>,
 ) -> Result<Answer, Refusal> {
     let mut tried = Vec::new();
     let mut replaces = None;
@@ -116,6 +123,11 @@
         }
         parent.record_downstream(served.downstream);
         let refusal = match served.result {
+            Ok(answer) if served.has_failed_alone && may_run_elsewhere(call) => {
+                let detail = format!("the backend server answered with {}", answer.status);
+                *failure = Some(answer);
+                Refusal::may_have_run(Reason::BackendFailed, detail)
+            }
             Ok(answer) => return Ok(answer),
             Err(refusal) => refusal,
         };
@@ -137,6 +149,9 @@
             record_retry(shared, call, &target, &refusal, Duration::ZERO);
             continue;
         }
+        if refusal.reason == Reason::BackendFailed && !has_untried {
+            return Err(refusal);
+        }
         let attempt = Attempt {
             safety: refusal.retry_safety(),
             attempt_number: u32::try_from(tried.len()).unwrap_or(u32::MAX),
@@ -144,7 +159,10 @@
             is_ratio_exempt: !refusal.has_reached_server(),
             unspent: served.unspent,
             remaining: call.deadline.saturating_duration_since(Instant::now()),
-            expected_duration: began.elapsed().min(attempt::LOCAL_ROUND_TRIP),
+            expected_duration: match refusal.reason {
+                Reason::BackendFailed => began.elapsed(),
+                _ => began.elapsed().min(attempt::LOCAL_ROUND_TRIP),
+            },
             min_delay: match refusal.retry_after {
                 Some(after) if !has_untried => after,
                 _ => Duration::ZERO,
@@ -161,6 +179,12 @@
     }
 }
 
+/// Whether a request that its backend server failed may run on another one: it is idempotent, and
+/// its route allows several backend servers.
+fn may_run_elsewhere(call: &Call) -> bool {
+    !call.context.non_idempotent && call.max_servers.is_some_and(|max| max > 1)
+}
+
 /// The key by which retries are counted: the service if the route limits the attempts, since the
 /// service bears their load, and else the workspace that causes them.
 fn retry_key(call: &Call) -> Option<&Arc<str>> {
--- a/crates/nutmegwheel-node/src/refusal.rs
+++ b/crates/nutmegwheel-node/src/refusal.rs
@@ -75,6 +75,9 @@
     AlreadyRun = "already-run", SERVICE_UNAVAILABLE;
     /// Requests with the same fingerprint crashed backend servers.
     Quarantined = "quarantined", SERVICE_UNAVAILABLE;
+    /// The backend server answered with a failure. Logs name it where the request is retried; the
+    /// caller gets the answer itself.
+    BackendFailed = "backend-failed", SERVICE_UNAVAILABLE;
     /// The connection to the backend server failed or ended before a complete answer.
     BackendLost = "backend-lost", SERVICE_UNAVAILABLE;
     /// The link to the backend server's node failed.
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -32,6 +32,9 @@
     pub(crate) report: Option<LoadReport>,
     /// The shed levels of the backend servers further down the chain.
     pub(crate) downstream: Vec<DownstreamServer>,
+    /// Whether the answer is a failure of the backend server itself: no call that it made for the
+    /// request has failed.
+    pub(crate) has_failed_alone: bool,
 }
 
 impl Served {
@@ -42,6 +45,7 @@
             unspent: Some(tokens),
             report: None,
             downstream: Vec::new(),
+            has_failed_alone: false,
         }
     }
 
@@ -52,6 +56,7 @@
             unspent: None,
             report: None,
             downstream: Vec::new(),
+            has_failed_alone: false,
         }
     }
 }
@@ -86,11 +91,13 @@
     if let Err(refusal) = &result {
         journal_refusal(shared, call, refusal, started_at);
     }
+    let has_failed = result.as_ref().is_ok_and(Answer::is_failure);
     Served {
         result,
         unspent: Some(parent.with_chain(|chain| chain.available())),
         report: Some(shared.admission.report()),
         downstream: parent.downstream(),
+        has_failed_alone: has_failed && !parent.with_chain(|chain| chain.depends_on_calls()),
     }
 }
 
@@ -258,6 +265,7 @@
         retry_tokens: served.unspent.unwrap_or(0),
         load: served.report.as_ref().map(report_to_wire),
         below: served.downstream.iter().map(downstream_to_wire).collect(),
+        failed_alone: served.has_failed_alone,
         ..ReplyHead::default()
     };
     let body = match served.result {
