fix(agreement): let in a replica that knows only followers

Cause: a join request went to the configured peers, and a follower dropped it. A control VM that came in place of another, and whose contacts named the removed one and a follower, was not let in while the leader was another one: the group bore no further loss.

Change: a follower passes a join request on to its leader.

--- a/crates/nutmegwheel-agreement/src/raft/bootstrap.rs
+++ b/crates/nutmegwheel-agreement/src/raft/bootstrap.rs
@@ -33,7 +33,10 @@
     /// whether `message` is of such a kind.
     pub(super) fn on_bootstrap_message(&mut self, message: &Message) -> bool {
         match &message.body {
-            Body::Join { bootstrap_members } => self.on_join(&message.from, bootstrap_members),
+            Body::Join { bootstrap_members } => {
+                self.on_join(&message.from, bootstrap_members);
+                self.forward_join(message);
+            }
             Body::Fresh { bootstrap_members } => self.on_fresh(&message.from, bootstrap_members),
             _ => return false,
         }
@@ -50,6 +53,21 @@
         self.register_join(from);
     }
 
+    /// Passes a join request on to the leader, since the replica that asks may not know it. Terms
+    /// increase from one receiver to the next, so the request does not circulate.
+    fn forward_join(&mut self, message: &Message) {
+        if self.is_leader() {
+            return;
+        }
+        let leader = self.leader().filter(|leader| **leader != message.from);
+        let forwarded = leader.map(|leader| Message {
+            to: leader.name.clone(),
+            to_incarnation: Some(leader.incarnation),
+            ..message.clone()
+        });
+        self.effects.messages.extend(forwarded);
+    }
+
     fn on_fresh(&mut self, from: &ReplicaId, members: &[ReplicaName]) {
         let setup = &self.setup;
         if !self.is_fresh() || members != setup.bootstrap_members || !members.contains(&from.name) {
--- a/crates/nutmegwheel-agreement/tests/sim/mod.rs
+++ b/crates/nutmegwheel-agreement/tests/sim/mod.rs
@@ -147,6 +147,13 @@
         self.restart(name);
     }
 
+    /// Adds a VM that knows only `peers`, as VMs that start from now on do.
+    pub(crate) fn add_with_peers(&mut self, name: &ReplicaName, peers: &[ReplicaName]) {
+        self.options.peers = peers.to_vec();
+        self.options.bootstrap_members.clear();
+        self.add(name);
+    }
+
     /// Kills the process and restarts it from its disk.
     pub(crate) fn restart(&mut self, name: &ReplicaName) {
         self.stop(name);
--- a/crates/nutmegwheel-agreement/tests/voter_replacement.rs
+++ b/crates/nutmegwheel-agreement/tests/voter_replacement.rs
@@ -38,6 +38,20 @@
     assert_eq!(sim.role(&name("d")), Some(RoleName::Learner));
 }
 
+// Guards against a cluster that is not repaired: a new VM whose contacts did not include the leader was
+// never let in.
+#[test]
+fn replica_that_knows_only_follower_joins() {
+    for seed in 0..10 {
+        let (mut sim, leader) = start_cluster(seed, LOSSY);
+        let follower = any_follower(&sim, &leader);
+        sim.add_with_peers(&name("d"), &[follower]);
+        sim.run_until("the new replica is let in", |sim| {
+            sim.role(&name("d")) == Some(RoleName::Learner)
+        });
+    }
+}
+
 #[test]
 fn learner_replaces_failed_voter() {
     let (mut sim, leader) = start_cluster(2, RELIABLE);
