--- a/crates/nutmegwheel-link/tests/faults.rs
+++ b/crates/nutmegwheel-link/tests/faults.rs
@@ -456,3 +456,69 @@
     assert!(!unanswered.is_finished());
     assert_eq!(pair.relay.accepted_connections(), 2);
 }
+
+/// A listener whose queue of new connections is full, so that further ones get no answer.
+struct FullListener {
+    socket: socket2::Socket,
+    _queued: Vec<socket2::Socket>,
+}
+
+impl FullListener {
+    fn bind() -> Self {
+        let new = || socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+        let socket = new().unwrap();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        socket.bind(&any.into()).unwrap();
+        socket.listen(1).unwrap();
+        let address = socket.local_addr().unwrap();
+        let connect = |_| {
+            let stream = new().unwrap();
+            stream.set_nonblocking(true).unwrap();
+            let _ = stream.connect(&address);
+            stream
+        };
+        let queued = (0..4).map(connect).collect();
+        Self {
+            socket,
+            _queued: queued,
+        }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.socket.local_addr().unwrap().as_socket().unwrap()
+    }
+
+    /// Accepts connections and forwards their bytes to `to`.
+    fn forward(self, to: SocketAddr) {
+        self.socket.set_nonblocking(true).unwrap();
+        let listener = tokio::net::TcpListener::from_std(self.socket.into()).unwrap();
+        tokio::spawn(async move {
+            while let Ok((mut from, _)) = listener.accept().await {
+                tokio::spawn(async move {
+                    let mut to = TcpStream::connect(to).await.unwrap();
+                    let _ = tokio::io::copy_bidirectional(&mut from, &mut to).await;
+                });
+            }
+        });
+    }
+}
+
+// Guards against CONFIG and requests that are refused after a loss of power: a process dialled a VM
+// that was about to start, and waited a second for the answer to its first packet.
+#[tokio::test]
+async fn reaches_peer_that_starts_while_it_is_dialled() {
+    let (a, _) = endpoint("a").await;
+    let (b, _) = endpoint("b").await;
+    let full = FullListener::bind();
+    let to = full.address();
+    let started_at = std::time::Instant::now();
+    let call = a.call(to, request(ECHO, "head", "body"), within(LONG));
+    let start = async {
+        tokio::time::sleep(Duration::from_millis(150)).await;
+        full.forward(b.local_addr());
+    };
+    let (reply, ()) = tokio::join!(call, start);
+    assert_eq!(reply.unwrap().body, "body");
+    let took = started_at.elapsed();
+    assert!(took < Duration::from_millis(800), "{took:?}");
+}
