fix(policy): let every node repeat two requests

Cause: the base of 10 retries is divided among the nodes.

Change: a node's part of the base is at least two. In the platform's dialect, where deployments bound the sum over all nodes, there is no least part.

Test: each_node_may_retry_its_requests_after_two_crashes fails with a least part of 0. The bounds of other tests are stated without one.

--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -383,6 +383,8 @@
         Dialect::Platform => RatioOptions {
             percent: SERVICE_RETRIES_PERCENT,
             base_retries: BASE_SERVICE_RETRIES,
+            // The sum over all ingress nodes is bounded by the deployment.
+            min_base_retries_per_node: 0,
             ..defaults
         },
     }
--- a/crates/nutmegwheel-policy/src/retry/ratio.rs
+++ b/crates/nutmegwheel-policy/src/retry/ratio.rs
@@ -17,6 +17,8 @@
         pub percent: u32,
         /// The retries that are allowed in the window in addition, over the whole fleet.
         pub base_retries: u32,
+        /// The part of `base_retries` that a node gets at least, however many nodes there are.
+        pub min_base_retries_per_node: u32,
         /// The length of the sliding window.
         pub window: Duration,
         /// The maximum number of workspaces with counts of their own; further ones share one.
@@ -29,6 +31,7 @@
         Self {
             percent: 10,
             base_retries: 10,
+            min_base_retries_per_node: 2,
             window: Duration::from_secs(10),
             max_workspaces: 1024,
         }
@@ -51,7 +54,8 @@
 ///
 /// Each node applies the ratio to its own first attempts and allows an equal part of
 /// [`base_retries`](RatioOptions::base_retries), so that the limit holds for the whole fleet
-/// without coordination.
+/// without coordination. In a large fleet that part would be less than one retry, so a node may be
+/// given a least one.
 #[derive(Debug)]
 pub struct RetryRatios {
     options: RatioOptions,
@@ -95,8 +99,10 @@
 
     /// Whether the ratio allows another retry.
     pub fn can_retry(&mut self, now: Instant, workspace: Option<&WorkspaceId>) -> bool {
+        let least = u64::from(self.options.min_base_retries_per_node) * RETRY_COST_MILLI;
         let base_retries =
             u64::from(self.options.base_retries) * RETRY_COST_MILLI / u64::from(self.nodes);
+        let base_retries = base_retries.max(least);
         let per_first_attempt = u64::from(self.options.percent) * RETRY_COST_MILLI / 100;
         let total = self.counts(now, workspace).total();
         (total.retries + 1) * RETRY_COST_MILLI
--- a/crates/nutmegwheel-policy/tests/retry.rs
+++ b/crates/nutmegwheel-policy/tests/retry.rs
@@ -143,6 +143,7 @@
         now,
         RatioOptions {
             base_retries,
+            min_base_retries_per_node: 0,
             ..RatioOptions::default()
         },
     );
@@ -170,6 +171,21 @@
     }
 }
 
+// The pattern of two backend servers that crash one after the other: a node with two requests, which
+// both were at each of them, needs two retries, and the sixth part of the base is only one.
+#[test]
+fn each_node_may_retry_its_requests_after_two_crashes() {
+    let now = Instant::now();
+    let mut ratios = RetryRatios::open(now, RatioOptions::default());
+    ratios.set_nodes(6);
+    for _ in 0..2 {
+        ratios.record_first_attempt(now, None);
+    }
+    assert!(ratios.try_acquire(now, None));
+    assert!(ratios.try_acquire(now, None));
+    assert!(!ratios.try_acquire(now, None), "the ratio still holds");
+}
+
 #[test]
 fn calls_split_and_return_tokens() {
     let mut chain = ChainBudget::open(3);
@@ -230,6 +246,7 @@
         start,
         RatioOptions {
             base_retries: 2,
+            min_base_retries_per_node: 0,
             ..RatioOptions::default()
         },
     );
