--- a/crates/nutmegwheel-limits/tests/allotment.rs
+++ b/crates/nutmegwheel-limits/tests/allotment.rs
@@ -259,3 +259,21 @@
     let max = world.max_in_five_seconds();
     assert!(max <= 10 * 5 + 10, "{max} in 5 s");
 }
+
+// The pattern of a loss of power of all control VMs: requests inside a limit of which no node's part
+// holds a token. The users' bound: no workspace is served less than a quarter as often as all.
+#[test]
+fn small_limits_stay_usable_while_coordinator_is_lost() {
+    for (nodes, rate, burst) in [(13, 22.0, 22), (68, 60.0, 60), (95, 40.0, 40)] {
+        let mut world = World::open(nodes, rate, burst);
+        world.run(8 * SECOND, rate / 1.6);
+        world.leader = None;
+        let (admitted, requested) = (world.admitted.len(), world.requested);
+        world.run(2 * SECOND, rate / 1.6);
+        let (admitted, requested) = (world.admitted.len() - admitted, world.requested - requested);
+        assert!(
+            admitted * 4 >= requested,
+            "{nodes} nodes: {admitted} of {requested}"
+        );
+    }
+}
