--- a/crates/nutmegwheel-link/src/connect.rs
+++ b/crates/nutmegwheel-link/src/connect.rs
@@ -1,9 +1,13 @@
 //! Opens and accepts the TCP connections of links, and runs the handshake over them.
 
-use std::{io, net::SocketAddr, time::Instant};
+use std::{
+    io,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use bytes::{Bytes, BytesMut};
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{SinkExt, StreamExt, stream::FuturesUnordered};
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -19,6 +23,10 @@
 /// The number of connections that the kernel queues until they are accepted.
 const BACKLOG: u32 = 1024;
 
+/// The time after which another connection is begun beside one that gets no answer. It is longer
+/// than a round trip to any peer.
+const CONNECT_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Why a link could not be established; no part of any message was sent.
 #[derive(Debug, Error)]
 pub(crate) enum ConnectError {
@@ -63,7 +71,21 @@
     socket.listen(BACKLOG)
 }
 
-pub(crate) async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+/// Connects to a peer. The operating system repeats the first packet of a connection only after a
+/// second, so further connections are begun beside one that gets no answer: the packet may have been
+/// lost, or the peer's VM may have started meanwhile.
+pub(crate) async fn connect_repeatedly(address: SocketAddr) -> io::Result<TcpStream> {
+    let mut attempts = FuturesUnordered::new();
+    loop {
+        attempts.push(connect(address));
+        tokio::select! {
+            Some(connected) = attempts.next() => return connected,
+            () = tokio::time::sleep(CONNECT_INTERVAL) => {}
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let stream = new_socket(address)?.connect(address).await?;
     stream.set_nodelay(true)?;
     Ok(stream)
--- a/crates/nutmegwheel-link/src/pool.rs
+++ b/crates/nutmegwheel-link/src/pool.rs
@@ -2,15 +2,13 @@
 
 use std::{
     collections::{HashMap, VecDeque},
-    io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-use futures_util::stream::{FuturesUnordered, StreamExt as _};
-use tokio::{net::TcpStream, sync::Notify};
+use tokio::sync::Notify;
 
 use crate::{
     Limits, Step, Topic,
@@ -28,9 +26,6 @@
 /// The number of consecutive connection failures after which calls fail immediately instead of
 /// waiting for a link.
 const FAILURES_BEFORE_FAIL_FAST: u32 = 2;
-/// The time after which another connection is begun beside one that gets no answer. It is longer
-/// than a round trip to any peer.
-const CONNECT_INTERVAL: Duration = Duration::from_millis(250);
 /// The maximum number of doublings of the backoff. More would not lengthen it, since
 /// [`Limits::max_backoff`] caps it long before.
 const MAX_DOUBLINGS: u32 = 16;
@@ -309,7 +304,7 @@
 
 async fn connect(address: SocketAddr, core: &Core) -> Result<Connected, ConnectError> {
     let deadline = tokio::time::Instant::now() + core.limits.handshake_timeout;
-    let stream = tokio::time::timeout_at(deadline, connect_repeatedly(address))
+    let stream = tokio::time::timeout_at(deadline, connect::connect_repeatedly(address))
         .await
         .map_err(|_| ConnectError::Timeout(Step::Connect))??;
     let handshake = connect::dial_handshake(stream, &core.credentials);
@@ -318,20 +313,6 @@
         .map_err(|_| ConnectError::Timeout(Step::Handshake))?
 }
 
-/// Connects to a peer. The operating system repeats the first packet of a connection only after a
-/// second, so further connections are begun beside one that gets no answer: the packet may have been
-/// lost, or the peer's VM may have started meanwhile.
-async fn connect_repeatedly(address: SocketAddr) -> io::Result<TcpStream> {
-    let mut attempts = FuturesUnordered::new();
-    loop {
-        attempts.push(connect::connect(address));
-        tokio::select! {
-            Some(connected) = attempts.next() => return connected,
-            () = tokio::time::sleep(CONNECT_INTERVAL) => {}
-        }
-    }
-}
-
 async fn run_link(pool: &Arc<Pool>, connected: Connected) {
     let core = &pool.core;
     let _counted = CountGuard::new(&core.counts.dialled);
--- a/crates/nutmegwheel-node/src/at_most_once.rs
+++ b/crates/nutmegwheel-node/src/at_most_once.rs
@@ -20,7 +20,7 @@
     headers,
     refusal::{Outcome, Reason, Refusal},
     routes,
-    serve::Served,
+    served::Served,
     shared::Shared,
 };
 
--- a/crates/nutmegwheel-node/src/attempt.rs
+++ b/crates/nutmegwheel-node/src/attempt.rs
@@ -21,7 +21,8 @@
     refusal::{Outcome, Reason, Refusal},
     routes::Target,
     running::DownstreamServer,
-    serve::{self, Served},
+    serve,
+    served::Served,
     shared::Shared,
 };
 
--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -5,9 +5,8 @@
     time::{Duration, Instant},
 };
 
-use nutmegwheel_events::Event;
 use nutmegwheel_policy::{
-    retry::{self, Attempt, Budgets, CallEnd, CallId, ChildKey, Decision},
+    retry::{Attempt, CallEnd, CallId, ChildKey, Decision},
     routing::BackendKey,
     shed,
 };
@@ -18,6 +17,7 @@
     digest::short_digest,
     quarantine,
     refusal::{Outcome, Reason, Refusal},
+    retries,
     routes::Target,
     running::{DownstreamServer, Parent},
     shared::Shared,
@@ -49,7 +49,7 @@
         .retry_ratios
         .lock()
         .unwrap_or_else(PoisonError::into_inner)
-        .record_first_attempt(Instant::now(), retry_key(&call));
+        .record_first_attempt(Instant::now(), retries::retry_key(&call));
     let mut open_call = FinishOnDrop {
         parent,
         child: started.child,
@@ -123,7 +123,7 @@
         }
         parent.record_downstream(served.downstream);
         let refusal = match served.result {
-            Ok(answer) if served.has_failed_alone && may_run_elsewhere(call) => {
+            Ok(answer) if served.has_failed_alone && retries::may_run_elsewhere(call) => {
                 let detail = format!("the backend server answered with {}", answer.status);
                 *failure = Some(answer);
                 Refusal::may_have_run(Reason::BackendFailed, detail)
@@ -143,10 +143,10 @@
             return checked.and(Err(refusal));
         }
         let has_untried = shared.routes.available(&call.service) > tried.len();
-        if has_untried && can_redirect(call, &refusal) {
+        if has_untried && retries::can_redirect(call, &refusal) {
             // The attempt returned all retry tokens lent to it, so the next one gets the same
             // number.
-            record_retry(shared, call, &target, &refusal, Duration::ZERO);
+            retries::record_retry(shared, call, &target, &refusal, Duration::ZERO);
             continue;
         }
         if refusal.reason == Reason::BackendFailed && !has_untried {
@@ -168,108 +168,19 @@
                 _ => Duration::ZERO,
             },
         };
-        match decide(shared, parent, call, open_call.child, &attempt) {
+        match retries::decide(shared, parent, call, open_call.child, &attempt) {
             Decision::Retry { backoff, tokens } => {
-                record_retry(shared, call, &target, &refusal, backoff);
+                retries::record_retry(shared, call, &target, &refusal, backoff);
                 call.context.retry_tokens = tokens;
                 tokio::time::sleep(backoff).await;
             }
-            Decision::Fail(reason) => return Err(final_refusal(shared, call, refusal, reason)),
-        }
-    }
-}
-
-/// Whether a request that its backend server failed may run on another one: it is idempotent, and
-/// its route allows several backend servers.
-fn may_run_elsewhere(call: &Call) -> bool {
-    !call.context.non_idempotent && call.max_servers.is_some_and(|max| max > 1)
-}
-
-/// The key by which retries are counted: the service if the route limits the attempts, since the
-/// service bears their load, and else the workspace that causes them.
-fn retry_key(call: &Call) -> Option<&Arc<str>> {
-    match call.max_servers {
-        Some(_) => Some(&call.service),
-        None => call.context.workspace.as_ref(),
-    }
-}
-
-fn decide(
-    shared: &Shared,
-    parent: &Parent,
-    call: &Call,
-    child: ChildKey,
-    attempt: &Attempt,
-) -> Decision {
-    let mut retry_ratios = shared
-        .retry_ratios
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner);
-    parent.with_chain(|chain| {
-        let budgets = Budgets {
-            chain,
-            ratios: &mut retry_ratios,
-            workspace: retry_key(call),
-        };
-        let options = retry::Options::default();
-        let now = Instant::now();
-        retry::decide(now, &options, budgets, child, attempt, &mut rand::rng())
-    })
-}
-
-fn final_refusal(shared: &Shared, call: &Call, refusal: Refusal, reason: retry::Reason) -> Refusal {
-    match reason {
-        retry::Reason::ChainExhausted | retry::Reason::RatioExhausted => {
-            shared.journal.emit(
-                Event::RetriesExhausted,
-                &[("service", &call.service), ("last", &refusal.reason.word())],
-            );
-            Refusal {
-                reason: Reason::RetriesSpent,
-                detail: format!("{}: {}", refusal.reason.word(), refusal.detail),
-                ..refusal
+            Decision::Fail(reason) => {
+                return Err(retries::final_refusal(shared, call, refusal, reason));
             }
         }
-        retry::Reason::DoNotResend | retry::Reason::NotIdempotent | retry::Reason::OutOfTime => {
-            refusal
-        }
     }
 }
 
-/// Whether the call may be sent to another node without spending a retry: the attempt reached no
-/// backend server, and the route limits the number of servers. Each node is tried at most once.
-fn can_redirect(call: &Call, refusal: &Refusal) -> bool {
-    let is_transient = matches!(
-        refusal.reason,
-        Reason::Overloaded | Reason::NoBackendServer | Reason::Leaving | Reason::LinkLost
-    );
-    call.max_servers.is_some() && is_transient && !refusal.has_reached_server()
-}
-
-fn record_retry(
-    shared: &Shared,
-    call: &Call,
-    failed: &Target,
-    refusal: &Refusal,
-    backoff: Duration,
-) {
-    shared.metrics.count_retry();
-    shared.journal.emit_rate_limited(
-        Event::CallRetried,
-        &[
-            (
-                "id",
-                &shared.local_backend.request_id(call).unwrap_or_default(),
-            ),
-            ("service", &call.service),
-            ("failed_at", &failed.node),
-            ("reason", &refusal.reason.word()),
-            ("detail", &refusal.detail),
-            ("backoff_ms", &backoff.as_millis()),
-        ],
-    );
-}
-
 fn choose(shared: &Shared, call: &Call, tried: &[BackendKey]) -> Result<Target, Refusal> {
     let now = Instant::now();
     if call.deadline <= now {
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use nutmegwheel_config::{Concurrency, Dialect, Settings};
+use nutmegwheel_config::{Concurrency, Settings};
 use nutmegwheel_events::{Journal, Timestamp};
 use nutmegwheel_limits::{messages::IngressId, server_limit::ServerLimit};
 use nutmegwheel_link::Endpoint;
@@ -15,7 +15,7 @@
     dependencies::Dependencies,
     failure_rate::{self, FailureRate},
     registration::Registration,
-    retry::{RatioOptions, RetryRatios},
+    retry::RetryRatios,
     shed::{self, ShedLevels},
     split::TrafficSplits,
 };
@@ -34,6 +34,7 @@
     dialect, members,
     metrics::Metrics,
     quarantine::RequestQuarantine,
+    retries,
     routes::Routes,
     running::Running,
     state_watcher::StateWatcher,
@@ -49,14 +50,6 @@
 /// refused as not run.
 const MAX_GOSSIP_INCARNATIONS: usize = 64;
 
-/// The retries allowed in percent of a service's first attempts, if routes limit the attempts. A
-/// retry repeats the downstream calls of its request as well, so the sum over a call chain is
-/// higher; deployments allow 20 %.
-const SERVICE_RETRIES_PERCENT: u32 = 12;
-/// The retries allowed in 10 s in addition to the percentage, over all ingress nodes. Deployments
-/// allow 49.
-const BASE_SERVICE_RETRIES: u32 = 36;
-
 /// The state that the listeners and tasks of a node share.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
@@ -115,7 +108,7 @@
             ),
             quarantine: RequestQuarantine::open(),
             shed_levels: Mutex::new(ShedLevels::open(shed::Options::default())),
-            retry_ratios: Mutex::new(RetryRatios::open(now, ratio_options(&settings))),
+            retry_ratios: Mutex::new(RetryRatios::open(now, retries::ratio_options(&settings))),
             dependencies: Mutex::default(),
             seeds: Arc::new(SeedLists::open(&settings)),
             seed_service: SeedService::open(&settings, incarnation).map(Arc::new),
@@ -374,22 +367,6 @@
     }
 }
 
-/// The parameters of the retry ratio, which applies by service in a platform's dialect and else by
-/// workspace.
-fn ratio_options(settings: &Settings) -> RatioOptions {
-    let defaults = RatioOptions::default();
-    match settings.dialect {
-        Dialect::Native => defaults,
-        Dialect::Platform => RatioOptions {
-            percent: SERVICE_RETRIES_PERCENT,
-            base_retries: BASE_SERVICE_RETRIES,
-            // The sum over all ingress nodes is bounded by the deployment.
-            min_base_retries_per_node: 0,
-            ..defaults
-        },
-    }
-}
-
 /// Counts a request as in flight while it exists.
 pub(crate) struct InFlight<'a>(&'a AtomicUsize);
 
--- a/crates/nutmegwheel-web/src/connection.rs
+++ b/crates/nutmegwheel-web/src/connection.rs
@@ -1,24 +1,20 @@
 //! Serves the requests of one connection; see docs/INTERFACES.md, "Pipelined requests".
 
-use std::{
-    future::Future,
-    io,
-    net::SocketAddr,
-    pin::{Pin, pin},
-    task::{Context, Poll},
-    time::Duration,
-};
+use std::{io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use bytes::BytesMut;
 use futures_util::stream::{FuturesUnordered, StreamExt as _};
-use http::header;
 use nutmegwheel_events::{Event, Journal};
-use nutmegwheel_http1::{Bounds, Decoder, Encoder, Framing, Malformed, Pipeline, Sequence, Stage};
+use nutmegwheel_http1::{Bounds, Decoder, Encoder, Framing, Pipeline, Sequence, Stage};
 use tokio::time::{Instant, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    Handler, HandlerFuture, Problem, Request, Response, connections::Socket, output::Output,
+    Handler, Problem, Request,
+    connections::Socket,
+    in_progress::{Answer, InProgress},
+    output::Output,
+    timing::{Expired, Timing},
 };
 
 /// What may be in progress on one connection.
@@ -30,18 +26,10 @@
 const READ_AHEAD_BYTES: usize = nutmegwheel_http1::MAX_HEAD_BYTES;
 /// The number of bytes for which a read makes room.
 const READ_BYTES: usize = 4 * 1024;
-/// The maximum idle time of a connection.
-const KEEP_ALIVE: Duration = Duration::from_mins(2);
-/// The time after which a caller that takes no byte of a response is given up.
-const WRITE_TIMEOUT: Duration = Duration::from_mins(1);
-/// How long bytes that cross the end of a connection are read, since unread ones would reset it and
-/// destroy the last response on its way.
-const LINGER_TIME: Duration = Duration::from_secs(1);
-
 /// What the connections of a listener have in common.
 pub(crate) struct Service {
     pub(crate) handler: Box<dyn Handler>,
-    pub(crate) journal: std::sync::Arc<Journal>,
+    pub(crate) journal: Arc<Journal>,
     /// The maximum size of a request body, in bytes.
     pub(crate) body_limit: usize,
     /// The time limit for receiving a head, and again for receiving a body.
@@ -51,29 +39,6 @@
 /// The peer has closed or reset the connection, or takes no more bytes.
 struct Departed;
 
-/// A request that its handler is working on.
-struct InProgress {
-    sequence: Sequence,
-    framing: Framing,
-    future: HandlerFuture,
-}
-
-/// The response to a request, and how it is to be written.
-struct Answer {
-    res: Response,
-    framing: Framing,
-}
-
-impl Future for InProgress {
-    type Output = (Sequence, Answer);
-
-    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
-        let (sequence, framing) = (self.sequence, self.framing);
-        let poll = self.future.as_mut().poll(cx);
-        poll.map(|res| (sequence, Answer { res, framing }))
-    }
-}
-
 /// Serves a connection until it is closed. The handlers of its requests are dropped when the caller
 /// leaves.
 pub(crate) async fn serve(service: &Service, socket: &Socket, stopping: &CancellationToken) {
@@ -92,9 +57,7 @@
         pipeline: Pipeline::open(BOUNDS),
         running: FuturesUnordered::new(),
         output: Output::default(),
-        receiving: None,
-        idle_since: Instant::now(),
-        written_at: Instant::now(),
+        timing: Timing::open(Instant::now(), service.read_timeout),
     };
     match connection.run(stopping).await {
         Ok(()) => connection.linger().await,
@@ -115,12 +78,7 @@
     pipeline: Pipeline<Answer>,
     running: FuturesUnordered<InProgress>,
     output: Output,
-    /// The part of a request that is being received, and since when.
-    receiving: Option<(Stage, Instant)>,
-    /// When the last request ended.
-    idle_since: Instant,
-    /// When the caller last took bytes of a response.
-    written_at: Instant,
+    timing: Timing,
 }
 
 impl Connection<'_> {
@@ -182,7 +140,7 @@
                     Ok(Some(req)) => self.waiting = Some(req),
                     Ok(None) => break,
                     Err(e) => {
-                        self.refuse(malformed(e));
+                        self.refuse(e.into());
                         break;
                     }
                 }
@@ -203,7 +161,6 @@
     }
 
     fn begin(&mut self, req: nutmegwheel_http1::Request, may_overlap: bool) {
-        self.socket.set_idle_since(None);
         let sequence = self.pipeline.begin(may_overlap, req.body.len());
         if req.is_last {
             self.pipeline.close();
@@ -238,7 +195,7 @@
     }
 
     fn complete(&mut self, sequence: Sequence, answer: Answer) {
-        if asks_for_close(&answer.res) {
+        if answer.asks_for_close() {
             self.pipeline.close();
         }
         let bytes = answer.res.body().len();
@@ -256,14 +213,14 @@
                 let Answer { res, framing } = next.answer;
                 let (encoder, output) = (&mut self.encoder, &mut self.output);
                 output.push_with(|buf| encoder.encode(res, framing, next.is_last, buf));
-                self.written_at = Instant::now();
+                self.timing.record_write(Instant::now());
             }
             if self.output.is_empty() {
                 return Ok(has_taken_any);
             }
             match self.output.write_to(&self.socket.stream) {
                 Ok(()) => {
-                    self.written_at = Instant::now();
+                    self.timing.record_write(Instant::now());
                     has_taken_any |= self.output.is_empty();
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(has_taken_any),
@@ -312,42 +269,26 @@
         let is_receiving = self.waiting.is_none()
             && self.pipeline.has_room()
             && (stage == Stage::Body || !self.received.is_empty());
-        let since = self.receiving.filter(|(receiving, _)| *receiving == stage);
-        self.receiving = is_receiving.then(|| since.unwrap_or((stage, now)));
-        let is_idle = self.pipeline.is_empty() && self.output.is_empty() && !is_receiving;
-        if !is_idle {
-            self.idle_since = now;
-        }
+        let is_busy = !self.pipeline.is_empty() || !self.output.is_empty();
+        let idle_since = self
+            .timing
+            .update(now, is_receiving.then_some(stage), is_busy);
         self.socket
-            .set_idle_since(is_idle.then(|| self.idle_since.into_std()));
+            .set_idle_since(idle_since.map(Instant::into_std));
     }
 
-    /// The next time at which [`Self::expire`] has something to do.
     fn deadline(&self) -> Instant {
-        let receiving = self
-            .receiving
-            .map(|(_, since)| since + self.service.read_timeout);
-        let writing = (!self.output.is_empty()).then(|| self.written_at + WRITE_TIMEOUT);
-        let idle = self.idle_since + KEEP_ALIVE;
-        [receiving, writing]
-            .into_iter()
-            .flatten()
-            .fold(idle, Instant::min)
+        self.timing.deadline(!self.output.is_empty())
     }
 
     fn expire(&mut self, now: Instant) -> Result<(), Departed> {
-        if !self.output.is_empty() && now >= self.written_at + WRITE_TIMEOUT {
-            return Err(Departed);
-        }
-        match self.receiving {
-            Some((stage, since)) if now >= since + self.service.read_timeout => match stage {
-                Stage::Head => self.pipeline.close(),
-                Stage::Body => self.refuse(Problem::bad_request("the body did not arrive in time")),
-            },
-            _ => {}
-        }
-        if self.pipeline.is_empty() && now >= self.idle_since + KEEP_ALIVE {
-            self.pipeline.close();
+        match self.timing.expired(now, !self.output.is_empty()) {
+            Some(Expired::Writing) => return Err(Departed),
+            Some(Expired::Receiving(Stage::Body)) => {
+                self.refuse(Problem::bad_request("the body did not arrive in time"));
+            }
+            Some(Expired::Receiving(Stage::Head) | Expired::Idle) => self.pipeline.close(),
+            None => {}
         }
         Ok(())
     }
@@ -369,7 +310,7 @@
             }
         };
         // A caller that neither closes its side nor stops sending is reset.
-        let _ = timeout_at(self.written_at + LINGER_TIME, peer_closed).await;
+        let _ = timeout_at(self.timing.linger_deadline(), peer_closed).await;
     }
 
     /// Records a request that was complete when its caller left, but not begun.
@@ -384,21 +325,3 @@
         }
     }
 }
-
-fn asks_for_close(res: &Response) -> bool {
-    let values = res.headers().get_all(header::CONNECTION).iter();
-    values
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .any(|option| option.trim().eq_ignore_ascii_case("close"))
-}
-
-fn malformed(e: Malformed) -> Problem {
-    match e {
-        Malformed::HeadTooLarge => Problem::head_too_large(e.to_string()),
-        Malformed::BodyTooLarge(limit) => Problem::body_too_large(limit),
-        Malformed::Head | Malformed::Length | Malformed::Body => {
-            Problem::bad_request(e.to_string())
-        }
-    }
-}
--- a/crates/nutmegwheel-web/src/lib.rs
+++ b/crates/nutmegwheel-web/src/lib.rs
@@ -8,11 +8,13 @@
 
 mod connection;
 mod connections;
+mod in_progress;
 mod listener;
 mod operator;
 mod output;
 mod problem;
 mod server;
+mod timing;
 
 pub use operator::{authorize, bearer, events, json, with_content_type};
 pub use problem::Problem;
--- a/crates/nutmegwheel-web/src/problem.rs
+++ b/crates/nutmegwheel-web/src/problem.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, StatusCode, header};
+use nutmegwheel_http1::Malformed;
 use nutmegwheel_types::plain;
 use serde::Serialize;
 
@@ -98,6 +99,18 @@
     }
 }
 
+impl From<Malformed> for Problem {
+    fn from(e: Malformed) -> Self {
+        match e {
+            Malformed::HeadTooLarge => Self::head_too_large(e.to_string()),
+            Malformed::BodyTooLarge(limit) => Self::body_too_large(limit),
+            Malformed::Head | Malformed::Length | Malformed::Body => {
+                Self::bad_request(e.to_string())
+            }
+        }
+    }
+}
+
 impl Problem {
     /// Converts the refusal into an HTTP response.
     #[must_use]
