--- a/crates/nutmegwheel-web/src/connection.rs
+++ b/crates/nutmegwheel-web/src/connection.rs
@@ -26,6 +26,7 @@
 const READ_AHEAD_BYTES: usize = nutmegwheel_http1::MAX_HEAD_BYTES;
 /// The number of bytes for which a read makes room.
 const READ_BYTES: usize = 4 * 1024;
+
 /// What the connections of a listener have in common.
 pub(crate) struct Service {
     pub(crate) handler: Box<dyn Handler>,
--- a/crates/nutmegwheel/tests/endless_answers.rs
+++ b/crates/nutmegwheel/tests/endless_answers.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
-use stand_in::{Fault, Fleet, KEY, LIMIT, document};
+use stand_in::{Fault, Fleet, KEY};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_nutmegwheel");
 const SERVERS: &[(&str, &str)] = &[("riga1", "portal"), ("riga2", "portal"), ("riga3", "desk")];
@@ -23,21 +23,7 @@
 }
 
 async fn start() -> Fleet {
-    let fleet = Fleet::start(PROGRAM, SERVERS).await;
-    assert_eq!(fleet.publish(1, 0, &document()).await, 200);
-    let end = Instant::now() + LIMIT;
-    let has_run = |n: usize| {
-        let id = &fleet.servers[n].id;
-        fleet
-            .runs_of("/safe/warm")
-            .iter()
-            .any(|run| run.server == *id)
-    };
-    while !(0..2).all(has_run) {
-        assert!(Instant::now() < end, "{}", fleet.log("node-2"));
-        call(&fleet, 2, "/safe/warm").await;
-    }
-    fleet
+    Fleet::serving(PROGRAM, SERVERS).await
 }
 
 // Guards against nodes that read on until they are out of memory, or keep the connection, while a
--- a/crates/nutmegwheel/tests/failed_answers.rs
+++ b/crates/nutmegwheel/tests/failed_answers.rs
@@ -3,10 +3,8 @@
 #[path = "../../../platform/tests/stand_in/mod.rs"]
 mod stand_in;
 
-use std::time::Instant;
-
 use nutmegwheel_support::Answer;
-use stand_in::{Fault, Fleet, KEY, LIMIT, document};
+use stand_in::{Fault, Fleet, KEY};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_nutmegwheel");
 const SERVERS: &[(&str, &str)] = &[("riga1", "portal"), ("riga2", "portal"), ("riga3", "desk")];
@@ -21,18 +19,7 @@
 }
 
 async fn start() -> Fleet {
-    let fleet = Fleet::start(PROGRAM, SERVERS).await;
-    assert_eq!(fleet.publish(1, 0, &document()).await, 200);
-    let end = Instant::now() + LIMIT;
-    let has_run = |n: usize| {
-        let runs = fleet.runs_of("/safe/warm");
-        runs.iter().any(|run| run.server == fleet.servers[n].id)
-    };
-    while !(0..2).all(has_run) {
-        assert!(Instant::now() < end, "{}", fleet.log("node-2"));
-        call(&fleet, "GET", "/safe/warm").await;
-    }
-    fleet
+    Fleet::serving(PROGRAM, SERVERS).await
 }
 
 // Guards against idempotent requests that fail although another backend server could serve them.
--- a/crates/nutmegwheel/tests/pipelining.rs
+++ b/crates/nutmegwheel/tests/pipelining.rs
@@ -74,21 +74,7 @@
 }
 
 async fn start(work: Duration) -> Fleet {
-    let fleet = Fleet::start(PROGRAM, SERVERS).await;
-    assert_eq!(fleet.publish(1, 0, &document()).await, 200);
-    let end = Instant::now() + LIMIT;
-    let has_run = |n: usize| {
-        let runs = fleet.runs_of("/safe/warm");
-        runs.iter().any(|run| run.server == fleet.servers[n].id)
-    };
-    while !(0..2).all(has_run) {
-        assert!(Instant::now() < end, "{}", fleet.log("node-2"));
-        let key = [("authorization", KEY)];
-        let node = &fleet.nodes[INGRESS];
-        fleet
-            .call_at(node, "GET", "portal.example", "/safe/warm", &key)
-            .await;
-    }
+    let fleet = Fleet::serving(PROGRAM, SERVERS).await;
     for server in &fleet.servers {
         server.set_work(work);
     }
--- a/crates/nutmegwheel/tests/restarts.rs
+++ b/crates/nutmegwheel/tests/restarts.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use stand_in::{Fleet, KEY, LIMIT, document};
+use stand_in::{Fleet, KEY, document};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_nutmegwheel");
 const SERVERS: &[(&str, &str)] = &[("riga1", "portal"), ("riga2", "portal"), ("riga3", "desk")];
@@ -20,18 +20,7 @@
 const PAUSE: Duration = Duration::from_millis(20);
 
 async fn start() -> Fleet {
-    let fleet = Fleet::start(PROGRAM, SERVERS).await;
-    assert_eq!(fleet.publish(1, 0, &document()).await, 200);
-    let end = Instant::now() + LIMIT;
-    let has_run = |n: usize| {
-        let runs = fleet.runs_of("/safe/warm");
-        runs.iter().any(|run| run.server == fleet.servers[n].id)
-    };
-    while !(0..2).all(has_run) {
-        assert!(Instant::now() < end, "{}", fleet.log("node-2"));
-        call(&fleet, "/safe/warm").await;
-    }
-    fleet
+    Fleet::serving(PROGRAM, SERVERS).await
 }
 
 async fn call(fleet: &Fleet, path: &str) -> u16 {
