--- a/crates/nutmegwheel-membership/tests/control_restart.rs
+++ b/crates/nutmegwheel-membership/tests/control_restart.rs
@@ -15,7 +15,7 @@
 /// The time within which news reaches every process of a fleet, docs/CAPACITY.md.
 const PROPAGATION_LIMIT: Duration = Duration::from_secs(5);
 /// The time within which a node that has just started joins once its contacts run,
-/// docs/OPERATORS.md.
+/// not counting the time to connect; see docs/OPERATORS.md, "First start".
 const JOIN_LIMIT: Duration = Duration::from_millis(600);
 
 /// How the processes of a fleet find each other.
--- a/crates/nutmegwheel-node/src/retries.rs
+++ b/crates/nutmegwheel-node/src/retries.rs
@@ -22,7 +22,7 @@
 /// higher; deployments allow 20 %.
 const SERVICE_RETRIES_PERCENT: u32 = 12;
 /// The retries allowed in 10 s in addition to the percentage, over all ingress nodes. Deployments
-/// allow 49.
+/// allow 48 or more.
 const BASE_SERVICE_RETRIES: u32 = 36;
 
 /// The parameters of the retry ratio, which applies by service in a platform's dialect and else by
