--- a/review/stand_in/src/http.rs
+++ b/review/stand_in/src/http.rs
@@ -58,6 +58,15 @@
 
     /// Reads a message; `None` at the end of the connection before its first byte.
     pub fn read(&mut self) -> io::Result<Option<Message>> {
+        let Some(mut message) = self.read_head()? else {
+            return Ok(None);
+        };
+        self.read_body(&mut message)?;
+        Ok(Some(message))
+    }
+
+    /// Reads the head of a message.
+    pub fn read_head(&mut self) -> io::Result<Option<Message>> {
         let head_end = loop {
             if let Some(at) = find(&self.buf, b"\r\n\r\n") {
                 break at + 4;
@@ -81,6 +90,11 @@
                 message.fields.push((n.trim().to_lowercase(), v.trim().to_owned()));
             }
         }
+        Ok(Some(message))
+    }
+
+    /// Reads the body of a message whose head was read.
+    pub fn read_body(&mut self, message: &mut Message) -> io::Result<()> {
         let is_chunked = message
             .field("transfer-encoding")
             .is_some_and(|v| v.eq_ignore_ascii_case("chunked"));
@@ -88,11 +102,11 @@
             message.body = self.read_chunks()?;
         } else if let Some(n) = message.field("content-length").and_then(|v| v.parse().ok()) {
             message.body = self.take(n)?;
-        } else if message.first.starts_with("HTTP/") {
+        } else if message.first.starts_with("HTTP/") && ![204, 304].contains(&message.status()) {
             while self.fill()? {}
             message.body = std::mem::take(&mut self.buf);
         }
-        Ok(Some(message))
+        Ok(())
     }
 
     fn read_chunks(&mut self) -> io::Result<Vec<u8>> {
