--- a/review/stand_in/src/endpoint.rs
+++ b/review/stand_in/src/endpoint.rs
@@ -42,6 +42,7 @@
     sequence: AtomicU64,
     connections: AtomicU64,
     stopped: AtomicBool,
+    closed: AtomicBool,
     pub state: Mutex<&'static str>,
     open: Mutex<Vec<TcpStream>>,
 }
@@ -63,6 +64,7 @@
             sequence: AtomicU64::new(0),
             connections: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
             state: Mutex::new("ready"),
             open: Mutex::default(),
         });
@@ -75,6 +77,8 @@
                     Err(_) => thread::sleep(Duration::from_millis(1)),
                 }
             }
+            drop(listener);
+            this.closed.store(true, Ordering::SeqCst);
         });
         Ok(endpoint)
     }
@@ -151,17 +155,19 @@
         Ok(answer.status())
     }
 
-    /// Ends this boot: closes the listener and all connections.
+    /// Ends this boot: closes the listener and then all connections.
     pub fn end(&self) {
         self.stopped.store(true, Ordering::SeqCst);
+        // The listener is closed by its thread.
+        while !self.closed.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(1));
+        }
         for stream in self.open.lock().expect("connections").drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
-        // The listener is closed by its thread.
-        thread::sleep(Duration::from_millis(20));
     }
 
-    /// Stops the heartbeats only.
+    /// A digest that no other boot gives.
     pub fn seal(&self) -> String {
         format!("{}.{}", self.id, self.born)
     }
