--- a/review/stand_in/src/bin/added_bytes.rs
+++ b/review/stand_in/src/bin/added_bytes.rs
@@ -25,7 +25,8 @@
 const CLIENTS: u64 = 4;
 
 /// The additional bytes: they bear no request's id and no seal.
-const ADDITIONAL: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 16\r\n\r\nanother's answer";
+const ADDITIONAL: &[u8] =
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 16\r\n\r\nanother's answer";
 
 struct Shared {
     record: Record,
@@ -38,22 +39,40 @@
 
 impl Behaviour for Shared {
     fn handle(&self, cx: &mut Exchange<'_>, req: Message) -> io::Result<()> {
-        let id = req.field("x-nutmegwheel-request-id").unwrap_or_default().to_owned();
+        let id = req
+            .field("x-nutmegwheel-request-id")
+            .unwrap_or_default()
+            .to_owned();
         let (me, number) = (&cx.endpoint.id, cx.number);
         let is_faulty = me == "i-a1";
-        let answers = self.answers.fetch_add(u64::from(is_faulty), Ordering::SeqCst);
+        let answers = self
+            .answers
+            .fetch_add(u64::from(is_faulty), Ordering::SeqCst);
         self.record.line(format!("{me} conn {number}: {id} runs"));
         // The connection has carried a complete answer before.
-        if is_faulty && cx.kept.is_some() && answers > 20 && self.may_add.swap(false, Ordering::SeqCst) {
+        if is_faulty
+            && cx.kept.is_some()
+            && answers > 20
+            && self.may_add.swap(false, Ordering::SeqCst)
+        {
             self.extra.fetch_add(1, Ordering::SeqCst);
-            self.record.line(format!("{me} conn {number}: additional bytes after the answer before"));
+            self.record.line(format!(
+                "{me} conn {number}: additional bytes after the answer before"
+            ));
             cx.connection.send(ADDITIONAL)?;
         }
         thread::sleep(WORK);
         let seal = format!("{}.{id}", cx.endpoint.seal());
-        self.seals.lock().expect("seals").insert(id.clone(), seal.clone());
-        let fields = [("X-Nutmegwheel-Request-Id", id.as_str()), ("X-Nutmegwheel-Server-Seal", seal.as_str())];
-        cx.connection.send(&response(200, &fields, format!("done {id}").as_bytes()))?;
+        self.seals
+            .lock()
+            .expect("seals")
+            .insert(id.clone(), seal.clone());
+        let fields = [
+            ("X-Nutmegwheel-Request-Id", id.as_str()),
+            ("X-Nutmegwheel-Server-Seal", seal.as_str()),
+        ];
+        cx.connection
+            .send(&response(200, &fields, format!("done {id}").as_bytes()))?;
         *cx.kept = Some(Vec::new());
         Ok(())
     }
@@ -70,17 +89,31 @@
     ];
     let to = fleet.portal().outbound();
     shared.record.line(format!("client: {id} POST /claim/x"));
-    let answer = http::call(to, "POST", "/claim/x", &fields, b"a claim", Duration::from_secs(4));
+    let answer = http::call(
+        to,
+        "POST",
+        "/claim/x",
+        &fields,
+        b"a claim",
+        Duration::from_secs(4),
+    );
     let Ok(answer) = answer else {
         shared.record.line(format!("client: {id} got no answer"));
         return (0, None);
     };
     let body = String::from_utf8_lossy(&answer.body).into_owned();
     let seal = answer.field("x-nutmegwheel-server-seal").map(str::to_owned);
-    shared.record.line(format!("client: {id} answered {}, seal {seal:?}, body {body:?}", answer.status()));
+    shared.record.line(format!(
+        "client: {id} answered {}, seal {seal:?}, body {body:?}",
+        answer.status()
+    ));
     let given = shared.seals.lock().expect("seals").get(id).cloned();
-    let is_wrong = answer.status() == 200 && (seal.is_none() || seal != given || body != format!("done {id}"));
-    (answer.status(), is_wrong.then(|| format!("seal {seal:?}, body {body:?}")))
+    let is_wrong =
+        answer.status() == 200 && (seal.is_none() || seal != given || body != format!("done {id}"));
+    (
+        answer.status(),
+        is_wrong.then(|| format!("seal {seal:?}, body {body:?}")),
+    )
 }
 
 /// Sends requests from several clients for a time. Returns the successes that are not the endpoint's.
@@ -121,7 +154,14 @@
     let boot = |id: &str, n: usize| Endpoint::boot(id, &fleet.nodes[n], 41, shared.clone());
     let endpoints = [boot("i-a1", 0)?, boot("i-b1", 1)?, boot("i-c1", 2)?];
     endpoints.iter().for_each(|e| e.start_heartbeats());
-    let routes = [route("claim", "desk.example", "unsafe", "claims-desk", 2, 2000)];
+    let routes = [route(
+        "claim",
+        "desk.example",
+        "unsafe",
+        "claims-desk",
+        2,
+        2000,
+    )];
     fleet.publish(&desired_state(1, 0, &routes, &["claims-desk", "portal"]))?;
     fleet.await_ready()?;
     let end = Instant::now() + Duration::from_secs(20);
@@ -139,7 +179,9 @@
     let wrong = traffic(&fleet, &shared, Duration::from_secs(5));
     let answers = shared.answers.load(Ordering::SeqCst);
     let extra = shared.extra.load(Ordering::SeqCst);
-    record.say(format!("additional bytes after {extra} of {answers} answers of the endpoint in 5 s"));
+    record.say(format!(
+        "additional bytes after {extra} of {answers} answers of the endpoint in 5 s"
+    ));
     for (id, what) in &wrong {
         record.say(format!("MIXED: {id} was answered 200 with {what}"));
     }
--- a/review/stand_in/src/bin/late_421.rs
+++ b/review/stand_in/src/bin/late_421.rs
@@ -37,34 +37,53 @@
 
 impl Behaviour for Shared {
     fn handle(&self, cx: &mut Exchange<'_>, req: Message) -> io::Result<()> {
-        let id = req.field("x-nutmegwheel-request-id").unwrap_or_default().to_owned();
+        let id = req
+            .field("x-nutmegwheel-request-id")
+            .unwrap_or_default()
+            .to_owned();
         let (me, number) = (&cx.endpoint.id, cx.number);
         if me.starts_with("i-0") {
             self.answers.fetch_add(1, Ordering::SeqCst);
         }
         let target = req.field("x-nutmegwheel-target-instance");
         if target.is_some_and(|target| target != me) {
-            self.record.line(format!("{me} conn {number}: {id} for another instance: 421"));
-            let fields = [("X-Nutmegwheel-Request-Id", id.as_str()), ("X-Nutmegwheel-Not-Executed", "1")];
+            self.record.line(format!(
+                "{me} conn {number}: {id} for another instance: 421"
+            ));
+            let fields = [
+                ("X-Nutmegwheel-Request-Id", id.as_str()),
+                ("X-Nutmegwheel-Not-Executed", "1"),
+            ];
             let answer = response(421, &fields, b"");
             cx.connection.send(&answer)?;
             *cx.kept = Some(answer);
             return Ok(());
         }
         self.record.line(format!("{me} conn {number}: {id} runs"));
-        self.runs.lock().expect("runs").entry(id.clone()).or_default().push(me.clone());
+        self.runs
+            .lock()
+            .expect("runs")
+            .entry(id.clone())
+            .or_default()
+            .push(me.clone());
         if cx.kept.is_some()
             && self.may_repeat.swap(false, Ordering::SeqCst)
             && let Some(copy) = cx.kept.take()
         {
             self.extra.fetch_add(1, Ordering::SeqCst);
-            self.record.line(format!("{me} conn {number}: extra copy of the 421 before it"));
+            self.record.line(format!(
+                "{me} conn {number}: extra copy of the 421 before it"
+            ));
             cx.connection.send(&copy)?;
         }
         thread::sleep(WORK);
         let seal = cx.endpoint.seal();
-        let fields = [("X-Nutmegwheel-Request-Id", id.as_str()), ("X-Nutmegwheel-Server-Seal", seal.as_str())];
-        cx.connection.send(&response(200, &fields, format!("done {id}").as_bytes()))
+        let fields = [
+            ("X-Nutmegwheel-Request-Id", id.as_str()),
+            ("X-Nutmegwheel-Server-Seal", seal.as_str()),
+        ];
+        cx.connection
+            .send(&response(200, &fields, format!("done {id}").as_bytes()))
     }
 }
 
@@ -78,9 +97,18 @@
     ];
     let to = fleet.portal().outbound();
     shared.record.line(format!("client: {id} POST /claim/x"));
-    let answer = http::call(to, "POST", "/claim/x", &fields, b"a claim", Duration::from_secs(4));
+    let answer = http::call(
+        to,
+        "POST",
+        "/claim/x",
+        &fields,
+        b"a claim",
+        Duration::from_secs(4),
+    );
     let status = answer.map_or(0, |a| a.status());
-    shared.record.line(format!("client: {id} answered {status}"));
+    shared
+        .record
+        .line(format!("client: {id} answered {status}"));
     status
 }
 
@@ -124,13 +152,27 @@
     let others = others.collect::<io::Result<Vec<_>>>()?;
     first.start_heartbeats();
     others.iter().for_each(|e| e.start_heartbeats());
-    let routes = [route("claim", "desk.example", "unsafe", "claims-desk", 2, 2000)];
+    let routes = [route(
+        "claim",
+        "desk.example",
+        "unsafe",
+        "claims-desk",
+        2,
+        2000,
+    )];
     fleet.publish(&desired_state(1, 0, &routes, &["claims-desk", "portal"]))?;
     fleet.await_ready()?;
     let end = Instant::now() + Duration::from_secs(20);
     for n in 0.. {
         send(&fleet, &shared, &format!("warm-{n}"));
-        let used: Vec<String> = shared.runs.lock().expect("runs").values().flatten().cloned().collect();
+        let used: Vec<String> = shared
+            .runs
+            .lock()
+            .expect("runs")
+            .values()
+            .flatten()
+            .cloned()
+            .collect();
         if used.iter().any(|u| u == "i-0") {
             break;
         }
@@ -164,7 +206,9 @@
     record.say(format!("after: {served} served"));
     let answers = shared.answers.load(Ordering::SeqCst);
     let extra = shared.extra.load(Ordering::SeqCst);
-    record.say(format!("extra answers: {extra} of {answers} answers of the endpoint in 5 s"));
+    record.say(format!(
+        "extra answers: {extra} of {answers} answers of the endpoint in 5 s"
+    ));
     thread::sleep(Duration::from_millis(500));
 
     let runs = shared.runs.lock().expect("runs");
--- a/review/stand_in/src/bin/late_503.rs
+++ b/review/stand_in/src/bin/late_503.rs
@@ -41,7 +41,10 @@
 
 impl Behaviour for Shared {
     fn handle(&self, cx: &mut Exchange<'_>, req: Message) -> io::Result<()> {
-        let id = req.field("x-nutmegwheel-request-id").unwrap_or_default().to_owned();
+        let id = req
+            .field("x-nutmegwheel-request-id")
+            .unwrap_or_default()
+            .to_owned();
         let (me, number) = (&cx.endpoint.id, cx.number);
         let arrivals = self.answers.fetch_add(1, Ordering::SeqCst);
         let mut full = self.full.lock().expect("full");
@@ -52,32 +55,50 @@
             if refused.len() < ENDPOINTS && !refused.iter().any(|(by, _)| by == me) {
                 refused.push((me.clone(), number));
                 drop(full);
-                self.record.line(format!("{me} conn {number}: {id} finds the endpoint full: 503, not executed"));
-                let fields = [("X-Nutmegwheel-Request-Id", id.as_str()), ("X-Nutmegwheel-Not-Executed", "1")];
+                self.record.line(format!(
+                    "{me} conn {number}: {id} finds the endpoint full: 503, not executed"
+                ));
+                let fields = [
+                    ("X-Nutmegwheel-Request-Id", id.as_str()),
+                    ("X-Nutmegwheel-Not-Executed", "1"),
+                ];
                 let answer = response(503, &fields, b"");
                 cx.connection.send(&answer)?;
                 *cx.kept = Some(answer);
                 return Ok(());
             }
         }
-        let was_here = full.get(&id).is_some_and(|r| r.contains(&(me.clone(), number)));
+        let was_here = full
+            .get(&id)
+            .is_some_and(|r| r.contains(&(me.clone(), number)));
         drop(full);
         self.record.line(format!("{me} conn {number}: {id} runs"));
-        *self.runs.lock().expect("runs").entry(id.clone()).or_default() += 1;
+        *self
+            .runs
+            .lock()
+            .expect("runs")
+            .entry(id.clone())
+            .or_default() += 1;
         if was_here
             && cx.kept.is_some()
             && self.may_repeat.swap(false, Ordering::SeqCst)
             && let Some(copy) = cx.kept.take()
         {
             self.extra.fetch_add(1, Ordering::SeqCst);
-            self.record.line(format!("{me} conn {number}: extra copy of the 503 arrives now"));
+            self.record.line(format!(
+                "{me} conn {number}: extra copy of the 503 arrives now"
+            ));
             cx.connection.send(&copy)?;
         }
         *cx.kept = None;
         thread::sleep(WORK);
         let seal = cx.endpoint.seal();
-        let fields = [("X-Nutmegwheel-Request-Id", id.as_str()), ("X-Nutmegwheel-Server-Seal", seal.as_str())];
-        cx.connection.send(&response(200, &fields, format!("done {id}").as_bytes()))
+        let fields = [
+            ("X-Nutmegwheel-Request-Id", id.as_str()),
+            ("X-Nutmegwheel-Server-Seal", seal.as_str()),
+        ];
+        cx.connection
+            .send(&response(200, &fields, format!("done {id}").as_bytes()))
     }
 }
 
@@ -91,9 +112,18 @@
     ];
     let to = fleet.portal().outbound();
     shared.record.line(format!("client: {id} POST /claim/x"));
-    let answer = http::call(to, "POST", "/claim/x", &fields, b"a claim", Duration::from_secs(4));
+    let answer = http::call(
+        to,
+        "POST",
+        "/claim/x",
+        &fields,
+        b"a claim",
+        Duration::from_secs(4),
+    );
     let status = answer.map_or(0, |a| a.status());
-    shared.record.line(format!("client: {id} answered {status}"));
+    shared
+        .record
+        .line(format!("client: {id} answered {status}"));
     status
 }
 
@@ -137,7 +167,14 @@
     let boot = |id: &str, n: usize| Endpoint::boot(id, &fleet.nodes[n], 41, shared.clone());
     let endpoints = [boot("i-a1", 0)?, boot("i-b1", 1)?, boot("i-c1", 2)?];
     endpoints.iter().for_each(|e| e.start_heartbeats());
-    let routes = [route("claim", "desk.example", "unsafe", "claims-desk", 3, 2000)];
+    let routes = [route(
+        "claim",
+        "desk.example",
+        "unsafe",
+        "claims-desk",
+        3,
+        2000,
+    )];
     fleet.publish(&desired_state(1, 0, &routes, &["claims-desk", "portal"]))?;
     fleet.await_ready()?;
     let end = Instant::now() + Duration::from_secs(20);
@@ -155,7 +192,9 @@
     let refused = traffic(&fleet, &shared, "r", Duration::from_secs(5));
     let answers = shared.answers.load(Ordering::SeqCst);
     let extra = shared.extra.load(Ordering::SeqCst);
-    record.say(format!("extra answers: {extra} of {answers} answers in 5 s"));
+    record.say(format!(
+        "extra answers: {extra} of {answers} answers in 5 s"
+    ));
     thread::sleep(Duration::from_millis(300));
     let runs = shared.runs.lock().expect("runs");
     let mut broken = false;
--- a/review/stand_in/src/bin/left_and_back.rs
+++ b/review/stand_in/src/bin/left_and_back.rs
@@ -33,18 +33,30 @@
 
 impl Behaviour for Server {
     fn handle(&self, cx: &mut Exchange<'_>, req: Message) -> io::Result<()> {
-        let id = req.field("x-nutmegwheel-request-id").unwrap_or_default().to_owned();
+        let id = req
+            .field("x-nutmegwheel-request-id")
+            .unwrap_or_default()
+            .to_owned();
         let me = cx.endpoint.id.clone();
         let target = req.field("x-nutmegwheel-target-instance");
         if target.is_some_and(|target| target != me) {
-            let fields = [("X-Nutmegwheel-Request-Id", id.as_str()), ("X-Nutmegwheel-Not-Executed", "1")];
+            let fields = [
+                ("X-Nutmegwheel-Request-Id", id.as_str()),
+                ("X-Nutmegwheel-Not-Executed", "1"),
+            ];
             return cx.connection.send(&response(421, &fields, b""));
         }
         self.record.line(format!("{me}: {id} runs"));
-        self.arrivals.lock().expect("arrivals").push((Instant::now(), me, id.clone()));
+        self.arrivals
+            .lock()
+            .expect("arrivals")
+            .push((Instant::now(), me, id.clone()));
         thread::sleep(Duration::from_millis(20));
         let seal = cx.endpoint.seal();
-        let fields = [("X-Nutmegwheel-Request-Id", id.as_str()), ("X-Nutmegwheel-Server-Seal", seal.as_str())];
+        let fields = [
+            ("X-Nutmegwheel-Request-Id", id.as_str()),
+            ("X-Nutmegwheel-Server-Seal", seal.as_str()),
+        ];
         cx.connection.send(&response(200, &fields, b"done"))
     }
 }
@@ -57,9 +69,19 @@
         ("Authorization", KEY),
     ];
     let to = fleet.portal().outbound();
-    let answer = http::call(to, "POST", "/claim/x", &fields, b"a claim", Duration::from_secs(3));
+    let answer = http::call(
+        to,
+        "POST",
+        "/claim/x",
+        &fields,
+        b"a claim",
+        Duration::from_secs(3),
+    );
     let status = answer.map_or(0, |a| a.status());
-    record.line(format!("client at {}: {id} answered {status}", fleet.portal().name));
+    record.line(format!(
+        "client at {}: {id} answered {status}",
+        fleet.portal().name
+    ));
     status
 }
 
@@ -67,14 +89,24 @@
     let record = Record::open(folder)?;
     let plan = Plan::service("claims-desk", ENDPOINTS);
     let mut fleet = Fleet::start(root, plan, &record)?;
-    let server = Arc::new(Server { record: record.clone(), arrivals: Mutex::default() });
+    let server = Arc::new(Server {
+        record: record.clone(),
+        arrivals: Mutex::default(),
+    });
     let boot = |id: &str, n: usize| Endpoint::boot(id, &fleet.nodes[n], 41, server.clone());
     let leaving = boot("i-0", 0)?;
     let others = (1..=ENDPOINTS).map(|n| boot(&format!("i-{n}"), n));
     let others = others.collect::<io::Result<Vec<_>>>()?;
     leaving.heartbeat().ok();
     others.iter().for_each(|e| e.start_heartbeats());
-    let routes = [route("claim", "desk.example", "unsafe", "claims-desk", 2, 2000)];
+    let routes = [route(
+        "claim",
+        "desk.example",
+        "unsafe",
+        "claims-desk",
+        2,
+        2000,
+    )];
     fleet.publish(&desired_state(1, 0, &routes, &["claims-desk", "portal"]))?;
     fleet.await_ready()?;
     let end = Instant::now() + Duration::from_secs(20);
@@ -101,7 +133,9 @@
     thread::sleep(Duration::from_millis(200));
     let status = leaving.deregister()?;
     let left = Instant::now();
-    record.say(format!("i-0 says that it leaves (DELETE), answered {status}"));
+    record.say(format!(
+        "i-0 says that it leaves (DELETE), answered {status}"
+    ));
     if status != 200 {
         return Err(io::Error::other("the DELETE was not acknowledged"));
     }
@@ -121,16 +155,19 @@
         if !delivered && written.elapsed() >= LATE {
             delivered = true;
             let status = leaving.deliver(&late).unwrap_or(0);
-            record.say(format!("the late heartbeat arrives after {} ms, answered {status}", written.elapsed().as_millis()));
+            record.say(format!(
+                "the late heartbeat arrives after {} ms, answered {status}",
+                written.elapsed().as_millis()
+            ));
         }
         send(&fleet, &record, &format!("r-{n}"));
         n += 1;
         thread::sleep(Duration::from_millis(50));
     }
     let arrivals = server.arrivals.lock().expect("arrivals");
-    let late = arrivals.iter().filter(|(at, me, _)| {
-        me == "i-0" && *at > left + DRAIN && *at > in_touch
-    });
+    let late = arrivals
+        .iter()
+        .filter(|(at, me, _)| me == "i-0" && *at > left + DRAIN && *at > in_touch);
     let late: Vec<_> = late.collect();
     if let Some((at, _, id)) = late.first() {
         let after = at.duration_since(left).as_millis();
--- a/review/stand_in/src/bin/poison.rs
+++ b/review/stand_in/src/bin/poison.rs
@@ -48,15 +48,29 @@
 
 impl Behaviour for Server {
     fn handle(&self, cx: &mut Exchange<'_>, req: Message) -> io::Result<()> {
-        let id = req.field("x-nutmegwheel-request-id").unwrap_or_default().to_owned();
+        let id = req
+            .field("x-nutmegwheel-request-id")
+            .unwrap_or_default()
+            .to_owned();
         let me = &cx.endpoint.id;
-        if req.field("x-nutmegwheel-target-instance").is_some_and(|target| target != me) {
-            let fields = [("X-Nutmegwheel-Request-Id", id.as_str()), ("X-Nutmegwheel-Not-Executed", "1")];
+        if req
+            .field("x-nutmegwheel-target-instance")
+            .is_some_and(|target| target != me)
+        {
+            let fields = [
+                ("X-Nutmegwheel-Request-Id", id.as_str()),
+                ("X-Nutmegwheel-Not-Executed", "1"),
+            ];
             return cx.connection.send(&response(421, &fields, b""));
         }
         if req.path() == POISON {
-            self.shared.record.line(format!("{me}: {id} arrives and crashes it"));
-            let arrival = Arrival { at: Instant::now(), machine: self.machine };
+            self.shared
+                .record
+                .line(format!("{me}: {id} arrives and crashes it"));
+            let arrival = Arrival {
+                at: Instant::now(),
+                machine: self.machine,
+            };
             self.shared.arrivals.lock().expect("arrivals").push(arrival);
             self.shared.crash.lock().expect("crash").push(self.machine);
             cx.endpoint.end();
@@ -65,7 +79,10 @@
         self.shared.served.fetch_add(1, Ordering::SeqCst);
         thread::sleep(Duration::from_millis(20));
         let seal = cx.endpoint.seal();
-        let fields = [("X-Nutmegwheel-Request-Id", id.as_str()), ("X-Nutmegwheel-Server-Seal", seal.as_str())];
+        let fields = [
+            ("X-Nutmegwheel-Request-Id", id.as_str()),
+            ("X-Nutmegwheel-Server-Seal", seal.as_str()),
+        ];
         cx.connection.send(&response(200, &fields, b"done"))
     }
 }
@@ -78,10 +95,20 @@
         ("Authorization", KEY),
     ];
     let to = machine.outbound();
-    let answer = http::call(to, "POST", path, &fields, b"a claim", Duration::from_secs(3));
+    let answer = http::call(
+        to,
+        "POST",
+        path,
+        &fields,
+        b"a claim",
+        Duration::from_secs(3),
+    );
     let status = answer.map_or(0, |a| a.status());
     if path == POISON {
-        record.line(format!("client at {}: {id} POST {path} answered {status}", machine.name));
+        record.line(format!(
+            "client at {}: {id} POST {path} answered {status}",
+            machine.name
+        ));
     }
     status
 }
@@ -99,7 +126,10 @@
         due = later;
         for (_, n) in ready {
             boots[n] += 1;
-            let server = Server { shared: shared.clone(), machine: n };
+            let server = Server {
+                shared: shared.clone(),
+                machine: n,
+            };
             let id = format!("i-{n}-{}", boots[n]);
             match Endpoint::boot(&id, &nodes[n], 41, Arc::new(server)) {
                 Ok(endpoint) => {
@@ -134,9 +164,15 @@
         result
     });
     result?;
-    record.say(format!("other requests that ran: {}", shared.served.load(Ordering::SeqCst)));
+    record.say(format!(
+        "other requests that ran: {}",
+        shared.served.load(Ordering::SeqCst)
+    ));
     let arrivals = shared.arrivals.lock().expect("arrivals");
-    record.say(format!("the request reached endpoints {} times", arrivals.len()));
+    record.say(format!(
+        "the request reached endpoints {} times",
+        arrivals.len()
+    ));
     let Some(third) = arrivals.get(2) else {
         return Ok(false);
     };
@@ -163,7 +199,14 @@
     stop: &'s AtomicBool,
 ) -> io::Result<()> {
     let record = &shared.record;
-    let routes = [route("claim", "desk.example", "unsafe", "claims-desk", 2, 2000)];
+    let routes = [route(
+        "claim",
+        "desk.example",
+        "unsafe",
+        "claims-desk",
+        2,
+        2000,
+    )];
     fleet.publish(&desired_state(1, 0, &routes, &["claims-desk", "portal"]))?;
     fleet.await_ready()?;
     let end = Instant::now() + Duration::from_secs(20);
@@ -184,7 +227,12 @@
             if stop.load(Ordering::SeqCst) {
                 return;
             }
-            send(&shared.record, &nodes[n % nodes.len()], "/claim/x", &format!("usual-{n}"));
+            send(
+                &shared.record,
+                &nodes[n % nodes.len()],
+                "/claim/x",
+                &format!("usual-{n}"),
+            );
             thread::sleep(Duration::from_millis(50));
         }
     });
@@ -193,7 +241,12 @@
             if stop.load(Ordering::SeqCst) {
                 return;
             }
-            send(&shared.record, &nodes[n % nodes.len()], POISON, &format!("again-{n}"));
+            send(
+                &shared.record,
+                &nodes[n % nodes.len()],
+                POISON,
+                &format!("again-{n}"),
+            );
             thread::sleep(Duration::from_millis(120));
         }
     });
--- a/review/stand_in/src/fleet.rs
+++ b/review/stand_in/src/fleet.rs
@@ -1,8 +1,7 @@
 //! The machines and processes of a small deployment.
 
 use std::{
-    fs,
-    io,
+    fs, io,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -77,7 +76,11 @@
         let node = |n: usize| (zones[n % 3].clone(), service.to_owned());
         let mut nodes: Vec<_> = (0..count).map(node).collect();
         nodes.push((zones[0].clone(), "portal".to_owned()));
-        Self { zones: zones.to_vec(), nodes, memory_mb: 260 }
+        Self {
+            zones: zones.to_vec(),
+            nodes,
+            memory_mb: 260,
+        }
     }
 }
 
@@ -132,9 +135,16 @@
 
     /// Starts the process of a machine with the command of the deploy file.
     pub fn launch(&mut self, machine: &Machine, bootstrap: bool) -> io::Result<()> {
-        let role = if machine.service.is_some() { "node" } else { "control" };
+        let role = if machine.service.is_some() {
+            "node"
+        } else {
+            "control"
+        };
         let template = self.root.join(format!("deploy/{role}.tmpl"));
-        let text = template::fill(&fs::read_to_string(template)?, &self.fields(machine, bootstrap));
+        let text = template::fill(
+            &fs::read_to_string(template)?,
+            &self.fields(machine, bootstrap),
+        );
         let settings = self.folder.join(format!("{}.conf", machine.name));
         fs::write(&settings, text)?;
         let log = self.folder.join(format!("{}.log", machine.name));
@@ -147,7 +157,11 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        self.record.line(format!("start {} ({role}), pid {}", machine.name, child.id()));
+        self.record.line(format!(
+            "start {} ({role}), pid {}",
+            machine.name,
+            child.id()
+        ));
         if let Ok(path) = std::env::var("REVIEW_PIDS") {
             use std::io::Write as _;
             let mut file = fs::File::options().create(true).append(true).open(path)?;
@@ -260,7 +274,14 @@
         document: &str,
     ) -> io::Result<Message> {
         let (to, body) = (machine.control(), document.as_bytes());
-        http::call(to, method, "/-/config", fields, body, Duration::from_secs(2))
+        http::call(
+            to,
+            method,
+            "/-/config",
+            fields,
+            body,
+            Duration::from_secs(2),
+        )
     }
 
     /// Waits until all nodes are ready.
@@ -315,7 +336,14 @@
 }
 
 /// A route of a desired state.
-pub fn route(name: &str, host: &str, kind: &str, service: &str, attempts: u32, timeout_ms: u32) -> String {
+pub fn route(
+    name: &str,
+    host: &str,
+    kind: &str,
+    service: &str,
+    attempts: u32,
+    timeout_ms: u32,
+) -> String {
     format!(
         r#"{{"name":"{name}","hostname":"{host}","path_prefix":"/{name}/","route_type":"{kind}","timeout_ms":{timeout_ms},"target_latency_ms":1500,"priority":0,"service":"{service}","attempts":{attempts},"anonymous":false}}"#
     )
@@ -326,7 +354,11 @@
 
 /// A desired state with one tenant without a usage cap.
 pub fn desired_state(version: u32, base: u32, routes: &[String], services: &[&str]) -> String {
-    let base = if base == 0 { "0".to_owned() } else { format!("\"r{base}\"") };
+    let base = if base == 0 {
+        "0".to_owned()
+    } else {
+        format!("\"r{base}\"")
+    };
     let services: Vec<_> = services
         .iter()
         .map(|s| {
--- a/review/stand_in/src/http.rs
+++ b/review/stand_in/src/http.rs
@@ -17,7 +17,10 @@
 
 impl Message {
     pub fn field(&self, name: &str) -> Option<&str> {
-        let mut found = self.fields.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name));
+        let mut found = self
+            .fields
+            .iter()
+            .filter(|(n, _)| n.eq_ignore_ascii_case(name));
         found.next().map(|(_, v)| v.as_str())
     }
 
@@ -49,7 +52,10 @@
 
     pub fn accepted(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buf: Vec::new() }
+        Self {
+            stream,
+            buf: Vec::new(),
+        }
     }
 
     pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
@@ -87,7 +93,9 @@
         };
         for line in lines.filter(|l| !l.is_empty()) {
             if let Some((n, v)) = line.split_once(':') {
-                message.fields.push((n.trim().to_lowercase(), v.trim().to_owned()));
+                message
+                    .fields
+                    .push((n.trim().to_lowercase(), v.trim().to_owned()));
             }
         }
         Ok(Some(message))
