--- a/review/stand_in/src/bin/late_503.rs
+++ b/review/stand_in/src/bin/late_503.rs
@@ -48,7 +48,7 @@
         let (me, number) = (&cx.endpoint.id, cx.number);
         let arrivals = self.answers.fetch_add(1, Ordering::SeqCst);
         let mut full = self.full.lock().expect("full");
-        let is_chosen = full.contains_key(&id) || arrivals % FULL_ONE_IN == 0;
+        let is_chosen = full.contains_key(&id) || arrivals.is_multiple_of(FULL_ONE_IN);
         let ran = self.runs.lock().expect("runs").contains_key(&id);
         if is_chosen && !ran {
             let refused = full.entry(id.clone()).or_default();
--- a/review/stand_in/src/bin/poison.rs
+++ b/review/stand_in/src/bin/poison.rs
@@ -252,12 +252,9 @@
     });
     let end = Instant::now() + RUN;
     thread::sleep(Duration::from_secs(8));
-    for n in 0..ENDPOINTS {
-        if !trouble() {
-            break;
-        }
+    let restarted = if trouble() { ENDPOINTS } else { 0 };
+    for (n, machine) in nodes.iter().enumerate().take(restarted) {
         let began = Instant::now();
-        let machine = &nodes[n];
         fleet.signal(&machine.name, "TERM");
         restarts.push((n, Instant::now()));
         while !fleet.has_ended(&machine.name) && began.elapsed() < Duration::from_secs(6) {
