refactor(node): own the connections to the backend server

The pooled client of hyper-util returns a connection to its pool as soon as the answer has been read, before the node has decided whether the answer belongs to the request, and doesn't tell which connection carried a request. The node now opens, keeps and closes the connections itself, on hyper's HTTP/1 client. Behaviour is as before: the connection that became idle last is used first, idle ones are closed after 30 s, a request that wasn't sent because its idle connection had been closed is sent on another one, and what ends early closes its connection.

--- a/crates/nutmegwheel-node/src/backend.rs
+++ b/crates/nutmegwheel-node/src/backend.rs
@@ -1,23 +1,20 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Uri};
+use http::{HeaderMap, HeaderValue, Request, Uri, header, uri::PathAndQuery};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Body as _;
-use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::TokioExecutor,
-};
 use nutmegwheel_spread::AnnouncementState;
 use nutmegwheel_types::{Incarnation, ServiceId, plain, plain_copy};
 use serde::Deserialize;
 
 use crate::{
     call::{Answer, Call},
+    connections::{Connections, SendError},
     dialect::{AnswerKind, Dialect, Notice, TargetFields},
     headers,
     refusal::{Reason, Refusal},
@@ -26,8 +23,6 @@
 
 /// The maximum size of a backend server's answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
-/// How long an idle connection to the backend server is kept.
-const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(30);
 
 plain_copy! {
     /// The state that a backend server announces.
@@ -75,20 +70,15 @@
 pub(crate) struct LocalBackend {
     dialect: Option<Arc<dyn Dialect>>,
     announced: Mutex<Option<Announcement>>,
-    client: Client<HttpConnector, Full<Bytes>>,
+    connections: Connections,
 }
 
 impl LocalBackend {
     pub(crate) fn open(dialect: Option<Arc<dyn Dialect>>) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
-            .pool_idle_timeout(IDLE_CONNECTION_TIMEOUT)
-            .build(connector);
         Self {
             dialect,
             announced: Mutex::default(),
-            client,
+            connections: Connections::default(),
         }
     }
 
@@ -121,6 +111,11 @@
     pub(crate) fn remove_expired(&self, now: Instant) -> Option<Announcement> {
         self.lock().take_if(|announced| announced.expires_at <= now)
     }
+
+    /// Closes the connections that have been idle for too long.
+    pub(crate) fn expire_connections(&self, now: Instant) {
+        self.connections.expire(now);
+    }
 }
 
 impl LocalBackend {
@@ -172,7 +167,7 @@
             Some(dialect) => dialect.set_target_fields(req.headers_mut(), &target(server, call)),
             None => set_own_fields(req.headers_mut(), call, token)?,
         }
-        let exchange = self.exchange(call, req, notice);
+        let exchange = self.exchange(server.address, call, req, notice);
         let timeout = tokio::time::timeout_at(call.deadline.into(), exchange);
         timeout.await.unwrap_or_else(|_| {
             let detail = "the deadline passed while the backend server worked";
@@ -182,18 +177,13 @@
 
     async fn exchange(
         &self,
+        address: SocketAddr,
         call: &Call,
         req: Request<Full<Bytes>>,
         notice: &mut Option<Notice>,
     ) -> Result<Answer, Refusal> {
-        let res = self.client.request(req).await.map_err(|e| {
-            let detail = format!("the backend server broke off: {e}");
-            if e.is_connect() {
-                Refusal::not_run(Reason::BackendLost, detail)
-            } else {
-                Refusal::may_have_run(Reason::BackendLost, detail)
-            }
-        })?;
+        let sent = self.connections.send(address, req).await;
+        let (res, connection) = sent.map_err(|e| send_error(&e))?;
         let (parts, body) = res.into_parts();
         let kind = self.classify(call, &parts);
         if matches!(kind, AnswerKind::Answered | AnswerKind::Shed) {
@@ -206,6 +196,7 @@
         }
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         let body = body.map_err(|e| read_error(&*e))?.to_bytes();
+        connection.keep();
         check_kind(kind)?;
         Ok(Answer {
             status: parts.status,
@@ -265,6 +256,14 @@
         && outcome.is_some_and(|value| value == "not-run")
 }
 
+fn send_error(e: &SendError) -> Refusal {
+    let detail = format!("the backend server broke off: {e}");
+    match e {
+        SendError::NotSent(_) => Refusal::not_run(Reason::BackendLost, detail),
+        SendError::BrokeOff(_) => Refusal::may_have_run(Reason::BackendLost, detail),
+    }
+}
+
 fn read_error(e: &(dyn std::error::Error + 'static)) -> Refusal {
     if e.is::<http_body_util::LengthLimitError>() {
         let detail = format!("the answer does not end within {MAX_ANSWER_BYTES} bytes");
@@ -276,16 +275,21 @@
 }
 
 fn request(address: SocketAddr, call: &Call) -> Result<Request<Full<Bytes>>, Refusal> {
-    let uri: Uri = format!("http://{address}{}", call.path)
+    let path: PathAndQuery = call
+        .path
         .parse()
         .map_err(|e| bad_request(format!("the path cannot be passed on: {e}")))?;
     let mut req = Request::new(Full::new(call.body.clone()));
     *req.method_mut() = call.method.clone();
-    *req.uri_mut() = uri;
+    *req.uri_mut() = Uri::from(path);
     let fields = req.headers_mut();
     for (name, value) in &call.fields {
         fields.append(name.clone(), value.clone());
     }
+    if !fields.contains_key(header::HOST) {
+        let host = HeaderValue::try_from(address.to_string());
+        fields.insert(header::HOST, host.map_err(|e| bad_request(e.to_string()))?);
+    }
     Ok(req)
 }
 
--- /dev/null
+++ b/crates/nutmegwheel-node/src/connections.rs
@@ -0,0 +1,163 @@
+//! Kept connections to the local backend server; see docs/DESIGN.md, "Connections to backend
+//! servers".
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio_util::task::AbortOnDropHandle;
+
+/// How long an idle connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+type Body = Full<Bytes>;
+
+/// The idle connections to the backend server.
+#[derive(Default)]
+pub(crate) struct Connections {
+    idle: Arc<Mutex<Vec<IdleConnection>>>,
+}
+
+/// A connection on which an answer has begun. It carries no other request until it is kept, and is
+/// closed when dropped.
+pub(crate) struct ActiveConnection {
+    connection: Connection,
+    idle: Arc<Mutex<Vec<IdleConnection>>>,
+}
+
+/// Why no answer to a request began.
+#[derive(Debug, Error)]
+pub(crate) enum SendError {
+    /// No byte of the request was sent.
+    #[error("{0}")]
+    NotSent(#[source] io::Error),
+    /// The connection ended after the request may have been sent.
+    #[error("{0}")]
+    BrokeOff(#[source] hyper::Error),
+}
+
+struct IdleConnection {
+    connection: Connection,
+    since: Instant,
+}
+
+/// An open connection, which is closed when dropped.
+struct Connection {
+    address: SocketAddr,
+    sender: SendRequest<Body>,
+    _driver: AbortOnDropHandle<()>,
+}
+
+impl Connections {
+    /// Sends a request on an idle connection or a new one, and returns the head of the answer.
+    /// Dropping the future closes the connection.
+    pub(crate) async fn send(
+        &self,
+        address: SocketAddr,
+        mut req: Request<Body>,
+    ) -> Result<(Response<Incoming>, ActiveConnection), SendError> {
+        loop {
+            let idle = self.take_idle(address);
+            let is_new = idle.is_none();
+            let mut connection = match idle {
+                Some(connection) => connection,
+                None => Connection::open(address).await?,
+            };
+            match connection.sender.try_send_request(req).await {
+                Ok(res) => {
+                    let idle = self.idle.clone();
+                    return Ok((res, ActiveConnection { connection, idle }));
+                }
+                Err(mut e) => match e.take_message() {
+                    // The backend server closed the idle connection before the request was sent.
+                    Some(unsent) if !is_new => req = unsent,
+                    Some(_) => return Err(SendError::NotSent(io::Error::other(e.into_error()))),
+                    None => return Err(SendError::BrokeOff(e.into_error())),
+                },
+            }
+        }
+    }
+
+    /// Closes the connections that have been idle for too long.
+    pub(crate) fn expire(&self, now: Instant) {
+        lock(&self.idle).retain(|idle| {
+            !idle.connection.sender.is_closed()
+                && now.saturating_duration_since(idle.since) < IDLE_TIMEOUT
+        });
+    }
+
+    /// Takes the connection that became idle last. Those that were closed meanwhile or lead to
+    /// another address are dropped.
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+        let mut idle = lock(&self.idle);
+        while let Some(IdleConnection { connection, .. }) = idle.pop() {
+            if connection.address == address && connection.sender.is_ready() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+}
+
+impl ActiveConnection {
+    /// Keeps the connection for other requests, after the answer has been read completely.
+    pub(crate) fn keep(mut self) {
+        if self.connection.sender.is_ready() {
+            self.add_to_idle();
+        } else if !self.connection.sender.is_closed() {
+            // The end of the exchange is still being processed, or the request is still being sent.
+            tokio::spawn(async move {
+                let ready = tokio::time::timeout(IDLE_TIMEOUT, self.connection.sender.ready());
+                if matches!(ready.await, Ok(Ok(()))) {
+                    self.add_to_idle();
+                }
+            });
+        }
+    }
+
+    fn add_to_idle(self) {
+        let since = Instant::now();
+        let connection = self.connection;
+        lock(&self.idle).push(IdleConnection { connection, since });
+    }
+}
+
+impl Connection {
+    async fn open(address: SocketAddr) -> Result<Self, SendError> {
+        let stream = connect(address).await.map_err(SendError::NotSent)?;
+        let opened = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, driver) = opened.map_err(|e| SendError::NotSent(io::Error::other(e)))?;
+        let driver = tokio::spawn(async move {
+            // The request on the connection gets the error, and an idle connection needs none.
+            let _ = driver.await;
+        });
+        Ok(Self {
+            address,
+            sender,
+            _driver: AbortOnDropHandle::new(driver),
+        })
+    }
+}
+
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+fn lock(idle: &Mutex<Vec<IdleConnection>>) -> MutexGuard<'_, Vec<IdleConnection>> {
+    idle.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -13,6 +13,7 @@
 mod backend;
 mod backend_handler;
 mod call;
+mod connections;
 mod dialect;
 mod digest;
 mod failure_rate;
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -352,6 +352,7 @@
     pub(crate) fn expire(&self, now: Instant) {
         self.state_watcher.emit_changes(self);
         self.quarantine.expire(now);
+        self.local_backend.expire_connections(now);
         let ingress_nodes = u32::try_from(self.gossip.ingress_nodes()).unwrap_or(u32::MAX);
         let mut retry_ratios = self
             .retry_ratios
