--- a/crates/nutmegwheel-node/src/backend.rs
+++ b/crates/nutmegwheel-node/src/backend.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, HeaderValue, Request, Uri, header, uri::PathAndQuery};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Body as _;
+use nutmegwheel_policy::answer::{self, Conclusion, Denial, Identity, Marks};
 use nutmegwheel_spread::AnnouncementState;
 use nutmegwheel_types::{Incarnation, ServiceId, plain, plain_copy};
 use serde::Deserialize;
@@ -15,7 +16,7 @@
 use crate::{
     call::{Answer, Call},
     connections::{Connections, SendError},
-    dialect::{AnswerKind, Dialect, Notice, TargetFields},
+    dialect::{Dialect, Notice, TargetFields},
     headers,
     refusal::{Reason, Refusal},
     running::Token,
@@ -185,10 +186,20 @@
         let sent = self.connections.send(address, req).await;
         let (res, connection) = sent.map_err(|e| send_error(&e))?;
         let (parts, body) = res.into_parts();
-        let kind = self.classify(call, &parts);
-        if matches!(kind, AnswerKind::Answered | AnswerKind::Shed) {
-            let dialect = self.dialect.as_ref();
-            *notice = dialect.map(|dialect| dialect.read_notice(&parts));
+        let conclusion = answer::conclude(self.read_marks(call, &parts));
+        match conclusion {
+            Conclusion::Answered | Conclusion::NotRun(Denial::Shed) => {
+                let dialect = self.dialect.as_ref();
+                *notice = dialect.map(|dialect| dialect.read_notice(&parts));
+            }
+            Conclusion::NotRun(Denial::OtherServer) => {}
+            Conclusion::Unknown(doubt) => {
+                let detail = format!(
+                    "the answer with status {} is dropped: {doubt}",
+                    parts.status
+                );
+                return Err(Refusal::may_have_run(Reason::BadAnswer, detail));
+            }
         }
         if body.size_hint().lower() > MAX_ANSWER_BYTES as u64 {
             let detail = format!("the answer is larger than {MAX_ANSWER_BYTES} bytes");
@@ -197,7 +208,9 @@
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         let body = body.map_err(|e| read_error(&*e))?.to_bytes();
         connection.keep();
-        check_kind(kind)?;
+        if let Conclusion::NotRun(denial) = conclusion {
+            return Err(denied(denial));
+        }
         Ok(Answer {
             status: parts.status,
             fields: headers::forwarded_fields(&parts.headers),
@@ -215,30 +228,23 @@
 }
 
 impl LocalBackend {
-    fn classify(&self, call: &Call, parts: &http::response::Parts) -> AnswerKind {
+    fn read_marks(&self, call: &Call, parts: &http::response::Parts) -> Marks {
         match &self.dialect {
-            Some(dialect) => dialect.classify_answer(&call.fields, parts),
-            None if is_shed(parts) => AnswerKind::Shed,
-            None => AnswerKind::Answered,
+            Some(dialect) => dialect.read_answer(&call.fields, parts),
+            None => Marks {
+                identity: Identity::Unmarked,
+                denial: is_shed(parts).then_some(Denial::Shed),
+            },
         }
     }
 }
 
-/// Checks that the answer belongs to the call and that the backend server ran it.
-fn check_kind(kind: AnswerKind) -> Result<(), Refusal> {
-    match kind {
-        AnswerKind::Answered => Ok(()),
-        AnswerKind::Shed => {
-            let detail = "the backend server sheds load";
-            Err(Refusal::not_run(Reason::BackendShed, detail))
-        }
-        AnswerKind::OtherServer => {
+fn denied(denial: Denial) -> Refusal {
+    match denial {
+        Denial::Shed => Refusal::not_run(Reason::BackendShed, "the backend server sheds load"),
+        Denial::OtherServer => {
             let detail = "another backend server has the address";
-            Err(Refusal::not_run(Reason::NoBackendServer, detail))
-        }
-        AnswerKind::OtherRequest => {
-            let detail = "the backend server answered another request";
-            Err(Refusal::may_have_run(Reason::BackendLost, detail))
+            Refusal::not_run(Reason::NoBackendServer, detail)
         }
     }
 }
--- a/crates/nutmegwheel-node/src/dialect.rs
+++ b/crates/nutmegwheel-node/src/dialect.rs
@@ -4,8 +4,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use http::{HeaderMap, HeaderName, HeaderValue, request, response};
-use nutmegwheel_policy::registration::Instance;
-use nutmegwheel_types::{KeyHash, ServiceId, WorkspaceId, plain, plain_copy};
+use nutmegwheel_policy::{answer::Marks, registration::Instance};
+use nutmegwheel_types::{KeyHash, ServiceId, WorkspaceId, plain};
 use nutmegwheel_web::{Request, Response};
 
 use crate::refusal::{Outcome, Reason};
@@ -89,20 +89,6 @@
     }
 }
 
-plain_copy! {
-    /// How a backend server's answer relates to the request.
-    pub enum AnswerKind {
-        /// The backend server ran the request, and this is its answer.
-        Answered,
-        /// The backend server refused the request for lack of capacity, without running it.
-        Shed,
-        /// The address belongs to another backend server, which did not run the request.
-        OtherServer,
-        /// The answer belongs to another request, so it is not known whether this one ran.
-        OtherRequest,
-    }
-}
-
 /// What a backend server says about itself in an answer. A field that cannot be read is an error
 /// with its text.
 #[derive(Clone, Debug, PartialEq)]
@@ -142,12 +128,9 @@
     fn request_id<'a>(&self, fields: &'a [(HeaderName, HeaderValue)]) -> Option<&'a HeaderValue>;
     /// Writes the fields of the backend server's node.
     fn set_target_fields(&self, fields: &mut HeaderMap, target: &TargetFields<'_>);
-    /// Classifies the answer to the request with these fields.
-    fn classify_answer(
-        &self,
-        fields: &[(HeaderName, HeaderValue)],
-        head: &response::Parts,
-    ) -> AnswerKind;
+    /// Reads the head of an answer that arrived where the answer to the request with these fields
+    /// is due.
+    fn read_answer(&self, fields: &[(HeaderName, HeaderValue)], head: &response::Parts) -> Marks;
     /// Reads what a backend server says about itself in an answer.
     fn read_notice(&self, head: &response::Parts) -> Notice;
     /// Writes a refusal as a response.
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -41,8 +41,7 @@
 mod views;
 
 pub use dialect::{
-    Alive, AnswerKind, Dialect, Fields, Heartbeat, IngressFields, Notice, Refused, RequestInfo,
-    TargetFields,
+    Alive, Dialect, Fields, Heartbeat, IngressFields, Notice, Refused, RequestInfo, TargetFields,
 };
 pub use node::{Node, spawn};
 pub use refusal::{Outcome, Reason};
--- a/crates/nutmegwheel-node/src/refusal.rs
+++ b/crates/nutmegwheel-node/src/refusal.rs
@@ -82,7 +82,8 @@
     BackendLost = "backend-lost", SERVICE_UNAVAILABLE;
     /// The link to the backend server's node failed.
     LinkLost = "link-lost", SERVICE_UNAVAILABLE;
-    /// The backend server sends bytes that do not end within the maximum size of an answer.
+    /// The backend server sent bytes that cannot be attributed to the request, or that do not end
+    /// within the maximum size of an answer.
     BadAnswer = "bad-answer", SERVICE_UNAVAILABLE;
     /// The length of the answer exceeds the maximum size.
     AnswerTooLarge = "answer-too-large", SERVICE_UNAVAILABLE;
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -128,6 +128,8 @@
     failure_rate::record(shared, call, parent, &result, started_at.elapsed());
     match &result {
         Ok(_) => quarantine::notify_nodes(shared, &tracked.record_completion()),
+        // The request may still be running, and crash the backend server later.
+        Err(refusal) if refusal.reason == Reason::BadAnswer => tracked.record_abort(),
         Err(refusal) if refusal.reason == Reason::BackendLost => {
             if refusal.outcome == Outcome::MayHaveRun {
                 tracked.record_abort();
--- a/crates/nutmegwheel-policy/src/lib.rs
+++ b/crates/nutmegwheel-policy/src/lib.rs
@@ -7,6 +7,7 @@
 #![deny(missing_docs)]
 
 pub mod admission;
+pub mod answer;
 pub mod concurrency;
 pub mod deadline;
 pub mod dependencies;
--- /dev/null
+++ b/crates/nutmegwheel-policy/tests/answer.rs
@@ -0,0 +1,30 @@
+//! What answers prove, for each combination of what their heads say.
+
+use nutmegwheel_policy::answer::{Conclusion, Denial, Doubt, Identity, Marks, conclude};
+
+const DENIALS: [Option<Denial>; 3] = [None, Some(Denial::Shed), Some(Denial::OtherServer)];
+
+// Guards against TWICE: the status of an answer to another request decides about this one.
+#[test]
+fn answer_to_another_request_proves_nothing() {
+    let doubts = [
+        (Identity::Other, Doubt::OtherRequest),
+        (Identity::Missing, Doubt::NoId),
+    ];
+    for (identity, doubt) in doubts {
+        for denial in DENIALS {
+            let marks = Marks { identity, denial };
+            assert_eq!(conclude(marks), Conclusion::Unknown(doubt), "{marks:?}");
+        }
+    }
+}
+
+#[test]
+fn own_answer_proves_what_it_says() {
+    for identity in [Identity::Own, Identity::Unmarked] {
+        for denial in DENIALS {
+            let expected = denial.map_or(Conclusion::Answered, Conclusion::NotRun);
+            assert_eq!(conclude(Marks { identity, denial }), expected);
+        }
+    }
+}
--- /dev/null
+++ b/crates/nutmegwheel/tests/answers.rs
@@ -0,0 +1,138 @@
+//! What callers are told, and how often their requests run, when backend servers send answers that
+//! are not the answer to the request.
+
+#[path = "../../../platform/tests/stand_in/mod.rs"]
+mod stand_in;
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use stand_in::{
+    Fleet, KEY,
+    script::{self, Arrival, Script, Step},
+};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_nutmegwheel");
+const SERVERS: &[(&str, &str)] = &[("riga1", "portal"), ("riga2", "portal"), ("riga3", "desk")];
+const WORK: Duration = Duration::from_millis(40);
+/// The statuses that promise callers that their request has not run and never will.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+const ID: &str = "x-nutmegwheel-request-id";
+const NOT_EXECUTED: (&str, &str) = ("x-nutmegwheel-not-executed", "1");
+
+async fn start() -> Fleet {
+    Fleet::serving(PROGRAM, SERVERS).await
+}
+
+/// Lets both backend servers of the portal follow a script.
+fn follow(fleet: &Fleet, script: impl Fn(&Arrival) -> Vec<Step> + Send + Sync + 'static) {
+    let script: Script = Arc::new(script);
+    for server in &fleet.servers[..2] {
+        server.follow(script.clone());
+    }
+}
+
+async fn call(fleet: &Fleet, method: &str, path: &str) -> nutmegwheel_support::Answer {
+    let (node, key) = (&fleet.nodes[2], [("authorization", KEY)]);
+    let answer = fleet.call_at(node, method, "portal.example", path, &key);
+    answer.await
+}
+
+fn run_and_answer(arrival: &Arrival) -> Vec<Step> {
+    let answer = script::sound_answer(&arrival.id);
+    vec![Step::Run, Step::Wait(WORK), Step::Send(answer)]
+}
+
+/// Counts how often each path has arrived.
+#[derive(Default)]
+struct Arrivals(Mutex<HashMap<String, usize>>);
+
+impl Arrivals {
+    fn is_first(&self, path: &str) -> bool {
+        let mut counts = self.0.lock().expect("arrivals");
+        let count = counts.entry(path.to_owned()).or_default();
+        *count += 1;
+        *count == 1
+    }
+}
+
+/// Checks what the caller of an unsafe request was told against how often the request ran.
+fn check_unsafe(fleet: &Fleet, path: &str, status: u16) {
+    let runs = fleet.runs_of(path).len();
+    assert!(runs <= 1, "{path} ran {runs} times: {status}");
+    let is_promise = PROMISES.contains(&status);
+    assert!(!is_promise || runs == 0, "{path} ran: {status}");
+}
+
+// Guards against TWICE: the denial of another request, which arrives late on a kept connection, is
+// taken for the answer to the request that runs there, and that runs at another backend server too.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_denial_of_another_request_proves_nothing() {
+    let fleet = start().await;
+    for denial in [421, 429, 503, 400] {
+        let arrivals = Arrivals::default();
+        follow(&fleet, move |arrival| {
+            let late = script::answer(denial, &[(ID, "another"), NOT_EXECUTED], "");
+            let mut steps = vec![Step::Run];
+            if arrivals.is_first(&arrival.path) {
+                steps.push(Step::Send(late));
+            }
+            let answer = script::sound_answer(&arrival.id);
+            steps.extend([Step::Wait(WORK), Step::Send(answer)]);
+            steps
+        });
+        for number in 0..6 {
+            let path = format!("/once/late-{denial}-{number}");
+            let status = call(&fleet, "POST", &path).await.status;
+            check_unsafe(&fleet, &path, status);
+            assert_eq!(status, 502, "{path}");
+        }
+        // A repeat on another backend server costs a retry, of which there are few.
+        for number in 0..2 {
+            let path = format!("/safe/late-{denial}-{number}");
+            assert_eq!(call(&fleet, "GET", &path).await.status, 200, "{path}");
+        }
+    }
+}
+
+// Guards against TWICE: after an additional answer the others on its connection are read one behind,
+// so that a denial that is due to one request is taken for the answer to the next.
+#[tokio::test(flavor = "multi_thread")]
+async fn connection_that_carried_foreign_answer_is_not_used_again() {
+    let fleet = start().await;
+    let seen: Arc<Mutex<Vec<(String, usize, String)>>> = Arc::default();
+    let record = seen.clone();
+    follow(&fleet, move |arrival| {
+        let place = (
+            arrival.server.clone(),
+            arrival.connection,
+            arrival.path.clone(),
+        );
+        record.lock().expect("arrivals").push(place);
+        let mut steps = run_and_answer(arrival);
+        if arrival.path.starts_with("/once/first") {
+            steps.insert(1, Step::Send(script::sound_answer("another")));
+        }
+        steps
+    });
+    for number in 0..6 {
+        let first = format!("/once/first-{number}");
+        assert_eq!(call(&fleet, "POST", &first).await.status, 502);
+        let next = (0..3).map(|n| format!("/once/next-{number}-{n}"));
+        for path in next {
+            assert_eq!(call(&fleet, "POST", &path).await.status, 200, "{path}");
+        }
+        let seen = seen.lock().expect("arrivals");
+        let place = seen.iter().find(|(.., path)| *path == first);
+        let (server, connection, _) = place.expect("it arrived");
+        let later = seen.iter().skip_while(|(.., path)| *path != first).skip(1);
+        let mut later = later.filter(|(s, c, _)| s == server && c == connection);
+        assert!(
+            later.next().is_none(),
+            "{first}: the connection is used again"
+        );
+    }
+}
