--- a/crates/nutmegwheel-node/src/backend.rs
+++ b/crates/nutmegwheel-node/src/backend.rs
@@ -169,7 +169,7 @@
             Some(dialect) => dialect.set_target_fields(req.headers_mut(), &target(server, call)),
             None => set_own_fields(req.headers_mut(), call, token)?,
         }
-        let exchange = self.exchange(server.address, call, req, notice);
+        let exchange = self.exchange(server.address, call, token, req, notice);
         let timeout = tokio::time::timeout_at(call.deadline.into(), exchange);
         timeout.await.unwrap_or_else(|_| {
             let detail = "the deadline passed while the backend server worked";
@@ -181,13 +181,17 @@
         &self,
         address: SocketAddr,
         call: &Call,
+        token: Token,
         req: Request<Full<Bytes>>,
         notice: &mut Option<Notice>,
     ) -> Result<Answer, Refusal> {
-        let sent = self.connections.send(address, req).await;
+        let context = context_text(token);
+        let id = self.request_id(call).unwrap_or(&context);
+        let sent = self.connections.send(address, id, req).await;
         let (res, connection) = sent.map_err(|e| send_error(&e))?;
         let (parts, body) = res.into_parts();
-        let conclusion = answer::conclude(self.read_marks(call, &parts));
+        let marks = self.read_marks(call, &context, &parts);
+        let conclusion = answer::conclude(marks, connection.was_denied());
         match conclusion {
             Conclusion::Answered | Conclusion::NotRun(Denial::Shed) => {
                 let dialect = self.dialect.as_ref();
@@ -208,7 +212,7 @@
         }
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         let body = body.map_err(|e| read_error(&*e))?.to_bytes();
-        connection.keep();
+        connection.finish(marks.identity, conclusion);
         if let Conclusion::NotRun(denial) = conclusion {
             return Err(denied(denial));
         }
@@ -229,17 +233,27 @@
 }
 
 impl LocalBackend {
-    fn read_marks(&self, call: &Call, parts: &http::response::Parts) -> Marks {
+    fn read_marks(&self, call: &Call, context: &str, parts: &http::response::Parts) -> Marks {
         match &self.dialect {
             Some(dialect) => dialect.read_answer(&call.fields, parts),
             None => Marks {
-                identity: Identity::Unmarked,
+                identity: own_identity(context, &parts.headers),
                 denial: is_shed(parts).then_some(Denial::Shed),
             },
         }
     }
 }
 
+/// Whether an answer in the native dialect shows to which request it belongs.
+fn own_identity(context: &str, headers: &HeaderMap) -> Identity {
+    let mut echoed = headers.get_all(&headers::CONTEXT).iter();
+    match (echoed.next(), echoed.next()) {
+        (None, _) => Identity::Unmarked,
+        (Some(echoed), None) if echoed == context => Identity::Own,
+        _ => Identity::Other,
+    }
+}
+
 fn denied(denial: Denial) -> Refusal {
     match denial {
         Denial::Shed => Refusal::not_run(Reason::BackendShed, "the backend server sheds load"),
@@ -307,7 +321,7 @@
         fields.insert(name, value);
         Ok(())
     };
-    set(headers::CONTEXT, format!("{token:032x}"))?;
+    set(headers::CONTEXT, context_text(token))?;
     set(headers::REQUEST, format!("{:032x}", call.context.root))?;
     let remaining = call.deadline.saturating_duration_since(Instant::now());
     set(headers::DEADLINE, remaining.as_millis().to_string())?;
@@ -317,6 +331,10 @@
     Ok(())
 }
 
+fn context_text(token: Token) -> String {
+    format!("{token:032x}")
+}
+
 fn bad_request(detail: String) -> Refusal {
     Refusal::not_run(Reason::BadRequest, detail)
 }
--- a/crates/nutmegwheel-node/src/connections.rs
+++ b/crates/nutmegwheel-node/src/connections.rs
@@ -2,6 +2,7 @@
 //! servers".
 
 use std::{
+    hash::{BuildHasher as _, RandomState},
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -16,6 +17,10 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
+use nutmegwheel_policy::{
+    answer::{Conclusion, Identity},
+    kept_connection::{History, RequestHash},
+};
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
@@ -29,12 +34,14 @@
 #[derive(Default)]
 pub(crate) struct Connections {
     idle: Arc<Mutex<Vec<IdleConnection>>>,
+    hasher: RandomState,
 }
 
-/// A connection on which an answer has begun. It carries no other request until it is kept, and is
-/// closed when dropped.
+/// A connection on which an answer has begun. It is closed when dropped, unless the exchange is
+/// finished.
 pub(crate) struct ActiveConnection {
     connection: Connection,
+    request: RequestHash,
     idle: Arc<Mutex<Vec<IdleConnection>>>,
 }
 
@@ -58,17 +65,20 @@
 struct Connection {
     address: SocketAddr,
     sender: SendRequest<Body>,
+    history: History,
     _driver: AbortOnDropHandle<()>,
 }
 
 impl Connections {
-    /// Sends a request on an idle connection or a new one, and returns the head of the answer.
-    /// Dropping the future closes the connection.
+    /// Sends a request on an idle connection or a new one, and returns the head of the answer. `id`
+    /// is the id that the answer repeats. Dropping the future closes the connection.
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
+        id: &str,
         mut req: Request<Body>,
     ) -> Result<(Response<Incoming>, ActiveConnection), SendError> {
+        let request = self.hasher.hash_one(id);
         loop {
             let idle = self.take_idle(address);
             let is_new = idle.is_none();
@@ -78,8 +88,12 @@
             };
             match connection.sender.try_send_request(req).await {
                 Ok(res) => {
-                    let idle = self.idle.clone();
-                    return Ok((res, ActiveConnection { connection, idle }));
+                    let active = ActiveConnection {
+                        connection,
+                        request,
+                        idle: self.idle.clone(),
+                    };
+                    return Ok((res, active));
                 }
                 Err(mut e) => match e.take_message() {
                     // The backend server closed the idle connection before the request was sent.
@@ -113,8 +127,18 @@
 }
 
 impl ActiveConnection {
-    /// Keeps the connection for other requests, after the answer has been read completely.
-    pub(crate) fn keep(mut self) {
+    /// Whether the connection has carried a denial of the same request before.
+    pub(crate) fn was_denied(&self) -> bool {
+        self.connection.history.has_denied(self.request)
+    }
+
+    /// Ends the exchange after the answer has been read completely. The connection is kept for
+    /// other requests if what arrives on it next cannot be mistaken.
+    pub(crate) fn finish(mut self, identity: Identity, conclusion: Conclusion) {
+        let history = &mut self.connection.history;
+        if !history.record(self.request, identity, conclusion) {
+            return;
+        }
         if self.connection.sender.is_ready() {
             self.add_to_idle();
         } else if !self.connection.sender.is_closed() {
@@ -147,6 +171,7 @@
         Ok(Self {
             address,
             sender,
+            history: History::default(),
             _driver: AbortOnDropHandle::new(driver),
         })
     }
--- a/crates/nutmegwheel-policy/src/answer.rs
+++ b/crates/nutmegwheel-policy/src/answer.rs
@@ -51,17 +51,22 @@
         /// The answer may belong to any request.
         #[error("it bears no request id")]
         NoId,
+        /// The answer may be a second copy of an earlier denial.
+        #[error("the connection has carried a denial of this request before")]
+        RepeatedDenial,
     }
 }
 
 /// Decides what an answer proves. Its status and fields count only if the answer belongs to the
 /// request: connections are kept, and an additional answer arrives where the next one is due; see
-/// docs/DESIGN.md, "Connections to backend servers".
+/// docs/DESIGN.md, "Connections to backend servers". `was_denied` says whether the connection has
+/// carried a denial of the same request before.
 #[must_use]
-pub fn conclude(marks: Marks) -> Conclusion {
+pub fn conclude(marks: Marks, was_denied: bool) -> Conclusion {
     match (marks.identity, marks.denial) {
         (Identity::Other, _) => Conclusion::Unknown(Doubt::OtherRequest),
         (Identity::Missing, _) => Conclusion::Unknown(Doubt::NoId),
+        (_, Some(_)) if was_denied => Conclusion::Unknown(Doubt::RepeatedDenial),
         (Identity::Own | Identity::Unmarked, Some(denial)) => Conclusion::NotRun(denial),
         (Identity::Own | Identity::Unmarked, None) => Conclusion::Answered,
     }
--- a/crates/nutmegwheel-policy/src/lib.rs
+++ b/crates/nutmegwheel-policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod deadline;
 pub mod dependencies;
 pub mod failure_rate;
+pub mod kept_connection;
 pub mod quarantine;
 pub mod registration;
 pub mod retry;
--- a/crates/nutmegwheel-policy/tests/answer.rs
+++ b/crates/nutmegwheel-policy/tests/answer.rs
@@ -14,7 +14,10 @@
     for (identity, doubt) in doubts {
         for denial in DENIALS {
             let marks = Marks { identity, denial };
-            assert_eq!(conclude(marks), Conclusion::Unknown(doubt), "{marks:?}");
+            for was_denied in [false, true] {
+                let conclusion = conclude(marks, was_denied);
+                assert_eq!(conclusion, Conclusion::Unknown(doubt), "{marks:?}");
+            }
         }
     }
 }
@@ -24,7 +27,21 @@
     for identity in [Identity::Own, Identity::Unmarked] {
         for denial in DENIALS {
             let expected = denial.map_or(Conclusion::Answered, Conclusion::NotRun);
-            assert_eq!(conclude(Marks { identity, denial }), expected);
+            assert_eq!(conclude(Marks { identity, denial }, false), expected);
         }
     }
 }
+
+// Guards against REFUSED and TWICE: a second copy of the denial of an earlier try is taken for the
+// answer to the next try of the same request.
+#[test]
+fn second_denial_on_connection_proves_nothing() {
+    for denial in DENIALS {
+        let identity = Identity::Own;
+        let expected = match denial {
+            Some(_) => Conclusion::Unknown(Doubt::RepeatedDenial),
+            None => Conclusion::Answered,
+        };
+        assert_eq!(conclude(Marks { identity, denial }, true), expected);
+    }
+}
--- a/crates/nutmegwheel/tests/answers.rs
+++ b/crates/nutmegwheel/tests/answers.rs
@@ -6,14 +6,15 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
-use stand_in::{
-    Fleet, KEY,
-    script::{self, Arrival, Script, Step},
-};
+use nutmegwheel_support::script::{self, Arrival, Script, Step};
+use stand_in::{Fleet, KEY, sound_answer};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_nutmegwheel");
 const SERVERS: &[(&str, &str)] = &[("riga1", "portal"), ("riga2", "portal"), ("riga3", "desk")];
@@ -42,7 +43,7 @@
 }
 
 fn run_and_answer(arrival: &Arrival) -> Vec<Step> {
-    let answer = script::sound_answer(&arrival.id);
+    let answer = sound_answer(arrival.field(ID));
     vec![Step::Run, Step::Wait(WORK), Step::Send(answer)]
 }
 
@@ -80,7 +81,7 @@
             if arrivals.is_first(&arrival.path) {
                 steps.push(Step::Send(late));
             }
-            let answer = script::sound_answer(&arrival.id);
+            let answer = sound_answer(arrival.field(ID));
             steps.extend([Step::Wait(WORK), Step::Send(answer)]);
             steps
         });
@@ -114,7 +115,7 @@
         record.lock().expect("arrivals").push(place);
         let mut steps = run_and_answer(arrival);
         if arrival.path.starts_with("/once/first") {
-            steps.insert(1, Step::Send(script::sound_answer("another")));
+            steps.insert(1, Step::Send(sound_answer("another")));
         }
         steps
     });
@@ -136,3 +137,53 @@
         );
     }
 }
+
+/// Publishes a configuration whose routes allow three attempts.
+async fn allow_three_attempts(fleet: &Fleet) {
+    let mut configuration = stand_in::document();
+    for route in configuration["routes"].as_array_mut().expect("routes") {
+        route["attempts"] = 3.into();
+    }
+    assert_eq!(fleet.publish(2, 1, &configuration).await, 200);
+}
+
+// Guards against REFUSED and TWICE: a request that all backend servers refused is repeated at one of
+// them, on the connection of its refusal, and a late second copy of that is taken for the answer to
+// the repeat: the caller is told "not run" while it runs, or it is sent to a further backend server.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_copy_of_refusal_is_not_taken_for_answer_to_repeat() {
+    let fleet = start().await;
+    allow_three_attempts(&fleet).await;
+    let copies = Arc::new(AtomicUsize::new(0));
+    for denial in [503, 429, 400, 421] {
+        let sent = copies.clone();
+        type Place = (String, usize);
+        let refused: Mutex<HashMap<String, Vec<Place>>> = Mutex::default();
+        follow(&fleet, move |arrival| {
+            let refusal = script::answer(denial, &[(ID, arrival.field(ID)), NOT_EXECUTED], "");
+            let place = (arrival.server.clone(), arrival.connection);
+            let mut refused = refused.lock().expect("refused");
+            let places = refused.entry(arrival.path.clone()).or_default();
+            let is_refused = arrival.path.contains("refused");
+            let is_new_server = places.iter().all(|(server, _)| *server != arrival.server);
+            if is_refused && places.len() < 2 && is_new_server {
+                places.push(place);
+                return vec![Step::Send(refusal)];
+            }
+            let mut steps = run_and_answer(arrival);
+            if places.contains(&place) {
+                sent.fetch_add(1, Ordering::SeqCst);
+                steps.insert(1, Step::Send(refusal));
+            }
+            steps
+        });
+        for number in 0..4 {
+            let path = format!("/once/refused-{denial}-{number}");
+            let status = call(&fleet, "POST", &path).await.status;
+            check_unsafe(&fleet, &path, status);
+            let path = format!("/once/other-{denial}-{number}");
+            assert_eq!(call(&fleet, "POST", &path).await.status, 200, "{path}");
+        }
+    }
+    assert!(copies.load(Ordering::SeqCst) > 0, "a copy was sent");
+}
--- a/tests/support/src/lib.rs
+++ b/tests/support/src/lib.rs
@@ -13,6 +13,7 @@
 mod ledger;
 mod program;
 pub mod relay;
+pub mod script;
 
 pub use backend::{Backend, BackendOptions, Behaviour, Fault, raw};
 pub use caller::{Answer, Caller};
--- a/platform/tests/stand_in/script.rs
+++ b/tests/support/src/script.rs
@@ -1,4 +1,4 @@
-//! A backend server whose answers a test writes byte by byte.
+//! Backend servers whose answers a test writes byte by byte.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -7,38 +7,46 @@
     net::TcpStream,
 };
 
-use super::Inner;
-
 /// A request at a scripted backend server.
 #[derive(Clone, Debug)]
-pub(crate) struct Arrival {
-    /// The id of the backend server.
-    pub(crate) server: String,
+pub struct Arrival {
+    /// The name of the backend server.
+    pub server: String,
     /// The number of the connection at this backend server.
-    pub(crate) connection: usize,
-    pub(crate) path: String,
-    /// The request id.
-    pub(crate) id: String,
-    pub(crate) fields: HashMap<String, String>,
+    pub connection: usize,
+    /// The path and query of the request.
+    pub path: String,
+    /// The header fields of the request, with names in lower case.
+    pub fields: HashMap<String, String>,
 }
 
 /// One action of a backend server.
 #[derive(Clone, Debug)]
-pub(crate) enum Step {
+pub enum Step {
     /// Begins to work on the request.
     Run,
     /// Sends bytes on the connection of the request.
     Send(Vec<u8>),
+    /// Does nothing for a time.
     Wait(Duration),
     /// Closes the connection.
     Close,
 }
 
 /// What a backend server does with each request.
-pub(crate) type Script = Arc<dyn Fn(&Arrival) -> Vec<Step> + Send + Sync>;
+pub type Script = Arc<dyn Fn(&Arrival) -> Vec<Step> + Send + Sync>;
+
+impl Arrival {
+    /// The value of a header field, or an empty text.
+    #[must_use]
+    pub fn field(&self, name: &str) -> &str {
+        self.fields.get(name).map_or("", String::as_str)
+    }
+}
 
 /// Encodes an answer with a length.
-pub(crate) fn answer(status: u16, fields: &[(&str, &str)], body: &str) -> Vec<u8> {
+#[must_use]
+pub fn answer(status: u16, fields: &[(&str, &str)], body: &str) -> Vec<u8> {
     let mut lines = vec![format!("HTTP/1.1 {status} X")];
     let fields = fields.iter();
     lines.extend(fields.map(|(name, value)| format!("{name}: {value}")));
@@ -47,23 +55,26 @@
     lines.join("\r\n").into_bytes()
 }
 
-/// Encodes the answer of a sound backend server that ran the request with this id.
-pub(crate) fn sound_answer(id: &str) -> Vec<u8> {
-    let fields = [
-        ("x-nutmegwheel-request-id", id),
-        ("x-nutmegwheel-server-seal", "seal"),
-    ];
-    answer(200, &fields, &format!("done {id}"))
-}
-
-pub(super) async fn serve(mut stream: TcpStream, inner: Arc<Inner>, number: usize) {
+/// Answers the requests of a connection, each by the script that is current when it arrives.
+/// `record_run` is called for each request that runs.
+pub async fn serve(
+    mut stream: TcpStream,
+    server: &str,
+    connection: usize,
+    script: impl Fn() -> Script,
+    record_run: impl Fn(&Arrival),
+) {
     let mut buf = Vec::new();
-    while let Some(arrival) = read_request(&mut stream, &mut buf, &inner, number).await {
-        let script = inner.script.lock().expect("script").clone();
-        let Some(script) = script else { return };
-        for step in script(&arrival) {
+    while let Some((path, fields)) = read_request(&mut stream, &mut buf).await {
+        let arrival = Arrival {
+            server: server.to_owned(),
+            connection,
+            path,
+            fields,
+        };
+        for step in script()(&arrival) {
             match step {
-                Step::Run => inner.record_run(&arrival.path, arrival.fields.clone()),
+                Step::Run => record_run(&arrival),
                 Step::Wait(time) => tokio::time::sleep(time).await,
                 Step::Close => return,
                 Step::Send(bytes) => {
@@ -80,9 +91,7 @@
 async fn read_request(
     stream: &mut TcpStream,
     buf: &mut Vec<u8>,
-    inner: &Inner,
-    connection: usize,
-) -> Option<Arrival> {
+) -> Option<(String, HashMap<String, String>)> {
     let head_end = loop {
         if let Some(at) = buf.windows(4).position(|end| end == b"\r\n\r\n") {
             break at + 4;
@@ -103,13 +112,7 @@
         read_more(stream, buf).await?;
     }
     buf.drain(..length);
-    Some(Arrival {
-        server: inner.id.clone(),
-        connection,
-        path,
-        id: fields.get("x-nutmegwheel-request-id").cloned()?,
-        fields,
-    })
+    Some((path, fields))
 }
 
 async fn read_more(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Option<()> {
