--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A request passes through these modules: `ingress` reads it from a caller, `forward` chooses a
 //! backend server, `attempt` sends the request to that server's node, `serve` admits it there and
-//! `backend` sends it to the backend server. See docs/DESIGN.md, "Request path".
+//! `exchange` sends it to the backend server. See docs/DESIGN.md, "Request path".
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
@@ -17,6 +17,7 @@
 mod departures;
 mod dialect;
 mod digest;
+mod exchange;
 mod failure_rate;
 mod forward;
 mod headers;
