fix(node): a success needs its seal, and a refusal the word that nothing ran

Now policy::answer decides from identity, status, proof and denial together: a success without the proof that the dialect requires, a success that denies the run, a status by which callers conclude "not run" without that word, and an interim answer in the final one's place prove nothing. The caller gets 502, an idempotent request is repeated elsewhere, and the connection is closed.

--- a/crates/nutmegwheel-node/src/connections.rs
+++ b/crates/nutmegwheel-node/src/connections.rs
@@ -75,7 +75,7 @@
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
-        id: &str,
+        id: &[u8],
         mut req: Request<Body>,
     ) -> Result<(Response<Incoming>, ActiveConnection), SendError> {
         let request = self.hasher.hash_one(id);
--- a/crates/nutmegwheel-node/src/exchange.rs
+++ b/crates/nutmegwheel-node/src/exchange.rs
@@ -3,10 +3,10 @@
 use std::{net::SocketAddr, time::Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Uri, header, uri::PathAndQuery};
+use http::{HeaderMap, HeaderValue, Request, StatusCode, Uri, header, uri::PathAndQuery};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Body as _;
-use nutmegwheel_policy::answer::{self, Conclusion, Denial, Identity, Marks};
+use nutmegwheel_policy::answer::{self, Conclusion, Denial, Identity, Marks, Status};
 
 use crate::{
     backend::{Announcement, LocalBackend},
@@ -53,7 +53,9 @@
         notice: &mut Option<Notice>,
     ) -> Result<Answer, Refusal> {
         let context = context_text(token);
-        let id = self.request_id(call).unwrap_or(&context);
+        let dialect = self.dialect.as_ref();
+        let id = dialect.and_then(|dialect| dialect.request_id(&call.fields));
+        let id = id.map_or(context.as_bytes(), HeaderValue::as_bytes);
         let sent = self.connections.send(address, id, req).await;
         let (res, connection) = sent.map_err(|e| send_error(&e))?;
         let (parts, body) = res.into_parts();
@@ -97,12 +99,25 @@
             Some(dialect) => dialect.read_answer(&call.fields, parts),
             None => Marks {
                 identity: own_identity(context, &parts.headers),
+                status: own_status(parts.status),
                 denial: is_shed(parts).then_some(Denial::Shed),
             },
         }
     }
 }
 
+/// The meaning of a status in the native dialect, where callers are told in a field whether their
+/// request has run.
+fn own_status(status: StatusCode) -> Status {
+    if status.is_informational() {
+        Status::Interim
+    } else if status.is_success() {
+        Status::Success { is_proved: true }
+    } else {
+        Status::Other
+    }
+}
+
 /// Whether an answer in the native dialect shows to which request it belongs.
 fn own_identity(context: &str, headers: &HeaderMap) -> Identity {
     let mut echoed = headers.get_all(&headers::CONTEXT).iter();
@@ -132,7 +147,7 @@
 
 fn is_shed(parts: &http::response::Parts) -> bool {
     let outcome = parts.headers.get(&headers::OUTCOME);
-    parts.status == http::StatusCode::SERVICE_UNAVAILABLE
+    parts.status == StatusCode::SERVICE_UNAVAILABLE
         && outcome.is_some_and(|value| value == "not-run")
 }
 
--- a/crates/nutmegwheel-policy/src/answer.rs
+++ b/crates/nutmegwheel-policy/src/answer.rs
@@ -24,10 +24,28 @@
         OtherServer,
     }
 
+    /// What the status of an answer says.
+    pub enum Status {
+        /// Another answer to the request follows.
+        Interim,
+        /// The request succeeded. `is_proved` says whether the answer bears what the protocol
+        /// requires of a success.
+        Success {
+            /// Whether the answer bears it, or the protocol requires nothing.
+            is_proved: bool,
+        },
+        /// By this status alone, callers conclude that the request was not run.
+        NotRun,
+        /// Anything else.
+        Other,
+    }
+
     /// The properties of an answer's head on which its meaning depends.
     pub struct Marks {
         /// Whether the answer shows to which request it belongs.
         pub identity: Identity,
+        /// What its status says.
+        pub status: Status,
         /// Why the backend server did not run the request, if it says so.
         pub denial: Option<Denial>,
     }
@@ -54,6 +72,18 @@
         /// The answer may be a second copy of an earlier denial.
         #[error("the connection has carried a denial of this request before")]
         RepeatedDenial,
+        /// The answer is not the final one, and no other one can be read.
+        #[error("it is not final")]
+        NotFinal,
+        /// The answer is no proved success.
+        #[error("it bears no proof of its success")]
+        NoProof,
+        /// The answer says both that the request succeeded and that it was not run.
+        #[error("it is a success and denies that the request ran")]
+        Contradiction,
+        /// Callers would conclude that the request was not run, which the answer does not say.
+        #[error("it does not say that the request was not run")]
+        NoDenial,
     }
 }
 
@@ -63,11 +93,18 @@
 /// carried a denial of the same request before.
 #[must_use]
 pub fn conclude(marks: Marks, was_denied: bool) -> Conclusion {
-    match (marks.identity, marks.denial) {
-        (Identity::Other, _) => Conclusion::Unknown(Doubt::OtherRequest),
-        (Identity::Missing, _) => Conclusion::Unknown(Doubt::NoId),
+    match marks.identity {
+        Identity::Other => return Conclusion::Unknown(Doubt::OtherRequest),
+        Identity::Missing => return Conclusion::Unknown(Doubt::NoId),
+        Identity::Own | Identity::Unmarked => {}
+    }
+    match (marks.status, marks.denial) {
+        (Status::Interim, _) => Conclusion::Unknown(Doubt::NotFinal),
+        (Status::Success { .. }, Some(_)) => Conclusion::Unknown(Doubt::Contradiction),
+        (Status::Success { is_proved: false }, None) => Conclusion::Unknown(Doubt::NoProof),
+        (Status::NotRun, None) => Conclusion::Unknown(Doubt::NoDenial),
         (_, Some(_)) if was_denied => Conclusion::Unknown(Doubt::RepeatedDenial),
-        (Identity::Own | Identity::Unmarked, Some(denial)) => Conclusion::NotRun(denial),
-        (Identity::Own | Identity::Unmarked, None) => Conclusion::Answered,
+        (_, Some(denial)) => Conclusion::NotRun(denial),
+        (Status::Success { is_proved: true } | Status::Other, None) => Conclusion::Answered,
     }
 }
--- a/crates/nutmegwheel-policy/tests/answer.rs
+++ b/crates/nutmegwheel-policy/tests/answer.rs
@@ -1,8 +1,29 @@
 //! What answers prove, for each combination of what their heads say.
 
-use nutmegwheel_policy::answer::{Conclusion, Denial, Doubt, Identity, Marks, conclude};
+use nutmegwheel_policy::answer::{Conclusion, Denial, Doubt, Identity, Marks, Status, conclude};
 
 const DENIALS: [Option<Denial>; 3] = [None, Some(Denial::Shed), Some(Denial::OtherServer)];
+const STATUSES: [Status; 5] = [
+    Status::Interim,
+    Status::Success { is_proved: false },
+    Status::Success { is_proved: true },
+    Status::NotRun,
+    Status::Other,
+];
+
+fn marks(identity: Identity, status: Status, denial: Option<Denial>) -> Marks {
+    Marks {
+        identity,
+        status,
+        denial,
+    }
+}
+
+/// All combinations of a status and a denial.
+fn heads() -> impl Iterator<Item = (Status, Option<Denial>)> {
+    let heads = STATUSES.into_iter();
+    heads.flat_map(|status| DENIALS.into_iter().map(move |denial| (status, denial)))
+}
 
 // Guards against TWICE: the status of an answer to another request decides about this one.
 #[test]
@@ -12,9 +33,9 @@
         (Identity::Missing, Doubt::NoId),
     ];
     for (identity, doubt) in doubts {
-        for denial in DENIALS {
-            let marks = Marks { identity, denial };
+        for (status, denial) in heads() {
             for was_denied in [false, true] {
+                let marks = marks(identity, status, denial);
                 let conclusion = conclude(marks, was_denied);
                 assert_eq!(conclusion, Conclusion::Unknown(doubt), "{marks:?}");
             }
@@ -22,12 +43,23 @@
     }
 }
 
+// Guards against MIXED and REFUSED: a success without proof, or a status that promises "not run"
+// without the backend server's word, reaches a caller.
 #[test]
-fn own_answer_proves_what_it_says() {
+fn own_answer_proves_what_it_says_without_contradiction() {
+    let unknown = Conclusion::Unknown;
     for identity in [Identity::Own, Identity::Unmarked] {
-        for denial in DENIALS {
-            let expected = denial.map_or(Conclusion::Answered, Conclusion::NotRun);
-            assert_eq!(conclude(Marks { identity, denial }, false), expected);
+        for (status, denial) in heads() {
+            let expected = match (status, denial) {
+                (Status::Interim, _) => unknown(Doubt::NotFinal),
+                (Status::Success { .. }, Some(_)) => unknown(Doubt::Contradiction),
+                (Status::Success { is_proved: false }, None) => unknown(Doubt::NoProof),
+                (Status::Success { is_proved: true } | Status::Other, None) => Conclusion::Answered,
+                (Status::NotRun, None) => unknown(Doubt::NoDenial),
+                (Status::NotRun | Status::Other, Some(denial)) => Conclusion::NotRun(denial),
+            };
+            let marks = marks(identity, status, denial);
+            assert_eq!(conclude(marks, false), expected, "{marks:?}");
         }
     }
 }
@@ -36,12 +68,15 @@
 // answer to the next try of the same request.
 #[test]
 fn second_denial_on_connection_proves_nothing() {
-    for denial in DENIALS {
-        let identity = Identity::Own;
-        let expected = match denial {
-            Some(_) => Conclusion::Unknown(Doubt::RepeatedDenial),
-            None => Conclusion::Answered,
-        };
-        assert_eq!(conclude(Marks { identity, denial }, true), expected);
+    for status in [Status::NotRun, Status::Other] {
+        for denial in [Denial::Shed, Denial::OtherServer] {
+            let marks = marks(Identity::Own, status, Some(denial));
+            let expected = Conclusion::Unknown(Doubt::RepeatedDenial);
+            assert_eq!(conclude(marks, true), expected);
+        }
+    }
+    for status in [Status::Success { is_proved: true }, Status::Other] {
+        let marks = marks(Identity::Own, status, None);
+        assert_eq!(conclude(marks, true), Conclusion::Answered);
     }
 }
--- a/crates/nutmegwheel/tests/answers.rs
+++ b/crates/nutmegwheel/tests/answers.rs
@@ -157,8 +157,8 @@
     let copies = Arc::new(AtomicUsize::new(0));
     for denial in [503, 429, 400, 421] {
         let sent = copies.clone();
-        type Place = (String, usize);
-        let refused: Mutex<HashMap<String, Vec<Place>>> = Mutex::default();
+        // The backend servers and connections that have refused a path.
+        let refused: Mutex<HashMap<String, Vec<(String, usize)>>> = Mutex::default();
         follow(&fleet, move |arrival| {
             let refusal = script::answer(denial, &[(ID, arrival.field(ID)), NOT_EXECUTED], "");
             let place = (arrival.server.clone(), arrival.connection);
@@ -187,3 +187,113 @@
     }
     assert!(copies.load(Ordering::SeqCst) > 0, "a copy was sent");
 }
+
+/// What a backend server answers, and whether it has run the request if the answer bears its id.
+#[derive(Clone, Copy, Debug)]
+struct Kind {
+    status: u16,
+    field: Option<(&'static str, &'static str)>,
+    runs: bool,
+    /// What the caller is told if nothing else is sent.
+    told: u16,
+}
+
+const SEAL: (&str, &str) = ("x-nutmegwheel-server-seal", "seal");
+
+const KINDS: [Kind; 11] = [
+    kind(200, Some(SEAL), true, 200),
+    kind(200, None, true, 502),
+    kind(200, Some(NOT_EXECUTED), true, 502),
+    kind(101, Some(SEAL), true, 502),
+    kind(500, Some(SEAL), true, 500),
+    kind(503, Some(SEAL), true, 502),
+    kind(429, None, true, 502),
+    kind(421, Some(NOT_EXECUTED), false, 200),
+    kind(429, Some(NOT_EXECUTED), false, 200),
+    kind(503, Some(NOT_EXECUTED), false, 200),
+    kind(400, Some(NOT_EXECUTED), false, 200),
+];
+
+const fn kind(
+    status: u16,
+    field: Option<(&'static str, &'static str)>,
+    runs: bool,
+    told: u16,
+) -> Kind {
+    Kind {
+        status,
+        field,
+        runs,
+        told,
+    }
+}
+
+// Guards against MIXED, REFUSED and TWICE: each kind of answer with the request's id, another one and
+// none, in place of the answer and before it, against what the caller is told and what ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_prove_what_their_heads_say() {
+    let fleet = start().await;
+    for (number, kind) in KINDS.into_iter().enumerate() {
+        for id in ["own", "another", "no"] {
+            for is_late in [false, true] {
+                if is_late && id == "own" {
+                    // Nobody could tell it from the answer.
+                    continue;
+                }
+                let arrivals = Arrivals::default();
+                follow(&fleet, move |arrival| {
+                    let sound = run_and_answer(arrival);
+                    if !arrivals.is_first(&arrival.path) {
+                        return sound;
+                    }
+                    let own = arrival.field(ID);
+                    let mut fields: Vec<_> = kind.field.into_iter().collect();
+                    match id {
+                        "own" => fields.push((ID, own)),
+                        "another" => fields.push((ID, "another")),
+                        _ => {}
+                    }
+                    let answer = Step::Send(script::answer(kind.status, &fields, "done"));
+                    match (is_late, kind.runs || id != "own") {
+                        (true, _) => [vec![Step::Run, answer], sound[1..].to_vec()].concat(),
+                        (false, true) => vec![Step::Run, Step::Wait(WORK), answer],
+                        (false, false) => vec![answer],
+                    }
+                });
+                let path = format!("/once/{number}-{id}-{is_late}");
+                let answer = call(&fleet, "POST", &path).await;
+                let what = format!("{kind:?}, {id} id, late: {is_late}: {}", answer.text());
+                check_unsafe(&fleet, &path, answer.status);
+                assert_eq!(fleet.runs_of(&path).len(), 1, "{what}");
+                let told = if id == "own" { kind.told } else { 502 };
+                assert_eq!(answer.status, told, "{what}");
+                if answer.status == 200 {
+                    assert!(answer.fields.contains_key(SEAL.0), "{what}");
+                    assert!(answer.text().starts_with("done"), "{what}");
+                }
+            }
+        }
+    }
+}
+
+// Guards against MIXED: an interim answer is taken for the final one, or its fields for those of the
+// final one.
+#[tokio::test(flavor = "multi_thread")]
+async fn interim_answers_are_passed_over() {
+    let fleet = start().await;
+    follow(&fleet, |arrival| {
+        let interim = |status: u16| {
+            let head = format!("HTTP/1.1 {status} X\r\nx-nutmegwheel-not-executed: 1\r\n\r\n");
+            Step::Send(head.into_bytes())
+        };
+        let mut steps = run_and_answer(arrival);
+        steps.insert(1, interim(100));
+        steps.insert(2, interim(103));
+        steps
+    });
+    for number in 0..4 {
+        let path = format!("/once/interim-{number}");
+        assert_eq!(call(&fleet, "POST", &path).await.status, 200);
+        assert_eq!(fleet.runs_of(&path).len(), 1);
+    }
+}
