--- a/tests/support/src/script.rs
+++ b/tests/support/src/script.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpStream,
@@ -31,6 +32,8 @@
     Wait(Duration),
     /// Closes the connection.
     Close,
+    /// Resets the connection.
+    Reset,
 }
 
 /// What a backend server does with each request.
@@ -77,6 +80,11 @@
                 Step::Run => record_run(&arrival),
                 Step::Wait(time) => tokio::time::sleep(time).await,
                 Step::Close => return,
+                Step::Reset => {
+                    // A failure leaves a close in place of the reset.
+                    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                    return;
+                }
                 Step::Send(bytes) => {
                     if stream.write_all(&bytes).await.is_err() {
                         return;
