fix(node): refuse CONNECT, whose success would lose its body

Cause: a success of CONNECT has no body, whatever its fields say (RFC 9110, 9.3.6), so the HTTP client left the body's bytes to a tunnel that nobody reads, and the node framed the rest as whole. Fix: the node refuses the method with 400 before anything is sent; no route of the platform uses it, and no other method has an answer without its body on the way from the backend server only.

--- a/crates/nutmegwheel-node/src/exchange.rs
+++ b/crates/nutmegwheel-node/src/exchange.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, StatusCode, Uri, header, uri::PathAndQuery};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header, uri::PathAndQuery};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Body as _;
 use nutmegwheel_policy::answer::{self, Conclusion, Denial, Identity, Marks, Status};
@@ -170,6 +170,10 @@
 }
 
 fn request(address: SocketAddr, call: &Call) -> Result<Request<Full<Bytes>>, Refusal> {
+    if call.method == Method::CONNECT {
+        // A success of CONNECT has no body (RFC 9110, section 9.3.6).
+        return Err(bad_request("CONNECT cannot be passed on".to_owned()));
+    }
     let path: PathAndQuery = call
         .path
         .parse()
