fix(policy): follow a backend server again after a number that was not its own

A backend server that sent its heartbeats, and got them acknowledged, was left without requests until its next start, once another writer had sent one heartbeat in its name with a number far beyond its own, or one entry that looked like a new instance at its address. Cause: a higher number was the only sign of life, so each true heartbeat counted as late, and an instance in whose place another one had registered counted as ended for good. Fix: while an instance is down, two of its heartbeats that follow each other by half a second or more count again, whatever the number was before, since an instance that has ended sends no further one; a replaced instance is treated alike in place of being refused; departures go first, so nothing that has left comes back by it (policy departures.rs, random orders, passes).

--- a/crates/nutmegwheel-policy/src/registration/mod.rs
+++ b/crates/nutmegwheel-policy/src/registration/mod.rs
@@ -8,6 +8,7 @@
 pub use store::{DEPARTURE_RETENTION, DepartureStore, Remembered};
 
 use std::{
+    collections::VecDeque,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -16,6 +17,8 @@
 
 /// The maximum time that a heartbeat may take to arrive.
 pub const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(20);
+/// The maximum number of replaced instances that are remembered; the oldest is forgotten first.
+const MAX_REPLACED: usize = 32;
 /// The minimum time between two heartbeats that show together that an instance is running, and not
 /// only that delayed heartbeats of it arrive.
 const MIN_CONFIRMATION_INTERVAL: Duration = Duration::from_millis(500);
@@ -49,7 +52,7 @@
         /// The heartbeat is ignored, because a newer heartbeat, a newer instance or the end of its
         /// instance is known.
         Stale,
-        /// The instance may have left. The heartbeat counts once a later one follows, or once the
+        /// The instance may have ended. The heartbeat counts once a later one follows, or once the
         /// departures before this process started are known.
         Unconfirmed,
     }
@@ -61,6 +64,8 @@
         /// Whether the newest known instance crashed or stopped sending heartbeats.
         is_down: bool,
         departures: Departures,
+        /// Instances in whose place another one registered without their departure.
+        replaced: VecDeque<Instance>,
         /// Whether the departures that an earlier process of this node acknowledged are known.
         knows_earlier: bool,
         unconfirmed: Option<Unconfirmed>,
@@ -95,6 +100,7 @@
             newest_start_ms: 0,
             is_down: false,
             departures: Departures::default(),
+            replaced: VecDeque::new(),
             knows_earlier: is_first_start,
             unconfirmed: None,
             has_news: false,
@@ -182,11 +188,10 @@
         let instance = beat.instance;
         let current = self.current.as_ref();
         if let Some(current) = current.filter(|current| current.instance == *instance) {
-            return if beat.sequence > current.sequence {
-                HeartbeatStatus::Renewed
-            } else {
-                HeartbeatStatus::Stale
-            };
+            if beat.sequence > current.sequence {
+                return HeartbeatStatus::Renewed;
+            }
+            return self.judge_lower_number(now, beat);
         }
         if instance.started_at_ms < self.newest_start_ms && !self.is_down {
             return HeartbeatStatus::Stale;
@@ -194,7 +199,7 @@
         let may_have_left = match self.departures.outdating(now, instance, beat.sequence) {
             Some(Scope::Named | Scope::Registered) => return HeartbeatStatus::Stale,
             Some(Scope::StartedUntil) => true,
-            None => !self.knows_earlier,
+            None => !self.knows_earlier || self.replaced.contains(instance),
         };
         if may_have_left && beat.is_ready && !self.is_confirmed(now, beat) {
             HeartbeatStatus::Unconfirmed
@@ -203,6 +208,21 @@
         }
     }
 
+    /// Judges a heartbeat of the current instance with a number that is not above the last one.
+    ///
+    /// While the instance is down, its heartbeats may arrive late, but the last number may also have
+    /// come from another writer. Only an instance that is running sends further heartbeats.
+    fn judge_lower_number(&mut self, now: Instant, beat: &Beat<'_>) -> HeartbeatStatus {
+        let departure = self.departures.outdating(now, beat.instance, beat.sequence);
+        if !self.is_down || departure.is_some() {
+            HeartbeatStatus::Stale
+        } else if self.is_confirmed(now, beat) {
+            HeartbeatStatus::Renewed
+        } else {
+            HeartbeatStatus::Unconfirmed
+        }
+    }
+
     /// Whether a heartbeat follows an earlier one of its instance, which is remembered otherwise.
     fn is_confirmed(&mut self, now: Instant, beat: &Beat<'_>) -> bool {
         let earlier = self.unconfirmed.as_ref();
@@ -228,8 +248,12 @@
             is_ready: beat.is_ready,
             is_leaving: false,
         };
+        self.replaced.retain(|replaced| replaced != beat.instance);
         if let Some(previous) = self.current.replace(current) {
-            self.record_departure(now, &previous.instance, Scope::Registered, LAST_SEQUENCE);
+            self.replaced.push_back(previous.instance);
+            if self.replaced.len() > MAX_REPLACED {
+                self.replaced.pop_front();
+            }
         }
         if !beat.is_ready {
             self.record_departure(now, beat.instance, Scope::Registered, beat.sequence);
@@ -238,6 +262,7 @@
 
     fn renew(&mut self, now: Instant, beat: &Beat<'_>) {
         self.is_down = false;
+        self.unconfirmed = None;
         let Some(current) = &mut self.current else {
             return;
         };
--- a/crates/nutmegwheel-policy/tests/registration.rs
+++ b/crates/nutmegwheel-policy/tests/registration.rs
@@ -1,7 +1,10 @@
 //! Registration of backend server instances: delayed heartbeats never revive an ended instance, and
 //! a returning backend server is accepted.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use nutmegwheel_policy::registration::{Beat, HeartbeatStatus, Instance, Registration};
 
@@ -142,3 +145,85 @@
     ready(&mut registration, &instance("a", 20), 1);
     assert!(!registration.is_leaving(), "it started again under its id");
 }
+
+// Guards against a backend server that is not followed any more because another writer once named a
+// number beyond those that it reaches.
+#[test]
+fn instance_is_followed_again_after_absurd_number() {
+    let mut registration = open();
+    let now = Instant::now();
+    let a = instance("a", 10);
+    let mut beat = |sequence, after_ms| {
+        let beat = Beat {
+            instance: &a,
+            sequence,
+            is_ready: true,
+        };
+        let at = now + Duration::from_millis(after_ms);
+        if after_ms == 5000 {
+            registration.mark_down();
+        }
+        registration.heartbeat(at, &beat)
+    };
+    beat(1, 0);
+    assert_eq!(beat(1 << 50, 100), HeartbeatStatus::Renewed);
+    assert_eq!(beat(2, 1500), HeartbeatStatus::Stale);
+    assert_eq!(
+        beat(3, 5000),
+        HeartbeatStatus::Unconfirmed,
+        "it was marked down"
+    );
+    assert_eq!(beat(4, 6500), HeartbeatStatus::Renewed);
+    assert_eq!(beat(5, 8000), HeartbeatStatus::Renewed);
+}
+
+#[test]
+fn late_heartbeats_of_crashed_instance_do_not_count() {
+    let mut registration = open();
+    let a = instance("a", 10);
+    ready(&mut registration, &a, 5);
+    registration.mark_down();
+    assert_eq!(
+        ready(&mut registration, &a, 3),
+        HeartbeatStatus::Unconfirmed
+    );
+    assert_eq!(
+        ready(&mut registration, &a, 4),
+        HeartbeatStatus::Unconfirmed
+    );
+}
+
+// The same for an entry of another writer that looked like a new instance at the address.
+#[test]
+fn replaced_instance_that_runs_on_is_followed_again() {
+    let mut registration = open();
+    let now = Instant::now();
+    let (a, other) = (instance("a", 10), instance("other", 1 << 50));
+    let beat = |registration: &mut Registration, instance, sequence, after_ms| {
+        let beat = Beat {
+            instance,
+            sequence,
+            is_ready: true,
+        };
+        registration.heartbeat(now + Duration::from_millis(after_ms), &beat)
+    };
+    beat(&mut registration, &a, 1, 0);
+    let status = beat(&mut registration, &other, 1, 100);
+    assert_eq!(status, HeartbeatStatus::NewInstance);
+    let status = beat(&mut registration, &a, 2, 1500);
+    assert_eq!(status, HeartbeatStatus::Stale, "the other one is newer");
+    registration.mark_down();
+    let status = beat(&mut registration, &a, 3, 6000);
+    assert_eq!(status, HeartbeatStatus::Unconfirmed);
+    let status = beat(&mut registration, &a, 4, 7500);
+    assert_eq!(status, HeartbeatStatus::NewInstance);
+    assert_eq!(
+        beat(&mut registration, &other, 2, 7600),
+        HeartbeatStatus::Unconfirmed,
+        "a late one of the other instance"
+    );
+    assert_eq!(
+        beat(&mut registration, &a, 5, 9000),
+        HeartbeatStatus::Renewed
+    );
+}
