fix(node): refuse announcements with names and addresses that others can't read or reach

A backend server of the native dialect could announce a service of any length, an empty one, port 0 or 0.0.0.0 and was acknowledged, but no other process can read a record with a name of more than 64 characters, so its node would no longer be followed, and what travels in the same message would be lost with it. Cause: the bound was known to the receiver of a record only. Fix: announcements and heartbeats are checked by the same rule as names of the configuration, before they are taken; the settings file needs an address with a port for seeds and the backend server; without a backend server in the settings a heartbeat must come from the VM of its node.

--- a/crates/nutmegwheel-config/src/reader.rs
+++ b/crates/nutmegwheel-config/src/reader.rs
@@ -210,12 +210,16 @@
     }
 }
 
-pub(crate) fn is_name(name: &str) -> bool {
+/// Whether a text may name a process, a data centre, a service or a workspace.
+#[must_use]
+pub fn is_name(name: &str) -> bool {
     let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
     (1..=MAX_NAME_LEN).contains(&name.len()) && name.bytes().all(allowed)
 }
 
-fn name_rule(name: &str) -> String {
+/// Describes how a name differs from what [`is_name`] requires.
+#[must_use]
+pub fn name_rule(name: &str) -> String {
     format!("{name:?} must be 1 to {MAX_NAME_LEN} of a-z, 0-9 and -")
 }
 
--- a/crates/nutmegwheel-config/src/settings.rs
+++ b/crates/nutmegwheel-config/src/settings.rs
@@ -288,9 +288,7 @@
 fn read_backend_server(mut table: Table<'_>) -> Result<BackendServer, CheckError> {
     let backend_server = BackendServer {
         service: table.required("service")?.name()?.into(),
-        address: table
-            .required("address")?
-            .parsed("an IP address with a port")?,
+        address: read_reachable(&table.required("address")?)?,
         concurrency: match table.take("concurrency") {
             Some(field) => read_concurrency(&field)?,
             None => Concurrency::Adaptive,
@@ -333,7 +331,7 @@
     let platform = address(&table.required("platform")?)?;
     let link = address(&table.required("link")?)?;
     let link_advertised = match table.take("link_advertised") {
-        Some(field) => Some(read_advertised(&field)?),
+        Some(field) => Some(read_reachable(&field)?),
         None => None,
     };
     let (callers, backend) = match role {
@@ -358,7 +356,7 @@
     })
 }
 
-fn read_advertised(field: &Field<'_>) -> Result<SocketAddr, CheckError> {
+fn read_reachable(field: &Field<'_>) -> Result<SocketAddr, CheckError> {
     let address: SocketAddr = field.parsed("an IP address with a port")?;
     if address.ip().is_unspecified() || address.port() == 0 {
         return Err(field.error("must be an address that others can reach"));
@@ -387,9 +385,7 @@
     let seed = Seed {
         name: table.required("name")?.name()?.into(),
         data_centre: table.required("data_centre")?.name()?.into(),
-        link: table
-            .required("link")?
-            .parsed("an IP address with a port")?,
+        link: read_reachable(&table.required("link")?)?,
         control: match table.take("control") {
             Some(field) => field.boolean()?,
             None => false,
--- a/crates/nutmegwheel-config/tests/settings.rs
+++ b/crates/nutmegwheel-config/tests/settings.rs
@@ -145,3 +145,25 @@
     let error = Settings::parse(&text).expect_err("no secret");
     assert_eq!(error.field, "operator_secret");
 }
+
+// Guards against a process that ends while it reads newer settings.
+#[test]
+fn reports_deep_nesting_and_huge_numbers() {
+    let nested = "[".repeat(100_000) + &"]".repeat(100_000);
+    let objects = "{\"a\":".repeat(100_000) + "1" + &"}".repeat(100_000);
+    let huge = "9".repeat(10_000);
+    for value in [&nested, &objects, &huge, "-1", "1e400"] {
+        for field in [
+            "name",
+            "listen",
+            "seeds",
+            "max_descriptors",
+            "stop_within_ms",
+            "unknown",
+        ] {
+            let text = NODE.replacen('{', &format!("{{\"{field}\": {value},"), 1);
+            assert!(Settings::parse(&text).is_err(), "{field}");
+        }
+        assert!(Settings::parse(value).is_err());
+    }
+}
--- a/crates/nutmegwheel-node/src/backend_handler.rs
+++ b/crates/nutmegwheel-node/src/backend_handler.rs
@@ -7,6 +7,7 @@
 };
 
 use http::{Method, StatusCode};
+use nutmegwheel_config::{is_name, name_rule};
 use nutmegwheel_events::Event;
 use nutmegwheel_types::{Context, RootId, ServiceId};
 use nutmegwheel_web::{Handler, HandlerFuture, Problem, Request, Response, json};
@@ -28,6 +29,8 @@
 const MAX_LEASE_MS: u64 = 60_000;
 /// The minimum lease of an announcement, in ms.
 const MIN_LEASE_MS: u64 = 500;
+/// The number of characters of an invalid name that an error shows.
+const MAX_SHOWN_CHARS: usize = 80;
 
 /// Handles the requests of the local backend server in the native dialect.
 pub(crate) struct BackendHandler {
@@ -67,6 +70,7 @@
 fn announce(shared: &Arc<Shared>, body: &[u8]) -> Result<Response, Problem> {
     let bad = |detail: String| Problem::new(StatusCode::BAD_REQUEST, "bad-announcement", detail);
     let document: Document = serde_json::from_slice(body).map_err(|e| bad(e.to_string()))?;
+    check_names(&document.service, document.address).map_err(bad)?;
     if document.slots == 0 {
         return Err(bad("slots must be 1 to 65535".into()));
     }
@@ -96,6 +100,18 @@
     Ok(json(StatusCode::OK, &answer))
 }
 
+/// Checks what travels to other processes, and the address to which requests are sent.
+pub(crate) fn check_names(service: &str, address: SocketAddr) -> Result<(), String> {
+    if !is_name(service) {
+        let shown: String = service.chars().take(MAX_SHOWN_CHARS).collect();
+        return Err(format!("service {}", name_rule(&shown)));
+    }
+    if address.port() == 0 || address.ip().is_unspecified() {
+        return Err(format!("{address} is no address to send requests to"));
+    }
+    Ok(())
+}
+
 /// The state that a backend server reported, in any dialect.
 pub(crate) struct BackendReport {
     pub(crate) service: ServiceId,
--- a/crates/nutmegwheel-node/src/heartbeat_handler.rs
+++ b/crates/nutmegwheel-node/src/heartbeat_handler.rs
@@ -121,8 +121,9 @@
 
 /// Refuses heartbeats of any backend server other than the local one.
 fn check(shared: &Shared, alive: &Alive) -> Result<(), String> {
+    backend_handler::check_names(&alive.service, alive.address)?;
     let Some(expected) = &shared.settings.backend_server else {
-        return Ok(());
+        return check_vm(shared, alive);
     };
     if alive.service != expected.service {
         let service = &expected.service;
@@ -135,6 +136,15 @@
     Ok(())
 }
 
+/// Refuses heartbeats from other VMs, if the settings do not name the backend server.
+fn check_vm(shared: &Shared, alive: &Alive) -> Result<(), String> {
+    let own = shared.settings.listen.backend.map(|address| address.ip());
+    match own.filter(|own| !own.is_unspecified() && *own != alive.address.ip()) {
+        Some(own) => Err(format!("the backend server here is on {own}")),
+        None => Ok(()),
+    }
+}
+
 fn announce(shared: &Arc<Shared>, alive: Alive, is_new: bool) {
     let state = if alive.is_ready && !shared.registration().is_leaving() {
         BackendState::Ready
