fix(node): apply changes of the registration and of the announcement in one order

Suspected from reading, not seen: a heartbeat is judged first and announced afterwards, and an answer that says that the backend server leaves, a departure learnt from another process, a crash or a lapse may come from another thread in between, so that the announcement said ready after the registration had it leave, until the next heartbeat. Fix: each change of the registration holds a lock until the announcement follows it.

--- a/crates/nutmegwheel-node/src/departures.rs
+++ b/crates/nutmegwheel-node/src/departures.rs
@@ -189,6 +189,7 @@
         .inspect_err(|e| log::debug!("malformed answer to a report of departures: {link}: {e}"))
         .ok()?;
     let departures = departures_from_wire(std::mem::take(&mut answer.departures));
+    let _changes = shared.registration_changes();
     let left = shared.registration().learn(Instant::now(), departures);
     if let Some(instance) = left {
         heartbeat_handler::remove(shared, &instance.id);
--- a/crates/nutmegwheel-node/src/heartbeat_handler.rs
+++ b/crates/nutmegwheel-node/src/heartbeat_handler.rs
@@ -52,6 +52,7 @@
 }
 
 fn apply(shared: &Arc<Shared>, heartbeat: Heartbeat) -> Result<(), String> {
+    let _changes = shared.registration_changes();
     match heartbeat {
         Heartbeat::Alive(alive) => {
             check(shared, &alive)?;
@@ -90,6 +91,7 @@
 
 /// Applies the heartbeat that was held until earlier departures are known.
 pub(crate) fn apply_held(shared: &Arc<Shared>) {
+    let _changes = shared.registration_changes();
     let held = held_heartbeat(shared).take();
     if let Some(alive) = held {
         apply_alive(shared, alive);
@@ -173,7 +175,8 @@
     }
 }
 
-/// Removes an instance that has left, if it is announced.
+/// Removes an instance that has left, if it is announced. The caller holds
+/// [`Shared::registration_changes`].
 pub(crate) fn remove(shared: &Arc<Shared>, instance: &str) {
     if let Some(removed) = shared.local_backend.remove(instance) {
         shared.journal.emit(
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -224,6 +224,7 @@
 }
 
 fn expire_backend_state(shared: &Arc<Shared>) {
+    let changes = shared.registration_changes();
     if let Some(expired) = shared.local_backend.remove_expired(Instant::now()) {
         let service = &expired.backend.service;
         shared
@@ -232,6 +233,7 @@
         shared.registration().mark_down();
         shared.backend_changed();
     }
+    drop(changes);
     failure_rate::expire(shared);
 }
 
--- a/crates/nutmegwheel-node/src/notice.rs
+++ b/crates/nutmegwheel-node/src/notice.rs
@@ -45,6 +45,7 @@
     let Some(instance) = &server.backend.instance else {
         return;
     };
+    let _changes = shared.registration_changes();
     if !shared
         .registration()
         .record_leaving(Instant::now(), instance)
--- a/crates/nutmegwheel-node/src/quarantine.rs
+++ b/crates/nutmegwheel-node/src/quarantine.rs
@@ -180,10 +180,12 @@
         Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => {}
         _ => return,
     }
+    let changes = shared.registration_changes();
     let Some(crashed) = shared.local_backend.remove_crashed(address) else {
         return;
     };
     shared.registration().mark_down();
+    drop(changes);
     let crash = Crash {
         node: shared.settings.name.clone(),
         incarnation: crashed.backend.incarnation,
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -62,6 +62,7 @@
     pub(crate) local_backend: LocalBackend,
     pub(crate) splits: Mutex<TrafficSplits>,
     registration: Mutex<Registration>,
+    registration_changes: Mutex<()>,
     /// The heartbeat that counts once the departures before the start of this process are known.
     pub(crate) held_heartbeat: Mutex<Option<dialect::Alive>>,
     pub(crate) departure_service: DepartureService,
@@ -145,6 +146,7 @@
             dialect,
             splits: Mutex::default(),
             registration: Mutex::new(Registration::open(is_first_start)),
+            registration_changes: Mutex::default(),
             held_heartbeat: Mutex::default(),
             departure_service: DepartureService::open(is_first_start),
             reported_departures: AtomicU64::new(0),
@@ -223,6 +225,13 @@
         registration.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Held from a change of the registration until the announcement follows it, so that two
+    /// changes are not applied to the two in different orders.
+    pub(crate) fn registration_changes(&self) -> MutexGuard<'_, ()> {
+        let changes = self.registration_changes.lock();
+        changes.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Tracks the failure rate of the local backend server.
     pub(crate) fn failure_rate(&self) -> MutexGuard<'_, FailureRate> {
         let failure_rate = self.failure_rate.lock();
