feat(retry): give the retries that a deployment allows to whole requests, most important first

Cause: while the backend servers of the last service of all chains reject at random, a chain had one retry left three levels down, a call was given up after one refusal by each of its route's backend servers, and retries went to whoever asked first.

Change: the setting retry_budget (ratio, slack, window of the deployment) is read from the template. Where it is set, retries go to roots in the order of their priority, an admitted root keeps its turn, calls of repeated runs count as retries, a chain has 64 retries, and an idempotent call that all its backend servers refused as not run is sent to these again.

--- a/crates/nutmegwheel-config/src/lib.rs
+++ b/crates/nutmegwheel-config/src/lib.rs
@@ -20,5 +20,7 @@
 pub use error::CheckError;
 pub use hosts::{HostRoute, HostRoutes, WeightedService};
 pub use reader::{is_name, name_rule};
-pub use settings::{BackendServer, Concurrency, Contacts, Dialect, Listen, Role, Seed, Settings};
+pub use settings::{
+    BackendServer, Concurrency, Contacts, Dialect, Listen, RetryBudget, Role, Seed, Settings,
+};
 pub use view::{View, ViewError, hash_key};
--- a/crates/nutmegwheel-config/src/settings.rs
+++ b/crates/nutmegwheel-config/src/settings.rs
@@ -25,6 +25,10 @@
 const MIN_DESCRIPTORS: usize = 256;
 /// The maximum of `max_descriptors`.
 const MAX_DESCRIPTORS: usize = 1 << 30;
+/// The maximum of `retry_budget.slack`.
+const MAX_RETRY_SLACK: u32 = 1_000_000;
+/// The range of `retry_budget.window_s`, in seconds.
+const RETRY_WINDOW_S: std::ops::RangeInclusive<f64> = 1.0..=600.0;
 
 plain_copy! {
     /// The role of a process in the fleet.
@@ -85,6 +89,18 @@
         /// The number of descriptors that the process may have open. Without it, callers may use
         /// all of them.
         pub max_descriptors: Option<usize>,
+        /// The retries that the deployment allows. Without it, a fixed part of them is used.
+        pub retry_budget: Option<RetryBudget>,
+    }
+
+    /// The retries that each service may get, summed over all nodes.
+    pub struct RetryBudget {
+        /// The retries in a window, in thousandths of the requests for the service.
+        pub ratio_permille: u32,
+        /// The retries in a window that are allowed in addition.
+        pub slack: u32,
+        /// The length of the sliding window.
+        pub window: Duration,
     }
 
     /// The addresses of some control VMs, possibly outdated, in place of a complete list of seeds.
@@ -226,6 +242,10 @@
             Some(field) => Some(field.number(&(MIN_DESCRIPTORS..=MAX_DESCRIPTORS))?),
             None => None,
         },
+        retry_budget: match table.take("retry_budget") {
+            Some(field) => Some(read_retry_budget(field.table()?)?),
+            None => None,
+        },
     };
     check_secrets(&settings, &table)?;
     if settings.contacts.is_none() {
@@ -277,6 +297,27 @@
     Ok(contacts)
 }
 
+fn read_retry_budget(mut table: Table<'_>) -> Result<RetryBudget, CheckError> {
+    let window = table.required("window_s")?.number(&RETRY_WINDOW_S)?;
+    let ratio: f64 = table.required("ratio")?.number(&(0.0..=1.0))?;
+    let budget = RetryBudget {
+        ratio_permille: permille(ratio),
+        slack: table.required("slack")?.number(&(0..=MAX_RETRY_SLACK))?,
+        window: Duration::from_secs_f64(window),
+    };
+    table.finish()?;
+    Ok(budget)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the ratio is between 0 and 1"
+)]
+fn permille(ratio: f64) -> u32 {
+    (ratio * 1000.0).round() as u32
+}
+
 fn read_bounded_items<'a>(field: &Field<'a>) -> Result<Vec<Field<'a>>, CheckError> {
     let items = field.items()?;
     if items.len() > MAX_LIST_LEN {
--- a/crates/nutmegwheel-config/tests/settings.rs
+++ b/crates/nutmegwheel-config/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Parsing and validation of settings files.
 
-use std::fmt::Write as _;
+use std::{fmt::Write as _, time::Duration};
 
 use nutmegwheel_config::{Role, Settings};
 
@@ -90,6 +90,7 @@
     "service": "intake", "address": "10.1.0.11:8547", "concurrency": "announced"
   },
   "stop_within_ms": 6000, "max_descriptors": 4100,
+  "retry_budget": {"ratio": 0.2, "slack": 49, "window_s": 10},
   "fleet_secret": "secret-of-the-fleet-01"
 }"#;
 
@@ -105,6 +106,9 @@
     assert_eq!(links, ["10.1.0.32:7000", "10.2.0.28:7000"]);
     assert_eq!(settings.data_centres().len(), 2);
     assert_eq!(settings.max_descriptors, Some(4100));
+    let budget = settings.retry_budget.expect("stated");
+    assert_eq!((budget.ratio_permille, budget.slack), (200, 49));
+    assert_eq!(budget.window, Duration::from_secs(10));
     assert_eq!(
         settings.operator_secret, None,
         "the native interface is closed"
@@ -129,6 +133,13 @@
         ("\"announced\"", "\"many\"", "backend_server.concurrency"),
         ("6000", "5", "stop_within_ms"),
         ("4100", "3", "max_descriptors"),
+        ("\"ratio\": 0.2", "\"ratio\": 1.2", "retry_budget.ratio"),
+        ("\"slack\": 49", "\"slack\": -1", "retry_budget.slack"),
+        (
+            "\"window_s\": 10",
+            "\"window_s\": 0",
+            "retry_budget.window_s",
+        ),
         ("\"platform\",", "\"other\",", "dialect"),
     ];
     for (old, new, field) in cases {
--- a/crates/nutmegwheel-node/src/connections.rs
+++ b/crates/nutmegwheel-node/src/connections.rs
@@ -71,16 +71,18 @@
 
 impl Connections {
     /// Sends a request on an idle connection or a new one, and returns the head of the answer. `id`
-    /// is the id that the answer repeats. Dropping the future closes the connection.
+    /// is the id that the answer repeats. With `avoids_denial`, a connection that has carried a
+    /// denial of the same request is not used. Dropping the future closes the connection.
     pub(crate) async fn send(
         &self,
         address: SocketAddr,
         id: &[u8],
+        avoids_denial: bool,
         mut req: Request<Body>,
     ) -> Result<(Response<Incoming>, ActiveConnection), SendError> {
         let request = self.hasher.hash_one(id);
         loop {
-            let idle = self.take_idle(address);
+            let idle = self.take_idle(address, avoids_denial.then_some(request));
             let is_new = idle.is_none();
             let mut connection = match idle {
                 Some(connection) => connection,
@@ -113,13 +115,21 @@
         });
     }
 
-    /// Takes the connection that became idle last. Those that were closed meanwhile or lead to
-    /// another address are dropped.
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    /// Takes the connection that became idle last, and has carried no denial of `avoided`. Those
+    /// that were closed meanwhile or lead to another address are dropped.
+    fn take_idle(&self, address: SocketAddr, avoided: Option<RequestHash>) -> Option<Connection> {
         let mut idle = lock(&self.idle);
-        while let Some(IdleConnection { connection, .. }) = idle.pop() {
-            if connection.address == address && connection.sender.is_ready() {
-                return Some(connection);
+        let mut index = idle.len();
+        while let Some(next) = index.checked_sub(1) {
+            index = next;
+            let connection = &idle[index].connection;
+            if avoided.is_some_and(|request| connection.history.has_denied(request)) {
+                continue;
+            }
+            let is_usable = connection.address == address && connection.sender.is_ready();
+            let taken = idle.remove(index);
+            if is_usable {
+                return Some(taken.connection);
             }
         }
         None
--- a/crates/nutmegwheel-node/src/exchange.rs
+++ b/crates/nutmegwheel-node/src/exchange.rs
@@ -56,7 +56,9 @@
         let dialect = self.dialect.as_ref();
         let id = dialect.and_then(|dialect| dialect.request_id(&call.fields));
         let id = id.map_or(context.as_bytes(), HeaderValue::as_bytes);
-        let sent = self.connections.send(address, id, req).await;
+        // A late second copy of a denial would be taken for the answer to the repeat.
+        let avoids_denial = call.context.is_repeat && !call.context.non_idempotent;
+        let sent = self.connections.send(address, id, avoids_denial, req).await;
         let (res, connection) = sent.map_err(|e| send_error(&e))?;
         let (parts, body) = res.into_parts();
         let marks = self.read_marks(call, &context, &parts);
--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -45,11 +45,7 @@
         refusal.with_retry_after(shed::Options::default().level_lifetime)
     })?;
     call.context.retry_tokens = started.tokens;
-    shared
-        .retry_ratios
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .record_first_attempt(Instant::now(), retries::retry_key(&call));
+    retries::record_first_attempt(shared, &call);
     let mut open_call = FinishOnDrop {
         parent,
         child: started.child,
@@ -99,11 +95,17 @@
     let mut tried = Vec::new();
     let mut replaces = None;
     let mut aborted = 0;
-    let mut reached_servers = 0;
+    let mut reached: Vec<BackendKey> = Vec::new();
+    let mut repeats_at_same = false;
     let fingerprint = quarantine::fingerprint(call);
     loop {
         shared.quarantine.check(Instant::now(), fingerprint)?;
-        let target = match choose(shared, call, &tried) {
+        let chosen = if repeats_at_same {
+            shared.routes.choose_among(Instant::now(), call, &reached)
+        } else {
+            choose(shared, call, &tried)
+        };
+        let target = match chosen {
             Ok(target) => target,
             Err(refusal) if tried.is_empty() => return Err(refusal),
             // All backend servers were tried: choose among them again, or return why none is left.
@@ -134,15 +136,25 @@
         open_call.may_have_run |= refusal.outcome == Outcome::MayHaveRun;
         tried.push(target.key);
         aborted += u32::from(refusal.may_have_crashed_server());
-        reached_servers += u32::from(refusal.has_reached_server());
-        if call.max_servers.is_some_and(|max| reached_servers >= max) {
+        if refusal.has_reached_server() {
+            call.context.is_repeat = true;
+            if !reached.contains(&target.key) {
+                reached.push(target.key);
+            }
+        }
+        let has_reached_all = call
+            .max_servers
+            .is_some_and(|max| reached.len() >= usize::try_from(max).unwrap_or(usize::MAX));
+        repeats_at_same =
+            has_reached_all && retries::may_repeat_at_same(&shared.settings, call, &refusal);
+        if has_reached_all && !repeats_at_same {
             return Err(refusal);
         }
         if aborted >= MAX_ABORTED_ATTEMPTS {
             let checked = shared.quarantine.check(Instant::now(), fingerprint);
             return checked.and(Err(refusal));
         }
-        let has_untried = shared.routes.available(&call.service) > tried.len();
+        let has_untried = !repeats_at_same && shared.routes.available(&call.service) > tried.len();
         if has_untried && retries::can_redirect(call, &refusal) {
             // The attempt returned all retry tokens lent to it, so the next one gets the same
             // number.
--- a/crates/nutmegwheel-node/src/host_ingress.rs
+++ b/crates/nutmegwheel-node/src/host_ingress.rs
@@ -17,6 +17,7 @@
     dialect::{Dialect, IngressFields, Refused, RequestInfo},
     forward, headers, ingress,
     refusal::{Reason, Refusal},
+    retries,
     running::Parent,
     shared::Shared,
     views::{self, ActiveView},
@@ -129,7 +130,10 @@
     let time = info.deadline.unwrap_or(route.timeout).min(route.timeout);
     let context = match parent {
         Some(parent) => child_context(parent, route, time)?,
-        None => context(view, route, workspace, time),
+        None => Context {
+            retry_tokens: retries::chain_retries(&shared.settings, view),
+            ..context(view, route, workspace, time)
+        },
     };
     Ok(Call {
         service,
@@ -202,6 +206,7 @@
         workspace,
         retry_tokens: view.configuration.retries_per_request,
         non_idempotent: route.non_idempotent,
+        is_repeat: false,
     }
 }
 
--- a/crates/nutmegwheel-node/src/ingress.rs
+++ b/crates/nutmegwheel-node/src/ingress.rs
@@ -166,6 +166,7 @@
         depth: 0,
         retry_tokens: view.configuration.retries_per_request,
         non_idempotent,
+        is_repeat: false,
     })
 }
 
--- a/crates/nutmegwheel-node/src/retries.rs
+++ b/crates/nutmegwheel-node/src/retries.rs
@@ -5,10 +5,12 @@
     time::{Duration, Instant},
 };
 
-use nutmegwheel_config::{Dialect, Settings};
+use nutmegwheel_config::{Dialect, Settings, View};
 use nutmegwheel_events::Event;
 use nutmegwheel_policy::retry::{self, Attempt, Budgets, ChildKey, Decision, RatioOptions};
 
+use nutmegwheel_types::ClassRank;
+
 use crate::{
     call::Call,
     refusal::{Reason, Refusal},
@@ -24,6 +26,14 @@
 /// The retries allowed in 10 s in addition to the percentage, over all ingress nodes. Deployments
 /// allow 48 or more.
 const BASE_SERVICE_RETRIES: u32 = 36;
+/// The percentage of the allowed ratio that is used, where settings state it. The rest is for
+/// retries that two nodes count in different windows.
+const RATIO_USED_PERCENT: u32 = 85;
+/// The percentage of the allowed slack that is used, for the same reason.
+const SLACK_USED_PERCENT: u32 = 75;
+/// The retries of one chain, where settings state a budget. Half of them is lent with each call, so
+/// that a call three levels down has an eighth.
+const CHAIN_RETRIES: u32 = 64;
 
 /// The parameters of the retry ratio, which applies by service in a platform's dialect and else by
 /// workspace.
@@ -31,6 +41,15 @@
     let defaults = RatioOptions::default();
     match settings.dialect {
         Dialect::Native => defaults,
+        Dialect::Platform if let Some(budget) = &settings.retry_budget => RatioOptions {
+            percent: budget.ratio_permille * RATIO_USED_PERCENT / 1000,
+            base_retries: budget.slack * SLACK_USED_PERCENT / 100,
+            window: budget.window,
+            min_base_retries_per_node: 0,
+            counts_earlier_windows: true,
+            is_ordered: true,
+            ..defaults
+        },
         Dialect::Platform => RatioOptions {
             percent: SERVICE_RETRIES_PERCENT,
             base_retries: BASE_SERVICE_RETRIES,
@@ -41,6 +60,36 @@
     }
 }
 
+/// The retries that a request may cause over its whole call chain.
+pub(crate) fn chain_retries(settings: &Settings, view: &View) -> u32 {
+    match settings.retry_budget {
+        Some(_) => CHAIN_RETRIES,
+        None => view.configuration.retries_per_request,
+    }
+}
+
+/// Whether the call may be sent again to backend servers that it was sent to: one of them refused
+/// it, none ran it, and the route allows no further ones.
+pub(crate) fn may_repeat_at_same(settings: &Settings, call: &Call, refusal: &Refusal) -> bool {
+    settings.retry_budget.is_some()
+        && !call.context.non_idempotent
+        && refusal.reason == Reason::BackendShed
+}
+
+/// Counts the first attempt of a call.
+pub(crate) fn record_first_attempt(shared: &Shared, call: &Call) {
+    let mut retry_ratios = shared
+        .retry_ratios
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    let (now, key) = (Instant::now(), retry_key(call));
+    if call.context.is_repeat && shared.settings.retry_budget.is_some() {
+        retry_ratios.record_repeated_call(now, key);
+    } else {
+        retry_ratios.record_first_attempt(now, key);
+    }
+}
+
 /// Whether a request that its backend server failed may run on another one: it is idempotent, and
 /// its route allows several backend servers.
 pub(crate) fn may_run_elsewhere(call: &Call) -> bool {
@@ -72,6 +121,7 @@
             chain,
             ratios: &mut retry_ratios,
             workspace: retry_key(call),
+            priority: call.context.priority,
         };
         let options = retry::Options::default();
         let now = Instant::now();
@@ -87,9 +137,15 @@
 ) -> Refusal {
     match reason {
         retry::Reason::ChainExhausted | retry::Reason::RatioExhausted => {
+            let threshold = threshold(shared, call);
             shared.journal.emit(
                 Event::RetriesExhausted,
-                &[("service", &call.service), ("last", &refusal.reason.word())],
+                &[
+                    ("service", &call.service),
+                    ("last", &refusal.reason.word()),
+                    ("rank", &call.context.priority.rank),
+                    ("threshold", &format_args!("{threshold:?}")),
+                ],
             );
             Refusal {
                 reason: Reason::RetriesSpent,
@@ -103,6 +159,16 @@
     }
 }
 
+/// The rank and the upper bits of the hash of the least important root whose retries are made now.
+fn threshold(shared: &Shared, call: &Call) -> Option<(ClassRank, u16)> {
+    let mut retry_ratios = shared
+        .retry_ratios
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    let threshold = retry_ratios.threshold(Instant::now(), retry_key(call))?;
+    Some((threshold.rank, threshold.root_hash >> 12))
+}
+
 /// Whether the call may be sent to another node without spending a retry: the attempt reached no
 /// backend server, and the route limits the number of servers. Each node is tried at most once.
 pub(crate) fn can_redirect(call: &Call, refusal: &Refusal) -> bool {
--- a/crates/nutmegwheel-node/src/routes.rs
+++ b/crates/nutmegwheel-node/src/routes.rs
@@ -11,7 +11,10 @@
 use nutmegwheel_spread::{AnnouncementState, Health, MemberStatus, Record};
 use nutmegwheel_types::{DataCentreId, Incarnation, Priority, ProcessName, ServiceId, plain};
 
-use crate::refusal::{Reason, Refusal};
+use crate::{
+    call::Call,
+    refusal::{Reason, Refusal},
+};
 
 /// The retry delay while no backend server accepts requests.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -106,20 +109,29 @@
         let key = table
             .choose(now, &req, &mut rand::rng())
             .map_err(|e| refuse(format!("{service}: {e}")))?;
-        let announcement = table.announcement(key).cloned();
-        let target = announcement.and_then(|announcement| {
-            let node = state.nodes.get(&announcement.node)?;
-            Some(Target {
-                key,
-                node: announcement.node,
-                data_centre: announcement.data_centre,
-                link: node.link,
-                incarnation: node.incarnation,
-            })
-        });
+        let target = state.target(service, key);
         target.ok_or_else(|| refuse(format!("{service}: the backend server is gone")))
     }
 
+    /// Chooses one of the backend servers that the call was sent to before, and counts the request
+    /// as outstanding there.
+    pub(crate) fn choose_among(
+        &self,
+        now: Instant,
+        call: &Call,
+        keys: &[BackendKey],
+    ) -> Result<Target, Refusal> {
+        let mut state = self.lock();
+        let table = state.tables.get_mut(&call.service);
+        let key = table.and_then(|table| table.choose_among(now, call.context.priority, keys));
+        key.and_then(|key| state.target(&call.service, key))
+            .ok_or_else(|| {
+                let detail = format!("{}: the backend servers are gone", call.service);
+                let refusal = Refusal::not_run(Reason::NoBackendServer, detail);
+                refusal.with_retry_after(NO_SERVER_RETRY_AFTER)
+            })
+    }
+
     /// Records the end of a request that [`Routes::choose`] counted as outstanding.
     pub(crate) fn finish(
         &self,
@@ -146,6 +158,18 @@
 }
 
 impl State {
+    fn target(&self, service: &str, key: BackendKey) -> Option<Target> {
+        let announcement = self.tables.get(service)?.announcement(key)?;
+        let node = self.nodes.get(&announcement.node)?;
+        Some(Target {
+            key,
+            node: announcement.node.clone(),
+            data_centre: announcement.data_centre.clone(),
+            link: node.link,
+            incarnation: node.incarnation,
+        })
+    }
+
     fn remove_node(&mut self, now: Instant, node: &str) {
         let Some(entry) = self.nodes.remove(node) else {
             return;
--- a/crates/nutmegwheel-policy/src/retry/decide.rs
+++ b/crates/nutmegwheel-policy/src/retry/decide.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use nutmegwheel_types::WorkspaceId;
+use nutmegwheel_types::{Priority, WorkspaceId};
 use rand::Rng;
 
 use super::{Attempt, ChainBudget, ChildKey, Decision, Options, Reason, RetryRatios, RetrySafety};
@@ -15,6 +15,8 @@
     /// The key by which the ratio counts retries: the workspace of the root request, or the service
     /// if the route limits the attempts.
     pub workspace: Option<&'a WorkspaceId>,
+    /// The priority of the root request, by which retries are ordered when few are allowed.
+    pub priority: Priority,
 }
 
 /// Decides whether a call is retried after a failed attempt, and charges both budgets if so.
@@ -49,9 +51,13 @@
         chain,
         ratios,
         workspace,
+        priority,
     } = budgets;
-    if !attempt.is_ratio_exempt && !ratios.can_retry(now, workspace) {
-        return Err(Reason::RatioExhausted);
+    if !attempt.is_ratio_exempt {
+        let has_turn = ratios.admits(now, workspace, priority);
+        if !has_turn || !ratios.can_retry(now, workspace) {
+            return Err(Reason::RatioExhausted);
+        }
     }
     let tokens = chain
         .retry(child, attempt.unspent)
--- a/crates/nutmegwheel-policy/src/retry/mod.rs
+++ b/crates/nutmegwheel-policy/src/retry/mod.rs
@@ -7,6 +7,7 @@
 mod chain;
 mod decide;
 mod error;
+mod order;
 mod ratio;
 mod types;
 
--- a/crates/nutmegwheel-policy/src/retry/ratio.rs
+++ b/crates/nutmegwheel-policy/src/retry/ratio.rs
@@ -3,12 +3,18 @@
     time::{Duration, Instant},
 };
 
-use nutmegwheel_types::{WorkspaceId, plain};
+use nutmegwheel_types::{Priority, WorkspaceId, plain};
+
+use super::order::RetryOrder;
 
 /// The number of slices of the sliding window.
 const SLICES: u8 = 10;
+/// The number of slices that are remembered, which is two windows.
+const KEPT_SLICES: u8 = 2 * SLICES;
 /// The cost of one retry in thousandths, the unit in which the ratio is computed.
 const RETRY_COST_MILLI: u64 = 1000;
+/// The length of the intervals in which retries are put in order.
+const ORDER_INTERVAL: Duration = Duration::from_millis(250);
 
 plain! {
     /// The limit on the retries of each workspace.
@@ -23,6 +29,12 @@
         pub window: Duration,
         /// The maximum number of workspaces with counts of their own; further ones share one.
         pub max_workspaces: usize,
+        /// Whether the first attempts of earlier windows count if these had more. While calls fail
+        /// early, fewer are made, and those that are left would be allowed fewer retries.
+        pub counts_earlier_windows: bool,
+        /// Whether retries are made in the order of their roots while more are wanted than allowed.
+        /// Without it, they go to whoever asks first.
+        pub is_ordered: bool,
     }
 }
 
@@ -34,6 +46,8 @@
             min_base_retries_per_node: 2,
             window: Duration::from_secs(10),
             max_workspaces: 1024,
+            counts_earlier_windows: false,
+            is_ordered: false,
         }
     }
 }
@@ -46,8 +60,9 @@
 
 #[derive(Debug)]
 struct Counts {
-    slices: [Slice; SLICES as usize],
+    slices: [Slice; KEPT_SLICES as usize],
     newest_slice: u64,
+    order: RetryOrder,
 }
 
 /// The ratio of retries to first attempts of each workspace, as counted by one node.
@@ -88,6 +103,12 @@
         self.counts(now, workspace).current().first_attempts += 1;
     }
 
+    /// Counts the first attempt of a call that a repeated request makes. It would not have been
+    /// made without the retry further up, so it counts as a retry.
+    pub fn record_repeated_call(&mut self, now: Instant, workspace: Option<&WorkspaceId>) {
+        self.counts(now, workspace).current().retries += 1;
+    }
+
     /// Counts a retry if the ratio allows it, and returns whether it does.
     pub fn try_acquire(&mut self, now: Instant, workspace: Option<&WorkspaceId>) -> bool {
         let can_retry = self.can_retry(now, workspace);
@@ -99,14 +120,49 @@
 
     /// Whether the ratio allows another retry.
     pub fn can_retry(&mut self, now: Instant, workspace: Option<&WorkspaceId>) -> bool {
+        self.unused(now, workspace) > 0
+    }
+
+    /// Whether it is the turn of a root's retry, if retries are made in an order. Each retry that is
+    /// wanted must be asked for once.
+    pub fn admits(
+        &mut self,
+        now: Instant,
+        workspace: Option<&WorkspaceId>,
+        priority: Priority,
+    ) -> bool {
+        if !self.options.is_ordered {
+            return true;
+        }
+        let unused = self.unused(now, workspace);
+        let elapsed = now.saturating_duration_since(self.opened).as_nanos();
+        let interval = u64::try_from(elapsed / ORDER_INTERVAL.as_nanos()).unwrap_or(u64::MAX);
+        let counts = self.counts(now, workspace);
+        counts.order.admits(interval, unused, priority)
+    }
+
+    /// The least important root whose retries are made, or `None` if all are.
+    pub fn threshold(&mut self, now: Instant, workspace: Option<&WorkspaceId>) -> Option<Priority> {
+        self.counts(now, workspace).order.threshold()
+    }
+
+    /// The number of retries that the ratio allows beyond those made.
+    fn unused(&mut self, now: Instant, workspace: Option<&WorkspaceId>) -> u64 {
         let least = u64::from(self.options.min_base_retries_per_node) * RETRY_COST_MILLI;
         let base_retries =
             u64::from(self.options.base_retries) * RETRY_COST_MILLI / u64::from(self.nodes);
         let base_retries = base_retries.max(least);
         let per_first_attempt = u64::from(self.options.percent) * RETRY_COST_MILLI / 100;
-        let total = self.counts(now, workspace).total();
-        (total.retries + 1) * RETRY_COST_MILLI
-            <= total.first_attempts * per_first_attempt + base_retries
+        let counts_earlier = self.options.counts_earlier_windows;
+        let counts = self.counts(now, workspace);
+        let total = counts.total(0);
+        let first_attempts = if counts_earlier {
+            counts.most_first_attempts()
+        } else {
+            total.first_attempts
+        };
+        let allowed = first_attempts * per_first_attempt + base_retries;
+        (allowed / RETRY_COST_MILLI).saturating_sub(total.retries)
     }
 
     /// The counts of a workspace, advanced to the current slice.
@@ -138,8 +194,9 @@
 impl Default for Counts {
     fn default() -> Self {
         Self {
-            slices: [Slice::default(); SLICES as usize],
+            slices: [Slice::default(); KEPT_SLICES as usize],
             newest_slice: 0,
+            order: RetryOrder::default(),
         }
     }
 }
@@ -149,7 +206,7 @@
     fn advance(&mut self, current_slice: u64) {
         let steps = current_slice
             .saturating_sub(self.newest_slice)
-            .min(u64::from(SLICES));
+            .min(u64::from(KEPT_SLICES));
         for step in 0..steps {
             let number = current_slice - step;
             self.slices[slice_index(number)] = Slice::default();
@@ -161,16 +218,26 @@
         &mut self.slices[slice_index(self.newest_slice)]
     }
 
-    fn total(&self) -> Slice {
-        self.slices
-            .iter()
-            .fold(Slice::default(), |sum, slice| Slice {
-                first_attempts: sum.first_attempts + slice.first_attempts,
-                retries: sum.retries + slice.retries,
-            })
+    /// The first attempts and retries in the window that ended `ago` slices before now.
+    fn total(&self, ago: u8) -> Slice {
+        let newest = self.newest_slice.saturating_sub(u64::from(ago));
+        let oldest = (newest + 1).saturating_sub(u64::from(SLICES));
+        let slices = (oldest..=newest).map(|number| self.slices[slice_index(number)]);
+        slices.fold(Slice::default(), |sum, slice| Slice {
+            first_attempts: sum.first_attempts + slice.first_attempts,
+            retries: sum.retries + slice.retries,
+        })
+    }
+
+    /// The first attempts of the window that has most: the current one, the one before it, or the
+    /// one half a window before it.
+    fn most_first_attempts(&self) -> u64 {
+        let windows = [0, SLICES / 2, SLICES];
+        let first_attempts = windows.map(|ago| self.total(ago).first_attempts);
+        first_attempts.into_iter().max().unwrap_or(0)
     }
 }
 
 fn slice_index(number: u64) -> usize {
-    usize::try_from(number % u64::from(SLICES)).unwrap_or(0)
+    usize::try_from(number % u64::from(KEPT_SLICES)).unwrap_or(0)
 }
--- a/crates/nutmegwheel-policy/src/routing/mod.rs
+++ b/crates/nutmegwheel-policy/src/routing/mod.rs
@@ -4,6 +4,7 @@
 //! keeps senders from all picking the one that last reported the lowest load, without coordination
 //! between them.
 
+mod among;
 mod choose;
 mod ejection;
 mod error;
--- a/crates/nutmegwheel-policy/tests/retry.rs
+++ b/crates/nutmegwheel-policy/tests/retry.rs
@@ -9,11 +9,16 @@
     Attempt, Budgets, CallEnd, ChainBudget, Decision, Error, Options, RatioOptions, Reason,
     RetryRatios, RetrySafety, decide,
 };
-use nutmegwheel_types::WorkspaceId;
+use nutmegwheel_types::{Priority, WorkspaceId};
 use proptest::{prelude::*, test_runner::RngSeed};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 const CALL: u128 = 7;
+const PRIORITY: Priority = Priority {
+    rank: 0,
+    over_share: 0,
+    root_hash: 0,
+};
 
 fn attempt() -> Attempt {
     Attempt {
@@ -154,6 +159,7 @@
         chain: &mut chain,
         ratios: &mut ratios,
         workspace: None,
+        priority: PRIORITY,
     };
     let mut rng = StdRng::seed_from_u64(1);
     match decide(now, &Options::default(), budgets, child, attempt, &mut rng) {
--- a/crates/nutmegwheel-types/src/context.rs
+++ b/crates/nutmegwheel-types/src/context.rs
@@ -21,6 +21,8 @@
         pub retry_tokens: u32,
         /// Whether the call may run at most once.
         pub non_idempotent: bool,
+        /// Whether the call would not be made without a retry of this call or further up its chain.
+        pub is_repeat: bool,
     }
 }
 
--- a/crates/nutmegwheel-wire/src/convert.rs
+++ b/crates/nutmegwheel-wire/src/convert.rs
@@ -35,6 +35,7 @@
         retry_tokens: context.retry_tokens,
         non_idempotent: context.non_idempotent,
         key_hash: key.map(|hash| hash.to_vec().into()).unwrap_or_default(),
+        repeats: context.is_repeat,
     }
 }
 
@@ -60,6 +61,7 @@
         depth: number(wire.depth, "depth")?,
         retry_tokens: wire.retry_tokens,
         non_idempotent: wire.non_idempotent,
+        is_repeat: wire.repeats,
     };
     Ok((context, key))
 }
--- a/crates/nutmegwheel/tests/answers.rs
+++ b/crates/nutmegwheel/tests/answers.rs
@@ -188,6 +188,32 @@
     assert!(copies.load(Ordering::SeqCst) > 0, "a copy was sent");
 }
 
+// Guards against roots that fail while retries are left: both backend servers refuse at random, and a
+// request that may be sent to two of them is given up after one refusal of each.
+#[tokio::test(flavor = "multi_thread")]
+async fn idempotent_request_is_sent_to_the_same_backend_servers_again() {
+    let fleet = start().await;
+    let refused: Arc<Mutex<HashMap<String, usize>>> = Arc::default();
+    follow(&fleet, move |arrival| {
+        let mut refused = refused.lock().expect("refused");
+        let count = refused.entry(arrival.path.clone()).or_default();
+        *count += 1;
+        if *count <= 3 {
+            let fields = [(ID, arrival.field(ID)), NOT_EXECUTED];
+            return vec![Step::Send(script::answer(503, &fields, ""))];
+        }
+        run_and_answer(arrival)
+    });
+    for number in 0..2 {
+        let path = format!("/safe/refused-{number}");
+        assert_eq!(call(&fleet, "GET", &path).await.status, 200, "{path}");
+        assert_eq!(fleet.runs_of(&path).len(), 1, "{path}");
+        let path = format!("/once/refused-{number}");
+        let status = call(&fleet, "POST", &path).await.status;
+        check_unsafe(&fleet, &path, status);
+    }
+}
+
 /// What a backend server answers, and whether it has run the request if the answer bears its id.
 #[derive(Clone, Copy, Debug)]
 struct Kind {
