--- a/crates/nutmegwheel-config/src/settings.rs
+++ b/crates/nutmegwheel-config/src/settings.rs
@@ -26,7 +26,7 @@
 /// The maximum of `max_descriptors`.
 const MAX_DESCRIPTORS: usize = 1 << 30;
 /// The maximum of `retry_budget.slack`.
-const MAX_RETRY_SLACK: u32 = 1_000_000;
+const MAX_RETRY_SLACK: f64 = 1e6;
 /// The range of `retry_budget.window_s`, in seconds.
 const RETRY_WINDOW_S: std::ops::RangeInclusive<f64> = 1.0..=600.0;
 
@@ -301,8 +301,8 @@
     let window = table.required("window_s")?.number(&RETRY_WINDOW_S)?;
     let ratio: f64 = table.required("ratio")?.number(&(0.0..=1.0))?;
     let budget = RetryBudget {
-        ratio_permille: permille(ratio),
-        slack: table.required("slack")?.number(&(0..=MAX_RETRY_SLACK))?,
+        ratio_permille: whole(ratio * 1000.0),
+        slack: whole(table.required("slack")?.number(&(0.0..=MAX_RETRY_SLACK))?),
         window: Duration::from_secs_f64(window),
     };
     table.finish()?;
@@ -312,10 +312,10 @@
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
-    reason = "the ratio is between 0 and 1"
+    reason = "the settings bound it"
 )]
-fn permille(ratio: f64) -> u32 {
-    (ratio * 1000.0).round() as u32
+fn whole(number: f64) -> u32 {
+    number as u32
 }
 
 fn read_bounded_items<'a>(field: &Field<'a>) -> Result<Vec<Field<'a>>, CheckError> {
