fix(events): bound what a process collects of its log before it writes

Cause: the thread that writes took lines into a batch for as long as new ones came, so a process that logs as fast as the thread takes lines grew without bound, and the queue's bound had no effect.

Change: a batch ends at 1,024 lines or 64 KiB. The new test (20,000 lines to a slow output) fails before the change and passes after it; all tests of the crate pass.

--- a/crates/nutmegwheel-events/src/output.rs
+++ b/crates/nutmegwheel-events/src/output.rs
@@ -13,6 +13,10 @@
 const QUEUE_CAPACITY: usize = 4096;
 /// The maximum length of a line; longer ones are truncated.
 const MAX_LINE_BYTES: usize = 16 * 1024;
+/// The number of bytes from which on a batch takes no further line.
+const BATCH_BYTES: usize = 64 * 1024;
+/// The maximum number of lines of a batch.
+const BATCH_LINES: u64 = 1024;
 
 /// Queues complete lines without blocking, for a separate thread to write.
 pub struct Output {
@@ -72,11 +76,15 @@
     }
 }
 
-/// Writes all queued lines with one call, to save system calls.
+/// Writes queued lines together, to save system calls. A batch is bounded, since lines may be queued
+/// as fast as they are taken.
 fn write_lines(mut out: impl Write, lines: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
     while let Ok(mut batch) = lines.recv() {
         let mut count = 1;
-        while let Ok(line) = lines.try_recv() {
+        while count < BATCH_LINES
+            && batch.len() < BATCH_BYTES
+            && let Ok(line) = lines.try_recv()
+        {
             batch.extend_from_slice(&line);
             count += 1;
         }
--- a/crates/nutmegwheel-events/tests/output.rs
+++ b/crates/nutmegwheel-events/tests/output.rs
@@ -5,7 +5,7 @@
     io::{self, Write},
     sync::{
         Arc, Mutex,
-        atomic::Ordering,
+        atomic::{AtomicUsize, Ordering},
         mpsc::{Receiver, channel},
     },
     time::{Duration, Instant},
@@ -41,6 +41,21 @@
     }
 }
 
+/// Takes a moment for each write and records the longest one.
+struct Slow(Arc<AtomicUsize>);
+
+impl Write for Slow {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.fetch_max(buf.len(), Ordering::Relaxed);
+        std::thread::sleep(Duration::from_millis(1));
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 struct Closed;
 
 impl Write for Closed {
@@ -94,6 +109,19 @@
     drop(unblock);
 }
 
+// Guards against memory that grows with the log: a batch took lines for as long as new ones came.
+#[test]
+fn bounds_what_is_written_at_once() {
+    let longest = Arc::new(AtomicUsize::new(0));
+    let (mut output, _) = Output::open(Slow(longest.clone())).unwrap();
+    let line = "x".repeat(1000);
+    for _ in 0..20_000 {
+        writeln!(output, "{line}").unwrap();
+    }
+    wait_until("a write", || longest.load(Ordering::Relaxed) > 0);
+    assert!(longest.load(Ordering::Relaxed) <= 64 * 1024 + 1001);
+}
+
 #[test]
 fn counts_lines_lost_to_closed_output() {
     let (mut output, dropped) = Output::open(Closed).unwrap();
