feat: evacuate a data centre by an operator's order

Cause: an operator could not empty a data centre; the platform's POST and DELETE /-/evacuate/ZONE got 404. Change: an order is a command of the replicated log, idempotent and without a number, and the set of evacuated data centres is part of the view. Nodes get it as they get a configuration. Routing chooses no backend server there; the node beside such a server refuses what still arrives or waits as not run, and senders redirect it. Readmission begins a slow start in routing and in admission. Unknown data centres get 400; all may be evacuated, with a warning. Views without evacuations are written as before. ctl evacuate, readmit and evacuations; events 414, 415, 510 to 514; a gauge.

--- a/crates/nutmegwheel-config/src/delta.rs
+++ b/crates/nutmegwheel-config/src/delta.rs
@@ -1,4 +1,4 @@
-use nutmegwheel_types::{ConfigVersion, KeyHash, WorkspaceId, hex};
+use nutmegwheel_types::{ConfigVersion, DataCentreId, KeyHash, WorkspaceId, hex};
 use serde::{Deserialize, Serialize};
 
 use crate::{Change, Configuration, View, ViewError};
@@ -10,6 +10,10 @@
     Change(Change),
     /// A withdrawn key.
     Withdraw(KeyHash),
+    /// A data centre whose backend servers get no requests from now on.
+    Evacuate(DataCentreId),
+    /// A data centre whose backend servers get requests again.
+    Readmit(DataCentreId),
 }
 
 #[derive(Serialize, Deserialize)]
@@ -17,6 +21,8 @@
 enum Document {
     Change(String),
     Withdraw(String),
+    Evacuate(DataCentreId),
+    Readmit(DataCentreId),
 }
 
 impl Delta {
@@ -26,6 +32,8 @@
         let document = match self {
             Self::Change(change) => Document::Change(change.to_json()),
             Self::Withdraw(hash) => Document::Withdraw(hex::encode(hash)),
+            Self::Evacuate(data_centre) => Document::Evacuate(data_centre.clone()),
+            Self::Readmit(data_centre) => Document::Readmit(data_centre.clone()),
         };
         serde_json::to_vec(&document).unwrap_or_default()
     }
@@ -42,6 +50,8 @@
                 let hash = hex::decode(&text).ok_or(ViewError::Hash(text))?;
                 Ok(Self::Withdraw(hash))
             }
+            Document::Evacuate(data_centre) => Ok(Self::Evacuate(data_centre)),
+            Document::Readmit(data_centre) => Ok(Self::Readmit(data_centre)),
         }
     }
 }
@@ -64,12 +74,23 @@
 
     /// Applies a committed delta and increments the version.
     pub fn advance(&mut self, delta: Delta) {
+        self.apply(delta);
+        self.version += 1;
+    }
+
+    /// Applies a delta without a new version, for what takes effect with the first configuration.
+    pub fn apply(&mut self, delta: Delta) {
         match delta {
             Delta::Change(Change::Configure(configuration)) => self.configure(configuration),
             Delta::Change(Change::GiveKey { workspace, hash }) => self.give_key(workspace, hash),
             Delta::Withdraw(hash) => self.withdraw(hash),
+            Delta::Evacuate(data_centre) => {
+                self.evacuated.insert(data_centre);
+            }
+            Delta::Readmit(data_centre) => {
+                self.evacuated.remove(&data_centre);
+            }
         }
-        self.version += 1;
     }
 
     fn configure(&mut self, configuration: Configuration) {
--- a/crates/nutmegwheel-config/src/view.rs
+++ b/crates/nutmegwheel-config/src/view.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use nutmegwheel_types::{ConfigVersion, KeyHash, WorkspaceId, hex};
+use nutmegwheel_types::{ConfigVersion, DataCentreId, KeyHash, WorkspaceId, hex};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use thiserror::Error;
@@ -18,6 +18,8 @@
     pub keys: BTreeMap<KeyHash, WorkspaceId>,
     /// The keys that are withdrawn permanently.
     pub withdrawn: BTreeSet<KeyHash>,
+    /// The data centres whose backend servers get no requests; see docs/design/EVACUATION.md.
+    pub evacuated: BTreeSet<DataCentreId>,
 }
 
 /// Why an encoded view or delta was refused.
@@ -48,6 +50,8 @@
     configuration: Box<serde_json::value::RawValue>,
     keys: BTreeMap<String, WorkspaceId>,
     withdrawn: Vec<String>,
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    evacuated: BTreeSet<DataCentreId>,
 }
 
 /// Hashes a key. Keys are stored and compared by this hash only.
@@ -66,6 +70,7 @@
             configuration: raw.unwrap_or_default(),
             keys: self.hex_keys(),
             withdrawn: self.withdrawn.iter().map(|h| hex::encode(h)).collect(),
+            evacuated: self.evacuated.clone(),
         };
         serde_json::to_vec(&document).unwrap_or_default()
     }
@@ -80,6 +85,7 @@
         let mut view = Self {
             version: document.version,
             configuration: Configuration::parse(document.configuration.get())?,
+            evacuated: document.evacuated,
             ..Self::default()
         };
         for (hash, workspace) in document.keys {
--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -102,7 +102,10 @@
     if let Some(seed_service) = &seed_service {
         spawn_seed_service(&supervisor, seed_service, &endpoint, &journal);
     }
+    let mut data_centres = settings.data_centres();
+    data_centres.push(settings.data_centre.clone());
     let operators = Operators {
+        data_centres: data_centres.into(),
         log: log.clone(),
         metrics: Arc::new(Metrics::open()),
         members: members.clone(),
--- a/crates/nutmegwheel-control/src/dialect.rs
+++ b/crates/nutmegwheel-control/src/dialect.rs
@@ -4,7 +4,10 @@
 use nutmegwheel_types::plain;
 use nutmegwheel_web::{Request, Response};
 
-use crate::state::{Published, PublishedVersion};
+use crate::{
+    evacuations::Order,
+    state::{Published, PublishedVersion},
+};
 
 /// A whole configuration that an operator publishes to replace an earlier one.
 #[derive(Clone, Debug, PartialEq)]
@@ -30,6 +33,8 @@
         /// The invalid field and a description of the fault.
         detail: String,
     },
+    /// Evacuates a data centre, or withdraws such an order.
+    Order(Order),
     /// Shows the published configuration.
     Show,
 }
@@ -48,14 +53,17 @@
             /// The version that is published.
             current: PublishedVersion,
         },
-        /// The configuration is invalid, and no part of it takes effect.
+        /// The order is committed, by this request or an earlier one.
+        Ordered(Order),
+        /// The configuration or order is invalid, and no part of it takes effect.
         Invalid {
-            /// The invalid field and a description of the fault.
+            /// A description of the fault, with the invalid field of a configuration.
             detail: String,
         },
         /// The published configuration, or `None` if none was published yet.
         Shown(Option<Published>),
-        /// It is not known which configuration is published, or whether this one is committed.
+        /// It is not known which configuration is published, or whether this one or the order is
+        /// committed.
         NotCertain {
             /// Why the outcome is not known.
             detail: String,
--- a/crates/nutmegwheel-control/src/lib.rs
+++ b/crates/nutmegwheel-control/src/lib.rs
@@ -10,6 +10,7 @@
 mod control;
 mod departures;
 mod dialect;
+mod evacuations;
 mod log;
 mod members;
 mod metrics;
@@ -21,4 +22,5 @@
 
 pub use control::{Control, spawn};
 pub use dialect::{Dialect, Operation, Outcome, Publication};
+pub use evacuations::Order;
 pub use state::Published;
--- a/crates/nutmegwheel-control/src/metrics.rs
+++ b/crates/nutmegwheel-control/src/metrics.rs
@@ -14,6 +14,7 @@
     last_change: Gauge,
     leads: Gauge,
     members: Gauge,
+    evacuated: Gauge,
 }
 
 impl Metrics {
@@ -28,11 +29,13 @@
         let last_change_help = "The greatest number of a change that this control VM has applied";
         let leads = "1 while this control VM leads";
         let members = "Processes that this one knows to be alive";
+        let evacuated = "Data centres that operators ordered to be evacuated";
         Self {
             version: gauge("configuration_version", version),
             last_change: gauge("last_change", last_change_help),
             leads: gauge("leads", leads),
             members: gauge("members", members),
+            evacuated: gauge("evacuated_data_centres", evacuated),
             registry: Mutex::new(registry),
         }
     }
@@ -47,6 +50,8 @@
         self.version.set(to_i64(log.view().version));
         self.last_change.set(to_i64(log.last_change()));
         self.leads.set(i64::from(log.leading_term().is_some()));
+        let evacuated = log.with_view(|view| view.evacuated.len());
+        self.evacuated.set(to_i64(evacuated as u64));
         self.members.set(to_i64(alive.count() as u64));
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         let mut text = String::new();
--- a/crates/nutmegwheel-control/src/operators.rs
+++ b/crates/nutmegwheel-control/src/operators.rs
@@ -8,7 +8,7 @@
 use nutmegwheel_events::{Event, Journal};
 use nutmegwheel_seeds::SeedService;
 use nutmegwheel_spread::WithdrawalState;
-use nutmegwheel_types::{KeyHash, hex};
+use nutmegwheel_types::{DataCentreId, KeyHash, hex};
 use nutmegwheel_web::{
     Handler, HandlerFuture, Problem, Request, Response, authorize, json, with_content_type,
 };
@@ -16,6 +16,7 @@
 
 use crate::{
     dialect::{Dialect, Operation, Outcome, Publication},
+    evacuations::OrderError,
     log::{Log as _, LogError, ReplicatedLog},
     members::Members,
     metrics::Metrics,
@@ -41,6 +42,8 @@
     pub(crate) members: Arc<Members>,
     pub(crate) journal: Arc<Journal>,
     pub(crate) seed_service: Option<Arc<SeedService>>,
+    /// The data centres that the settings name, and that of this process.
+    pub(crate) data_centres: Arc<[DataCentreId]>,
     /// The secret that operators present. Without it, all requests below `/v1` are refused.
     pub(crate) secret: Option<Arc<str>>,
     /// The operators' interface of the platform, in addition to the routes below `/v1`.
@@ -123,6 +126,8 @@
             }
             (&Method::PUT, ["withdrawals", hash]) => self.withdraw(parse_hash(hash)?).await,
             (&Method::GET, ["withdrawals", hash]) => self.withdrawal(parse_hash(hash)?),
+            (method, ["evacuations"]) => self.answer_evacuation(method, None).await,
+            (method, ["evacuations", name]) => self.answer_evacuation(method, Some(name)).await,
             (&Method::GET, ["status"]) => Ok(self.status()),
             (&Method::GET, ["events"]) => Ok(self.events(&req.head)),
             _ => Err(unknown_route()),
@@ -151,7 +156,7 @@
     /// Waits until this replica has applied every entry that was committed before the request. A
     /// read fails otherwise, because a partitioned control VM must not show an old configuration as
     /// current.
-    async fn catch_up(&self) -> Result<(), Problem> {
+    pub(crate) async fn catch_up(&self) -> Result<(), Problem> {
         let end = tokio::time::Instant::now() + READ_TIMEOUT;
         loop {
             match self.log.catch_up().await {
@@ -208,6 +213,11 @@
                 Outcome::Invalid { detail }
             }
             Operation::Publish(publication) => self.publish(publication).await,
+            Operation::Order(order) => match self.order(&order).await {
+                Ok(()) => Outcome::Ordered(order),
+                Err(OrderError::UnknownDataCentre { detail }) => Outcome::Invalid { detail },
+                Err(OrderError::NotCertain { detail }) => Outcome::NotCertain { detail },
+            },
             Operation::Show => match self.log.catch_up().await {
                 Ok(()) => Outcome::Shown(self.log.published()),
                 Err(e) => Outcome::NotCertain {
@@ -283,6 +293,7 @@
         let document = value!({
             "version": view.version,
             "last_change": self.log.last_change(),
+            "evacuated": view.evacuated,
             "log": self.log.status(),
         });
         json(StatusCode::OK, &document)
@@ -319,7 +330,7 @@
     hex::decode(text).ok_or_else(|| Problem::bad_request(format!("{text:?} is not 64 hex digits")))
 }
 
-fn unknown_route() -> Problem {
+pub(crate) fn unknown_route() -> Problem {
     Problem::new(
         StatusCode::NOT_FOUND,
         "unknown-route",
--- a/crates/nutmegwheel-control/src/state.rs
+++ b/crates/nutmegwheel-control/src/state.rs
@@ -2,7 +2,9 @@
 
 use nutmegwheel_config::{Change, CheckError, Configuration, Delta, View};
 use nutmegwheel_limits::share::{ChangeSet, Table};
-use nutmegwheel_types::{ConfigVersion, Incarnation, KeyHash, WorkspaceId, hex, plain};
+use nutmegwheel_types::{
+    ConfigVersion, DataCentreId, Incarnation, KeyHash, WorkspaceId, hex, plain,
+};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
@@ -45,6 +47,17 @@
         /// The hash of the key, in hex digits.
         hash: String,
     },
+    /// Orders that the backend servers of a data centre get no requests. Like its withdrawal it
+    /// needs no number, because repeating the last order has no further effect.
+    Evacuate {
+        /// The data centre.
+        data_centre: DataCentreId,
+    },
+    /// Withdraws the order to evacuate a data centre.
+    Readmit {
+        /// The data centre.
+        data_centre: DataCentreId,
+    },
     /// Asks whether a seed starts for the first time. At most one incarnation of each name gets a
     /// positive answer.
     FirstStart {
@@ -62,7 +75,7 @@
     #[derive(Serialize, Deserialize)]
     #[serde(rename_all = "snake_case")]
     pub enum CommandOutcome {
-        /// The change, publication or withdrawal is committed.
+        /// The change, publication, withdrawal or order is committed.
         Committed {
             /// The version of the configuration that it produced.
             version: ConfigVersion,
@@ -244,6 +257,14 @@
                 document,
             } => self.apply_publication(*version, *base, content, document),
             Command::Withdraw { hash } => self.apply_withdrawal(hash),
+            Command::Evacuate { data_centre } => {
+                let is_new = !self.view.evacuated.contains(data_centre);
+                self.apply_order(is_new, Delta::Evacuate(data_centre.clone()))
+            }
+            Command::Readmit { data_centre } => {
+                let is_new = self.view.evacuated.contains(data_centre);
+                self.apply_order(is_new, Delta::Readmit(data_centre.clone()))
+            }
             Command::FirstStart { seed, incarnation } => self.apply_first_start(seed, *incarnation),
             Command::Shares(set) => CommandOutcome::Shares {
                 moved: self.shares.apply(set).is_ok(),
@@ -366,6 +387,22 @@
         }
     }
 
+    /// Applies an order to evacuate or readmit a data centre, unless it is already in force.
+    fn apply_order(&mut self, is_new: bool, delta: Delta) -> CommandOutcome {
+        if is_new {
+            // Version 0 stands for no configuration. The order takes effect with the first one.
+            if self.view.version == 0 {
+                self.view.apply(delta);
+            } else {
+                self.view.advance(delta);
+            }
+        }
+        CommandOutcome::Committed {
+            version: self.view.version,
+            first: is_new,
+        }
+    }
+
     fn record_change(&mut self, number: ChangeNumber, content: String, kind: &str) {
         self.last_change = number;
         let committed = CommittedChange {
@@ -395,6 +432,8 @@
                 .ok()
                 .map(|configuration| Delta::Change(Change::Configure(configuration))),
             Self::Withdraw { hash } => hex::decode(hash).map(Delta::Withdraw),
+            Self::Evacuate { data_centre } => Some(Delta::Evacuate(data_centre.clone())),
+            Self::Readmit { data_centre } => Some(Delta::Readmit(data_centre.clone())),
             Self::FirstStart { .. } | Self::Shares(_) => None,
         }
     }
--- a/crates/nutmegwheel-events/src/catalogue.rs
+++ b/crates/nutmegwheel-events/src/catalogue.rs
@@ -116,6 +116,10 @@
     MemberLeft = 412, "member-left", Info;
     /// Another process was declared dead.
     MemberDied = 413, "member-died", Warn;
+    /// This node sends no more requests to the backend servers of a data centre.
+    DataCentreEvacuated = 414, "data-centre-evacuated", Info;
+    /// This node sends requests to the backend servers of a data centre again.
+    DataCentreReadmitted = 415, "data-centre-readmitted", Info;
     /// An operator's change was committed.
     ChangeCommitted = 500, "change-committed", Info;
     /// An operator's change was refused.
@@ -136,4 +140,14 @@
     TokenServerStoodDown = 508, "steward-stood-down", Info;
     /// It is unknown whether an operator's change was committed.
     ChangeOutcomeUnknown = 509, "change-uncertain", Warn;
+    /// An operator's order to evacuate a data centre was committed.
+    EvacuationOrdered = 510, "evacuation-ordered", Info;
+    /// The withdrawal of an order to evacuate a data centre was committed.
+    EvacuationWithdrawn = 511, "evacuation-withdrawn", Info;
+    /// An operator's order was for an unknown data centre.
+    EvacuationRefused = 512, "evacuation-refused", Warn;
+    /// It is unknown whether an operator's order was committed.
+    EvacuationOutcomeUnknown = 513, "evacuation-uncertain", Warn;
+    /// All data centres are evacuated, so that every request is refused.
+    NoDataCentreLeft = 514, "no-data-centre-left", Warn;
 }
--- a/crates/nutmegwheel-node/src/admission.rs
+++ b/crates/nutmegwheel-node/src/admission.rs
@@ -80,6 +80,11 @@
         state.dispatch_events(now);
     }
 
+    /// Begins a slow start, for a backend server that got no requests for some time.
+    pub(crate) fn begin_slow_start(&self, now: Instant) {
+        self.lock().queue.cold_start(now);
+    }
+
     /// Refuses all waiting requests because the backend server accepts no new ones.
     pub(crate) fn refuse_waiting(&self, now: Instant) {
         let mut state = self.lock();
--- a/crates/nutmegwheel-node/src/backend.rs
+++ b/crates/nutmegwheel-node/src/backend.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Instant,
 };
 
@@ -63,6 +66,8 @@
 pub(crate) struct LocalBackend {
     pub(crate) dialect: Option<Arc<dyn Dialect>>,
     announced: Mutex<Option<Announcement>>,
+    /// Whether the data centre is evacuated, so that the backend server gets no new requests.
+    is_evacuated: AtomicBool,
     pub(crate) connections: Connections,
 }
 
@@ -71,10 +76,16 @@
         Self {
             dialect,
             announced: Mutex::default(),
+            is_evacuated: AtomicBool::new(false),
             connections: Connections::default(),
         }
     }
 
+    /// Sets whether the data centre is evacuated.
+    pub(crate) fn set_evacuated(&self, is_evacuated: bool) {
+        self.is_evacuated.store(is_evacuated, Ordering::SeqCst);
+    }
+
     /// Replaces the announcement and returns the previous one.
     pub(crate) fn announce(&self, announcement: Announcement) -> Option<Announcement> {
         self.lock().replace(announcement)
@@ -128,6 +139,9 @@
     /// The backend server, if it accepts new requests of the service.
     pub(crate) fn ready_for(&self, service: &str) -> Result<Announcement, Refusal> {
         let refuse = |detail| Err(Refusal::not_run(Reason::NoBackendServer, detail));
+        if self.is_evacuated.load(Ordering::SeqCst) {
+            return refuse("this node's data centre is evacuated");
+        }
         match self.announced() {
             None => refuse("this node has no backend server"),
             Some(a) if &*a.backend.service != service => {
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -17,6 +17,7 @@
 mod departures;
 mod dialect;
 mod digest;
+mod evacuation;
 mod exchange;
 mod failure_rate;
 mod forward;
--- a/crates/nutmegwheel-node/src/members.rs
+++ b/crates/nutmegwheel-node/src/members.rs
@@ -8,7 +8,7 @@
 };
 use serde_json::{Value, json};
 
-use crate::shared::Shared;
+use crate::{evacuation, shared::Shared};
 
 /// Handles events, and the further events that result from them.
 pub(crate) fn handle(shared: &Arc<Shared>, events: Vec<Event>) {
@@ -52,6 +52,7 @@
 fn apply_configuration(shared: &Shared, change: &Change) -> Vec<Event> {
     match shared.views.apply(change) {
         Ok(view) => {
+            evacuation::apply(shared);
             let delta = (change.base != 0).then_some(change.bytes.as_slice());
             shared.gossip.set_configuration(&view, delta)
         }
--- a/crates/nutmegwheel-node/src/metrics.rs
+++ b/crates/nutmegwheel-node/src/metrics.rs
@@ -37,6 +37,7 @@
     limit: Gauge,
     version: Gauge,
     members: Gauge,
+    evacuated: Gauge,
 }
 
 impl Metrics {
@@ -53,6 +54,7 @@
             limit: Gauge::default(),
             version: Gauge::default(),
             members: Gauge::default(),
+            evacuated: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -80,6 +82,8 @@
         registry.register("configuration_version", version, self.version.clone());
         let members = "Processes that this one knows to be alive";
         registry.register("members", members, self.members.clone());
+        let evacuated = "Data centres whose backend servers get no requests";
+        registry.register("evacuated_data_centres", evacuated, self.evacuated.clone());
     }
 }
 
@@ -114,6 +118,8 @@
         self.limit.set(report.limit.into());
         let version = i64::try_from(shared.views.version());
         self.version.set(version.unwrap_or(i64::MAX));
+        let evacuated = shared.evacuations.in_force().len();
+        self.evacuated.set(to_i64(evacuated));
         self.members.set(to_i64(shared.live_members()));
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         let mut text = String::new();
--- a/crates/nutmegwheel-node/src/platform.rs
+++ b/crates/nutmegwheel-node/src/platform.rs
@@ -118,6 +118,7 @@
         "data_centre": shared.settings.data_centre,
         "incarnation": shared.incarnation,
         "version": shared.views.version(),
+        "evacuated": shared.evacuations.in_force(),
         "members": members::to_json(shared),
         "running": shared.running.count(),
         "waiting": shared.admission.report().waiting,
--- a/crates/nutmegwheel-node/src/routes.rs
+++ b/crates/nutmegwheel-node/src/routes.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     sync::{Mutex, PoisonError},
     time::{Duration, Instant},
@@ -40,6 +40,7 @@
 struct State {
     tables: HashMap<ServiceId, Table>,
     nodes: HashMap<ProcessName, NodeEntry>,
+    evacuated: BTreeSet<DataCentreId>,
 }
 
 /// The address of a node, and the service in whose table its backend server is listed.
@@ -74,9 +75,14 @@
             incarnation: record.incarnation,
         };
         state.nodes.insert(record.name.clone(), node);
-        let table = state.tables.entry(announced.service.clone());
-        let table =
-            table.or_insert_with(|| Table::open(self.data_centre.clone(), Options::default()));
+        let State {
+            tables, evacuated, ..
+        } = &mut *state;
+        let table = tables.entry(announced.service.clone()).or_insert_with(|| {
+            let mut table = Table::open(self.data_centre.clone(), Options::default());
+            table.set_evacuated(now, evacuated);
+            table
+        });
         let announcement = Announcement {
             node: record.name.clone(),
             data_centre: record.data_centre.clone(),
@@ -87,6 +93,15 @@
         let key = table.announce(now, announcement);
         table.set_unresponsive(now, key, record.health == Health::Suspect);
     }
+
+    /// Sets the data centres whose backend servers get no requests.
+    pub(crate) fn set_evacuated(&self, now: Instant, data_centres: &BTreeSet<DataCentreId>) {
+        let mut state = self.lock();
+        state.evacuated.clone_from(data_centres);
+        for table in state.tables.values_mut() {
+            table.set_evacuated(now, data_centres);
+        }
+    }
 }
 
 impl Routes {
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -31,7 +31,9 @@
     admission::AdmissionController,
     allotment_limiter::AllotmentLimiter,
     backend::{BackendState, LocalBackend},
-    dialect, members,
+    dialect,
+    evacuation::Evacuations,
+    members,
     metrics::Metrics,
     quarantine::RequestQuarantine,
     retries,
@@ -72,6 +74,7 @@
     server_limit: Mutex<ServerLimit>,
     pub(crate) running: Running,
     pub(crate) routes: Routes,
+    pub(crate) evacuations: Evacuations,
     pub(crate) admission: AdmissionController,
     pub(crate) quarantine: RequestQuarantine,
     pub(crate) shed_levels: Mutex<ShedLevels>,
@@ -107,6 +110,7 @@
         let is_first_start = contacts.is_some_and(|contacts| contacts.bootstrap);
         Self {
             routes: Routes::open(settings.data_centre.clone()),
+            evacuations: Evacuations::default(),
             admission: AdmissionController::open(
                 now,
                 settings
--- a/crates/nutmegwheel-policy/src/routing/error.rs
+++ b/crates/nutmegwheel-policy/src/routing/error.rs
@@ -4,7 +4,7 @@
     /// The reason why no backend server could be chosen.
     #[derive(thiserror::Error)]
     pub enum Error {
-        /// No backend server is both ready and reachable.
+        /// No backend server is ready and reachable, in a data centre that is not evacuated.
         #[error("choosing a backend server from {data_centre}: none of {known} is ready and reachable")]
         NoneReady {
             /// The data centre of the sender.
--- a/crates/nutmegwheel-policy/src/routing/mod.rs
+++ b/crates/nutmegwheel-policy/src/routing/mod.rs
@@ -8,10 +8,14 @@
 mod choose;
 mod ejection;
 mod error;
+mod evacuation;
 mod server;
 mod types;
 
-use std::{collections::HashMap, time::Instant};
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Instant,
+};
 
 use nutmegwheel_types::{DataCentreId, ProcessName};
 use slotmap::SlotMap;
@@ -30,6 +34,7 @@
     by_node: HashMap<ProcessName, BackendKey>,
     local: Vec<BackendKey>,
     remote: Vec<BackendKey>,
+    evacuated: BTreeSet<DataCentreId>,
 }
 
 impl Table {
@@ -43,6 +48,7 @@
             by_node: HashMap::new(),
             local: Vec::new(),
             remote: Vec::new(),
+            evacuated: BTreeSet::new(),
         }
     }
 
@@ -109,7 +115,8 @@
     fn insert(&mut self, announcement: Announcement) -> BackendKey {
         let is_local = announcement.data_centre == self.data_centre;
         let node = announcement.node.clone();
-        let key = self.servers.insert(Server::new(announcement));
+        let is_evacuated = self.evacuated.contains(&announcement.data_centre);
+        let key = self.servers.insert(Server::new(announcement, is_evacuated));
         self.by_node.insert(node, key);
         if is_local {
             &mut self.local
@@ -155,7 +162,8 @@
             .is_some_and(|server| server.is_ejected(now))
     }
 
-    /// The number of backend servers that are ready and responsive, including ejected ones.
+    /// The number of backend servers that are ready, responsive and not evacuated, including ejected
+    /// ones.
     #[must_use]
     pub fn available(&self) -> usize {
         self.servers
--- a/crates/nutmegwheel-policy/src/routing/server.rs
+++ b/crates/nutmegwheel-policy/src/routing/server.rs
@@ -18,6 +18,8 @@
     pub(crate) announcement: Announcement,
     pub(crate) outstanding: u32,
     pub(crate) is_unresponsive: bool,
+    /// Whether the data centre of the server is evacuated.
+    pub(crate) is_evacuated: bool,
     pub(crate) ejected_until: Option<Instant>,
     unreachable_until: Option<Instant>,
     ready_since: Option<Instant>,
@@ -29,11 +31,12 @@
 }
 
 impl Server {
-    pub(crate) fn new(announcement: Announcement) -> Self {
+    pub(crate) fn new(announcement: Announcement, is_evacuated: bool) -> Self {
         Self {
             announcement,
             outstanding: 0,
             is_unresponsive: false,
+            is_evacuated,
             ejected_until: None,
             unreachable_until: None,
             ready_since: None,
@@ -112,7 +115,7 @@
 
 impl Server {
     pub(crate) fn is_available(&self) -> bool {
-        self.announcement.state == ServerState::Ready && !self.is_unresponsive
+        self.announcement.state == ServerState::Ready && !self.is_unresponsive && !self.is_evacuated
     }
 
     pub(crate) fn is_unreachable(&self, now: Instant) -> bool {
--- a/crates/nutmegwheel/src/ctl.rs
+++ b/crates/nutmegwheel/src/ctl.rs
@@ -1,7 +1,7 @@
 use std::{path::Path, time::Duration};
 
 use anyhow::Context as _;
-use nutmegwheel_ctl::{Client, Error, Options, change, show, timeline, withdrawal};
+use nutmegwheel_ctl::{Client, Error, Options, change, evacuation, show, timeline, withdrawal};
 use nutmegwheel_types::{KeyHash, hex};
 use serde_json::Value;
 
@@ -70,6 +70,13 @@
             withdraw(client, &hash, json).await
         }
         CtlCmd::Show(_) => Ok(success(pretty(&show::configuration(client).await?))),
+        CtlCmd::Evacuate(cmd) => {
+            show_evacuations(&evacuation::evacuate(client, &cmd.data_centre).await?, json)
+        }
+        CtlCmd::Readmit(cmd) => {
+            show_evacuations(&evacuation::readmit(client, &cmd.data_centre).await?, json)
+        }
+        CtlCmd::Evacuations(_) => show_evacuations(&evacuation::show(client).await?, json),
         CtlCmd::Status(_) => status(client, json).await,
         CtlCmd::Timeline(cmd) => show_timeline(client, cmd.request.as_deref(), json).await,
     }
@@ -109,6 +116,18 @@
     Ok(CommandOutput { text, code })
 }
 
+fn show_evacuations(outcome: &evacuation::Outcome, json: bool) -> anyhow::Result<CommandOutput> {
+    if json {
+        return Ok(success(serde_json::to_string(outcome)?));
+    }
+    let text = if outcome.evacuated.is_empty() {
+        "no data centre is evacuated".to_owned()
+    } else {
+        format!("evacuated: {}", outcome.evacuated.join(", "))
+    };
+    Ok(success(text))
+}
+
 async fn status(client: &Client, json: bool) -> anyhow::Result<CommandOutput> {
     let all = show::status(client).await;
     let missing = all.iter().any(|(_, status)| status.is_err());
--- a/crates/nutmegwheel/src/flags.rs
+++ b/crates/nutmegwheel/src/flags.rs
@@ -61,6 +61,18 @@
                 /// The key's SHA-256 in hex digits, instead of the key.
                 optional --hash hash: String
             }
+            /// Send no more requests to the backend servers of a data centre.
+            cmd evacuate {
+                /// The data centre.
+                required data_centre: String
+            }
+            /// Withdraw the order to evacuate a data centre.
+            cmd readmit {
+                /// The data centre.
+                required data_centre: String
+            }
+            /// Show the evacuated data centres.
+            cmd evacuations { }
             /// Show the status of every process named by --at.
             cmd status { }
             /// Merge the events of all processes named by --at into one timeline.
