fix(routing): redirect to an untried server when a tried one is no longer available

Cause: whether another server is left was decided by comparing the number of available servers with the number of tried ones. A tried server that was evacuated or left meanwhile counts in the second number only, so with few servers the request waited for a retry although another one was free. Change: count the available servers that were not tried.

--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -154,7 +154,7 @@
             let checked = shared.quarantine.check(Instant::now(), fingerprint);
             return checked.and(Err(refusal));
         }
-        let has_untried = !repeats_at_same && shared.routes.available(&call.service) > tried.len();
+        let has_untried = !repeats_at_same && shared.routes.has_untried(&call.service, &tried);
         if has_untried && retries::can_redirect(call, &refusal) {
             // The attempt returned all retry tokens lent to it, so the next one gets the same
             // number.
--- a/crates/nutmegwheel-node/src/routes.rs
+++ b/crates/nutmegwheel-node/src/routes.rs
@@ -167,6 +167,13 @@
         state.tables.get(service).map_or(0, Table::available)
     }
 
+    /// Whether a request that was sent to the `tried` backend servers can be sent to another one.
+    pub(crate) fn has_untried(&self, service: &str, tried: &[BackendKey]) -> bool {
+        let state = self.lock();
+        let table = state.tables.get(service);
+        table.is_some_and(|table| table.has_untried(tried))
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/nutmegwheel-policy/src/routing/mod.rs
+++ b/crates/nutmegwheel-policy/src/routing/mod.rs
@@ -172,6 +172,14 @@
             .count()
     }
 
+    /// Whether a request that was sent to the `tried` backend servers can be sent to another one.
+    /// Some of the tried ones may not be available any more.
+    #[must_use]
+    pub fn has_untried(&self, tried: &[BackendKey]) -> bool {
+        let mut servers = self.servers.iter();
+        servers.any(|(key, server)| server.is_available() && !tried.contains(&key))
+    }
+
     /// Iterates over all backend servers and their announcements.
     pub fn iter(&self) -> impl Iterator<Item = (BackendKey, &Announcement)> {
         self.servers
--- a/crates/nutmegwheel-policy/tests/evacuation.rs
+++ b/crates/nutmegwheel-policy/tests/evacuation.rs
@@ -169,3 +169,18 @@
     assert!(first < middle && middle < last, "{first} {middle} {last}");
     assert!(first <= 4, "{first} of 30 for 2 servers in 6 at a tenth");
 }
+
+// Guards against a request that waits for its next attempt, or is refused, although another backend
+// server is free: the one that it was tried at is evacuated by now and does not count as available.
+#[test]
+fn request_refused_by_evacuated_server_can_go_to_another() {
+    let now = Instant::now();
+    let mut table = Table::open(Arc::from("riga1"), Options::default());
+    let refused = announce(&mut table, now, "riga1-0", "riga1");
+    let other = announce(&mut table, now, "riga2-0", "riga2");
+    assert!(table.has_untried(&[refused]));
+    table.set_evacuated(now, &names(&["riga1"]));
+    assert!(table.has_untried(&[refused]));
+    assert!(!table.has_untried(&[refused, other]));
+    assert!(!table.has_untried(&[other]));
+}
