--- a/crates/nutmegwheel-control/src/evacuations.rs
+++ b/crates/nutmegwheel-control/src/evacuations.rs
@@ -62,9 +62,7 @@
                 .emit(Event::EvacuationRefused, &[("detail", &detail)]);
             return Err(OrderError::UnknownDataCentre { detail });
         }
-        // An order bears no number. If this process stood still, the operator may have given up,
-        // and withdrawn the order elsewhere. The handler is dropped here in that case, since the
-        // operator has closed the connection.
+        // The state that this replica has applied may lack orders that others have acknowledged.
         let caught_up = self.catch_up().await;
         caught_up.map_err(|problem| self.uncertain(order, problem.detail.into()))?;
         let is_evacuated = |view: &nutmegwheel_config::View| {
--- a/crates/nutmegwheel/tests/evacuation.rs
+++ b/crates/nutmegwheel/tests/evacuation.rs
@@ -33,12 +33,19 @@
         }
         assert!(
             Instant::now() < end,
-            "no definite answer to {method} {path}"
+            "no definite answer to {method} {path}: {}",
+            control_logs(fleet)
         );
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
 }
 
+/// The logs of the control VMs, which tell why an order has no answer.
+fn control_logs(fleet: &Fleet) -> String {
+    let logs = fleet.control.iter().map(|vm| fleet.log(&vm.name));
+    logs.collect()
+}
+
 /// Waits until the log of a node shows an event `count` times.
 async fn await_event(fleet: &Fleet, node: &Vm, event: &str, count: usize) {
     let end = Instant::now() + LIMIT;
