--- a/crates/nutmegwheel/tests/evacuation.rs
+++ b/crates/nutmegwheel/tests/evacuation.rs
@@ -20,6 +20,10 @@
         .await
 }
 
+/// How long an operator waits for a control VM that stands still. The others elect no other leader
+/// meanwhile.
+const OPERATOR_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Sends an order to the control VMs in turn until one gives a definite answer.
 async fn order(fleet: &Fleet, method: &str, data_centre: &str) -> u16 {
     let path = format!("/-/evacuate/{data_centre}");
@@ -228,3 +232,32 @@
     assert_eq!(answer.status, 503);
     assert!(fleet.runs_of("/once/nowhere").is_empty());
 }
+
+// An order bears no number, so one that waited in a control VM that stood still could undo a later
+// one.
+#[tokio::test(flavor = "multi_thread")]
+async fn order_of_operator_that_has_gone_is_not_committed() {
+    let fleet = Fleet::serving(PROGRAM, SERVERS).await;
+    for vm in &fleet.control {
+        fleet.signal(&vm.name, "STOP");
+        // Its threads do not stop at once.
+        tokio::time::sleep(OPERATOR_TIMEOUT).await;
+        let path = "/-/evacuate/riga1";
+        let sent = fleet.send("POST", vm.control(), path, "");
+        let answer = tokio::time::timeout(OPERATOR_TIMEOUT, sent).await;
+        assert!(answer.is_err(), "{} stands still", vm.name);
+        // The connection is closed by another task.
+        tokio::time::sleep(OPERATOR_TIMEOUT).await;
+        fleet.signal(&vm.name, "CONT");
+        // The last one commits, so what the others did before is known everywhere.
+        assert_eq!(order(&fleet, "POST", "riga3").await, 200);
+        assert_eq!(order(&fleet, "DELETE", "riga3").await, 200);
+    }
+    await_everywhere(&fleet, READMITTED, fleet.control.len()).await;
+    for node in &fleet.nodes {
+        let log = fleet.log(&node.name);
+        let has_followed = |name: &str| log.contains(&format!(r#""data_centre":"{name}""#));
+        assert!(has_followed("riga3"), "{log}");
+        assert!(!has_followed("riga1"), "{log}");
+    }
+}
