feat(policy): routing by expected time, and the work that a server has left

Cause: two random choices were compared by counts in parts of a limit, so that a request of 15 ms and one of 2 s weigh the same and a slow server looks like a fast one until it is full. Change: work::Ledger learns what each kind takes at a server and what open requests have left; Table::choose_by_time compares two choices by queue and service time at the server's speed and crosses data centres with hysteresis. Table::choose decides as before.

--- a/crates/nutmegwheel-policy/src/lib.rs
+++ b/crates/nutmegwheel-policy/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod routing;
 pub mod shed;
 pub mod split;
+pub mod work;
--- a/crates/nutmegwheel-policy/src/routing/choose.rs
+++ b/crates/nutmegwheel-policy/src/routing/choose.rs
@@ -10,7 +10,7 @@
 /// The backend servers that a choice considers. Each tier is used only if the one before has no
 /// candidate.
 #[derive(Clone, Copy)]
-enum Tier {
+pub(super) enum Tier {
     /// Only those that are neither ejected nor unreachable.
     Healthy,
     /// Ejected ones as well.
@@ -110,7 +110,13 @@
             .min_by(|a, b| a.projected_load.total_cmp(&b.projected_load))
     }
 
-    fn is_eligible(&self, now: Instant, key: BackendKey, req: &Request<'_>, tier: Tier) -> bool {
+    pub(super) fn is_eligible(
+        &self,
+        now: Instant,
+        key: BackendKey,
+        req: &Request<'_>,
+        tier: Tier,
+    ) -> bool {
         let server = &self.servers[key];
         let is_in_tier = match tier {
             Tier::Healthy => !server.is_ejected(now) && !server.is_unreachable(now),
@@ -144,7 +150,7 @@
 /// Returns two different eligible keys, or fewer if the pool has fewer.
 ///
 /// A few random draws are enough in a mostly healthy pool; otherwise the whole pool is scanned.
-fn draw_two(
+pub(super) fn draw_two(
     pool: &[BackendKey],
     is_eligible: impl Fn(BackendKey) -> bool,
     rng: &mut impl Rng,
--- a/crates/nutmegwheel-policy/src/routing/mod.rs
+++ b/crates/nutmegwheel-policy/src/routing/mod.rs
@@ -8,6 +8,8 @@
 mod choose;
 mod ejection;
 mod error;
+mod expected_time;
+mod pace;
 mod server;
 mod types;
 
@@ -17,8 +19,10 @@
 use slotmap::SlotMap;
 
 pub use error::Error;
+pub use expected_time::SpillChange;
 pub use types::{Announcement, BackendKey, LoadReport, Options, Outcome, Request, ServerState};
 
+use pace::Kinds;
 use server::Server;
 
 /// The backend servers of one service, as one node knows them.
@@ -30,6 +34,9 @@
     by_node: HashMap<ProcessName, BackendKey>,
     local: Vec<BackendKey>,
     remote: Vec<BackendKey>,
+    kinds: Kinds,
+    is_spilling: bool,
+    spill_change: Option<SpillChange>,
 }
 
 impl Table {
@@ -43,6 +50,9 @@
             by_node: HashMap::new(),
             local: Vec::new(),
             remote: Vec::new(),
+            kinds: Kinds::default(),
+            is_spilling: false,
+            spill_change: None,
         }
     }
 
--- a/crates/nutmegwheel-policy/src/routing/server.rs
+++ b/crates/nutmegwheel-policy/src/routing/server.rs
@@ -2,13 +2,13 @@
 
 use nutmegwheel_types::Priority;
 
-use super::{Announcement, LoadReport, Options, Outcome, ServerState};
+use super::{Announcement, LoadReport, Options, Outcome, ServerState, pace::Pace};
 
 /// The fraction of its limit to which a backend server is held at the beginning of a slow start.
 const SLOW_START_MIN_FACTOR: f64 = 0.1;
 /// The penalty that is added to the load after a refusal or failure, or if the server sheds
 /// requests of the priority; 1 is a full limit.
-const PENALTY: f64 = 1.0;
+pub(crate) const PENALTY: f64 = 1.0;
 /// The maximum number of doublings of the time for which a server is penalised or ejected.
 const MAX_DOUBLINGS: u32 = 16;
 
@@ -19,6 +19,7 @@
     pub(crate) outstanding: u32,
     pub(crate) is_unresponsive: bool,
     pub(crate) ejected_until: Option<Instant>,
+    pub(crate) pace: Pace,
     unreachable_until: Option<Instant>,
     ready_since: Option<Instant>,
     report: Option<(Instant, LoadReport, u32)>,
@@ -35,6 +36,7 @@
             outstanding: 0,
             is_unresponsive: false,
             ejected_until: None,
+            pace: Pace::default(),
             unreachable_until: None,
             ready_since: None,
             report: None,
@@ -136,8 +138,22 @@
 
     /// The present load, as a multiple of the limit.
     pub(crate) fn current_load(&self, now: Instant, priority: Priority, options: &Options) -> f64 {
+        let (requests, capacity) = self.requests_and_capacity(now, options);
+        requests / capacity + self.penalty(now, priority, options)
+    }
+
+    /// The requests that run or wait, and the number that may run at a time.
+    pub(crate) fn requests_and_capacity(&self, now: Instant, options: &Options) -> (f64, f64) {
         let requests = f64::from(self.outstanding) + self.other_senders_requests(now, options);
-        requests / self.capacity(now, options) + self.penalty(now, priority, options)
+        (requests, self.capacity(now, options))
+    }
+
+    /// The number of requests in the last load report.
+    pub(crate) fn reported_requests(&self) -> u32 {
+        let report = self.report.as_ref();
+        report.map_or(0, |(_, report, _)| {
+            report.running.saturating_add(report.waiting)
+        })
     }
 
     fn capacity(&self, now: Instant, options: &Options) -> f64 {
@@ -171,7 +187,7 @@
         })
     }
 
-    fn penalty(&self, now: Instant, priority: Priority, options: &Options) -> f64 {
+    pub(crate) fn penalty(&self, now: Instant, priority: Priority, options: &Options) -> f64 {
         let refused_recently = self
             .refused_at
             .is_some_and(|at| now.saturating_duration_since(at) < options.refusal_penalty_time);
