feat(node): setting routing, reports of work on answers, events and metrics

Cause: routing by expected time needs what each node knows of its backend server. Change: with "routing": "expected_time" a node keeps a ledger, sends work_us and service_us in Load, routes by them, and shows events 320 to 322 and two metrics. Without the setting nothing is learned, sent or decided otherwise.

--- a/crates/nutmegwheel-config/src/lib.rs
+++ b/crates/nutmegwheel-config/src/lib.rs
@@ -21,6 +21,7 @@
 pub use hosts::{HostRoute, HostRoutes, WeightedService};
 pub use reader::{is_name, name_rule};
 pub use settings::{
-    BackendServer, Concurrency, Contacts, Dialect, Listen, RetryBudget, Role, Seed, Settings,
+    BackendServer, Concurrency, Contacts, Dialect, Listen, RetryBudget, Role, Routing, Seed,
+    Settings,
 };
 pub use view::{View, ViewError, hash_key};
--- a/crates/nutmegwheel-config/src/settings.rs
+++ b/crates/nutmegwheel-config/src/settings.rs
@@ -48,6 +48,14 @@
         Announced,
     }
 
+    /// What a backend server is chosen by; see docs/design/COST-ROUTING.md.
+    pub enum Routing {
+        /// The number of its requests, in parts of its limit.
+        Count,
+        /// The expected time to the answer, learned from what requests take at each server.
+        ExpectedTime,
+    }
+
     /// The protocol between a process and its callers, backend server and operators.
     pub enum Dialect {
         /// The native interface; see docs/INTERFACES.md.
@@ -91,6 +99,8 @@
         pub max_descriptors: Option<usize>,
         /// The retries that the deployment allows. Without it, a fixed part of them is used.
         pub retry_budget: Option<RetryBudget>,
+        /// What a backend server is chosen by.
+        pub routing: Routing,
     }
 
     /// The retries that each service may get, summed over all nodes.
@@ -246,6 +256,10 @@
             Some(field) => Some(read_retry_budget(field.table()?)?),
             None => None,
         },
+        routing: match table.take("routing") {
+            Some(field) => read_routing(&field)?,
+            None => Routing::Count,
+        },
     };
     check_secrets(&settings, &table)?;
     if settings.contacts.is_none() {
@@ -347,6 +361,14 @@
     }
 }
 
+fn read_routing(field: &Field<'_>) -> Result<Routing, CheckError> {
+    match field.string()? {
+        "count" => Ok(Routing::Count),
+        "expected_time" => Ok(Routing::ExpectedTime),
+        other => Err(field.error(format!("{other:?} must be \"count\" or \"expected_time\""))),
+    }
+}
+
 /// Only the native interface needs a secret: the platform's protocol has no authentication of
 /// operators.
 fn read_operator_secret(
--- a/crates/nutmegwheel-config/tests/settings.rs
+++ b/crates/nutmegwheel-config/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt::Write as _, time::Duration};
 
-use nutmegwheel_config::{Role, Settings};
+use nutmegwheel_config::{Role, Routing, Settings};
 
 const NODE: &str = r#"{
   // A node in Riga.
@@ -148,6 +148,25 @@
     }
 }
 
+#[test]
+fn reads_routing() {
+    for (field, want) in [
+        ("", Some(Routing::Count)),
+        ("\"routing\": \"count\",", Some(Routing::Count)),
+        (
+            "\"routing\": \"expected_time\",",
+            Some(Routing::ExpectedTime),
+        ),
+        ("\"routing\": \"fastest\",", None),
+    ] {
+        let read = Settings::parse(&NODE.replacen('{', &format!("{{{field}"), 1));
+        if let Err(e) = &read {
+            assert_eq!(e.field, "routing");
+        }
+        assert_eq!(read.ok().map(|settings| settings.routing), want, "{field}");
+    }
+}
+
 #[test]
 fn native_dialect_requires_operator_secret() {
     let text = WITH_CONTACTS
--- a/crates/nutmegwheel-events/src/catalogue.rs
+++ b/crates/nutmegwheel-events/src/catalogue.rs
@@ -98,6 +98,12 @@
     RequestAbandoned = 314, "request-abandoned", Info;
     /// The bytes of a connection were no request that could be read or passed on.
     RequestMalformed = 315, "request-malformed", Warn;
+    /// Requests of a service begin to cross to other data centres.
+    SpillOverBegan = 320, "spill-over-began", Info;
+    /// Requests of a service no longer cross to other data centres.
+    SpillOverEnded = 321, "spill-over-ended", Info;
+    /// The typical service time of an endpoint at the local backend server changed much.
+    CostChanged = 322, "cost-changed", Info;
     /// This process applied a newer configuration.
     ConfigurationInForce = 400, "configuration-in-force", Info;
     /// A configuration or view from another process was rejected.
--- a/crates/nutmegwheel-node/src/attempt.rs
+++ b/crates/nutmegwheel-node/src/attempt.rs
@@ -10,8 +10,10 @@
 use nutmegwheel_policy::{
     deadline::{self, Deadline},
     routing::{BackendKey, LoadReport, Outcome as RouteOutcome},
+    work::WorkReport,
 };
 use nutmegwheel_seeds::AttemptId;
+use nutmegwheel_types::EndpointId;
 use nutmegwheel_wire::{ReplyHead, topic};
 use prost::Message as _;
 
@@ -35,9 +37,11 @@
 struct Outstanding<'a> {
     shared: &'a Shared,
     service: &'a str,
+    endpoint: &'a EndpointId,
     key: BackendKey,
     route_outcome: RouteOutcome,
     report: Option<LoadReport>,
+    work: Option<WorkReport>,
 }
 
 impl Drop for Outstanding<'_> {
@@ -45,6 +49,15 @@
         let now = Instant::now();
         let routes = &self.shared.routes;
         routes.finish(now, self.service, self.key, self.route_outcome, self.report);
+        if self.report.is_some() {
+            routes.observe_work(
+                self.shared,
+                self.service,
+                self.key,
+                self.endpoint,
+                self.work,
+            );
+        }
     }
 }
 
@@ -56,12 +69,15 @@
     replaces: &mut Option<AttemptId>,
 ) -> Served {
     let service = call.service.clone();
+    let endpoint = call.endpoint.clone();
     let mut outstanding = Outstanding {
         shared,
         service: &service,
+        endpoint: &endpoint,
         key: target.key,
         route_outcome: RouteOutcome::Cancelled,
         report: None,
+        work: None,
     };
     let guard = match at_most_once::begin(shared, call, target, replaces).await {
         BeginOutcome::Send(guard) => guard,
@@ -74,6 +90,7 @@
     };
     let served = at_most_once::finish(shared, guard, target, replaces, served).await;
     outstanding.report = served.report;
+    outstanding.work = served.work;
     outstanding.route_outcome = route_outcome(&served);
     if let Some(report) = served.report {
         shared.observe_shed_level(&call.service, &target.node, report.shed_level);
@@ -151,11 +168,15 @@
 }
 
 fn read_reply(mut head: ReplyHead, body: Bytes) -> Served {
-    let report = head.load.take().as_ref().map(serve::report_from_wire);
+    let load = head.load.take();
+    let work = load.as_ref();
+    let work = work.and_then(|load| WorkReport::from_micros(load.work_us, load.service_us));
+    let report = load.as_ref().map(serve::report_from_wire);
     let downstream = std::mem::take(&mut head.below);
     Served {
         unspent: Some(head.retry_tokens),
         report,
+        work,
         downstream: downstream.into_iter().map(downstream_from_wire).collect(),
         has_failed_alone: head.failed_alone,
         result: read_result(head, body),
--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -53,6 +53,7 @@
         unspent: None,
         may_have_run: false,
     };
+    let _waiting = parent.begin_call(Instant::now());
     let mut failure = None;
     let result = run_attempts(shared, parent, &mut call, &mut open_call, &mut failure).await;
     // The failure that a backend server answered with tells the caller more than the reason why no
@@ -201,7 +202,10 @@
     }
     check_shed_levels(shared, call, now)?;
     let priority = call.context.priority;
-    shared.routes.choose(now, &call.service, priority, tried)
+    let (service, endpoint) = (&call.service, &call.endpoint);
+    shared
+        .routes
+        .choose(now, service, endpoint, priority, tried)
 }
 
 /// Refuses a request that all backend servers of its service, or of a service further down its
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -41,6 +41,7 @@
 mod state_watcher;
 mod token_limiter;
 mod views;
+mod work;
 
 pub use dialect::{
     Alive, Dialect, Fields, Heartbeat, IngressFields, Notice, Refused, RequestInfo, TargetFields,
--- a/crates/nutmegwheel-node/src/metrics.rs
+++ b/crates/nutmegwheel-node/src/metrics.rs
@@ -1,7 +1,7 @@
 //! The metrics of a node; see docs/OPERATORS.md, "Metrics".
 
 use std::{
-    sync::{Mutex, PoisonError},
+    sync::{Mutex, PoisonError, atomic::AtomicU64},
     time::Duration,
 };
 
@@ -24,6 +24,11 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct EndpointLabels {
+    endpoint: String,
+}
+
 /// The metrics of one node, with the registry that encodes them.
 pub(crate) struct Metrics {
     registry: Mutex<Registry>,
@@ -35,6 +40,8 @@
     running: Gauge,
     waiting: Gauge,
     limit: Gauge,
+    work: Gauge<f64, AtomicU64>,
+    services: Family<EndpointLabels, Gauge<f64, AtomicU64>>,
     version: Gauge,
     members: Gauge,
 }
@@ -51,6 +58,8 @@
             running: Gauge::default(),
             waiting: Gauge::default(),
             limit: Gauge::default(),
+            work: Gauge::default(),
+            services: Family::default(),
             version: Gauge::default(),
             members: Gauge::default(),
         };
@@ -76,6 +85,10 @@
         registry.register("backend_waiting", waiting, self.waiting.clone());
         let limit = "Requests that the backend server gets at a time";
         registry.register("backend_limit", limit, self.limit.clone());
+        let work = "Seconds for which the open requests are expected to hold their slots, added up";
+        registry.register("backend_work_seconds", work, self.work.clone());
+        let services = "Typical seconds that a request of an endpoint takes at the backend server";
+        registry.register("endpoint_service_seconds", services, self.services.clone());
         let version = "The version of the configuration in force";
         registry.register("configuration_version", version, self.version.clone());
         let members = "Processes that this one knows to be alive";
@@ -112,6 +125,14 @@
         self.running.set(report.running.into());
         self.waiting.set(report.waiting.into());
         self.limit.set(report.limit.into());
+        self.work.set(shared.work.left().as_secs_f64());
+        for (endpoint, service) in shared.work.services() {
+            let labels = EndpointLabels {
+                endpoint: endpoint.to_string(),
+            };
+            let gauge = self.services.get_or_create(&labels);
+            gauge.set(service.as_secs_f64());
+        }
         let version = i64::try_from(shared.views.version());
         self.version.set(version.unwrap_or(i64::MAX));
         self.members.set(to_i64(shared.live_members()));
--- a/crates/nutmegwheel-node/src/routes.rs
+++ b/crates/nutmegwheel-node/src/routes.rs
@@ -5,15 +5,24 @@
     time::{Duration, Instant},
 };
 
-use nutmegwheel_policy::routing::{
-    Announcement, BackendKey, LoadReport, Options, Outcome, Request, ServerState, Table,
+use nutmegwheel_config::Routing;
+use nutmegwheel_events::Event;
+use nutmegwheel_policy::{
+    routing::{
+        Announcement, BackendKey, LoadReport, Options, Outcome, Request, ServerState, SpillChange,
+        Table,
+    },
+    work::WorkReport,
 };
 use nutmegwheel_spread::{AnnouncementState, Health, MemberStatus, Record};
-use nutmegwheel_types::{DataCentreId, Incarnation, Priority, ProcessName, ServiceId, plain};
+use nutmegwheel_types::{
+    DataCentreId, EndpointId, Incarnation, Priority, ProcessName, ServiceId, plain,
+};
 
 use crate::{
     call::Call,
     refusal::{Reason, Refusal},
+    shared::Shared,
 };
 
 /// The retry delay while no backend server accepts requests.
@@ -33,6 +42,7 @@
 /// The backend servers of all services, as known to this node.
 pub(crate) struct Routes {
     data_centre: DataCentreId,
+    routing: Routing,
     state: Mutex<State>,
 }
 
@@ -50,9 +60,10 @@
 }
 
 impl Routes {
-    pub(crate) fn open(data_centre: DataCentreId) -> Self {
+    pub(crate) fn open(data_centre: DataCentreId, routing: Routing) -> Self {
         Self {
             data_centre,
+            routing,
             state: Mutex::default(),
         }
     }
@@ -95,6 +106,7 @@
         &self,
         now: Instant,
         service: &str,
+        endpoint: &EndpointId,
         priority: Priority,
         tried: &[BackendKey],
     ) -> Result<Target, Refusal> {
@@ -106,9 +118,12 @@
         let table = state.tables.get_mut(service);
         let table = table.ok_or_else(|| refuse(format!("no backend server of {service}")))?;
         let req = Request { priority, tried };
-        let key = table
-            .choose(now, &req, &mut rand::rng())
-            .map_err(|e| refuse(format!("{service}: {e}")))?;
+        let mut rng = rand::rng();
+        let chosen = match self.routing {
+            Routing::Count => table.choose(now, &req, &mut rng),
+            Routing::ExpectedTime => table.choose_by_time(now, &req, endpoint, &mut rng),
+        };
+        let key = chosen.map_err(|e| refuse(format!("{service}: {e}")))?;
         let target = state.target(service, key);
         target.ok_or_else(|| refuse(format!("{service}: the backend server is gone")))
     }
@@ -146,6 +161,30 @@
         }
     }
 
+    /// Records what an answer says of the work of its backend server.
+    pub(crate) fn observe_work(
+        &self,
+        shared: &Shared,
+        service: &str,
+        key: BackendKey,
+        endpoint: &EndpointId,
+        work: Option<WorkReport>,
+    ) {
+        if self.routing == Routing::Count {
+            return;
+        }
+        let mut state = self.lock();
+        let Some(table) = state.tables.get_mut(service) else {
+            return;
+        };
+        table.observe_work(Instant::now(), key, endpoint, work);
+        let change = table.take_spill_change();
+        drop(state);
+        if let Some(change) = change {
+            journal_spill_change(shared, service, &change);
+        }
+    }
+
     /// The number of a service's backend servers that accept new requests.
     pub(crate) fn available(&self, service: &str) -> usize {
         let state = self.lock();
@@ -182,6 +221,22 @@
     }
 }
 
+fn journal_spill_change(shared: &Shared, service: &str, change: &SpillChange) {
+    let event = if change.is_spilling {
+        Event::SpillOverBegan
+    } else {
+        Event::SpillOverEnded
+    };
+    shared.journal.emit_rate_limited(
+        event,
+        &[
+            ("service", &service),
+            ("local_ms", &change.local.as_millis()),
+            ("remote_ms", &change.remote.as_millis()),
+        ],
+    );
+}
+
 fn server_state(status: MemberStatus, state: AnnouncementState) -> ServerState {
     match (status, state) {
         (MemberStatus::Leaving, _) | (_, AnnouncementState::Leaving) => ServerState::Leaving,
--- a/crates/nutmegwheel-node/src/running.rs
+++ b/crates/nutmegwheel-node/src/running.rs
@@ -1,7 +1,7 @@
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use nutmegwheel_policy::retry::ChainBudget;
@@ -33,8 +33,20 @@
 struct State {
     chain: ChainBudget,
     downstream: Vec<DownstreamServer>,
+    calls: CallTime,
 }
 
+/// The time that a request has spent on calls of its own, of which several may be open at once.
+#[derive(Default)]
+struct CallTime {
+    open: u32,
+    since: Option<Instant>,
+    total: Duration,
+}
+
+/// An open call of a [`Parent`], until it is dropped.
+pub(crate) struct OpenCall<'a>(&'a Parent);
+
 impl Parent {
     pub(crate) fn open(context: Context, key: Option<KeyHash>, deadline: Instant) -> Self {
         let chain = ChainBudget::open(context.retry_tokens);
@@ -45,6 +57,7 @@
             state: Mutex::new(State {
                 chain,
                 downstream: Vec::new(),
+                calls: CallTime::default(),
             }),
         }
     }
@@ -54,6 +67,21 @@
         work(&mut self.lock().chain)
     }
 
+    /// Counts the time until the result is dropped as spent on calls.
+    pub(crate) fn begin_call(&self, now: Instant) -> OpenCall<'_> {
+        let calls = &mut self.lock().calls;
+        calls.open += 1;
+        calls.since.get_or_insert(now);
+        OpenCall(self)
+    }
+
+    /// The time during which at least one call was open.
+    pub(crate) fn time_waited(&self, now: Instant) -> Duration {
+        let calls = &self.lock().calls;
+        let open = calls.since.map(|at| now.saturating_duration_since(at));
+        calls.total + open.unwrap_or_default()
+    }
+
     /// Records the downstream backend servers that an answer listed.
     pub(crate) fn record_downstream(&self, downstream: impl IntoIterator<Item = DownstreamServer>) {
         let mut state = self.lock();
@@ -78,6 +106,18 @@
     }
 }
 
+impl Drop for OpenCall<'_> {
+    fn drop(&mut self) {
+        let calls = &mut self.0.lock().calls;
+        calls.open -= 1;
+        if calls.open == 0
+            && let Some(at) = calls.since.take()
+        {
+            calls.total += at.elapsed();
+        }
+    }
+}
+
 /// The requests that the local backend server works on.
 #[derive(Default)]
 pub(crate) struct Running {
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -6,6 +6,7 @@
 use nutmegwheel_policy::{
     admission::{self, Completion},
     routing::LoadReport,
+    work::WorkReport,
 };
 use nutmegwheel_spread::{Decision, FenceReason};
 use nutmegwheel_types::{KeyHash, Priority};
@@ -58,6 +59,7 @@
         result,
         unspent: Some(parent.with_chain(|chain| chain.available())),
         report: Some(shared.admission.report()),
+        work: shared.work.report(&call.endpoint),
         downstream: parent.downstream(),
         has_failed_alone: has_failed && !parent.with_chain(|chain| chain.depends_on_calls()),
     }
@@ -104,6 +106,7 @@
     shared.local_backend.ready_for(&call.service)?;
     let endpoint = call.endpoint.clone();
     let req = admission::Request::from_context(&call.context, endpoint, call.deadline);
+    let open_request = shared.work.enter(&call.endpoint);
     let permit = shared.admission.admit(req).await?;
     server_limit::wait_for_start(shared, call).await?;
     // The conditions may have changed while the request waited.
@@ -116,6 +119,7 @@
         .running
         .enter(parent.clone(), shared.local_backend.request_id(call));
     let started_at = Instant::now();
+    open_request.start(started_at);
     let mut notice = None;
     let local_backend = &shared.local_backend;
     let result = local_backend
@@ -125,6 +129,9 @@
         notice::apply(shared, &server, notice, started_at.elapsed());
     }
     permit.complete(completion(&result));
+    if result.as_ref().is_ok_and(|answer| !answer.is_failure()) {
+        open_request.answered(shared, parent.time_waited(Instant::now()));
+    }
     failure_rate::record(shared, call, parent, &result, started_at.elapsed());
     match &result {
         Ok(_) => quarantine::notify_nodes(shared, &tracked.record_completion()),
@@ -233,7 +240,10 @@
     let mut head = ReplyHead {
         stamp: Some(shared.timestamp()),
         retry_tokens: served.unspent.unwrap_or(0),
-        load: served.report.as_ref().map(report_to_wire),
+        load: served
+            .report
+            .as_ref()
+            .map(|report| report_to_wire(report, served.work)),
         below: served.downstream.iter().map(downstream_to_wire).collect(),
         failed_alone: served.has_failed_alone,
         ..ReplyHead::default()
@@ -270,8 +280,11 @@
     Call::from_wire(head, req.body, now).map_err(|e| malformed(&e))
 }
 
-fn report_to_wire(report: &LoadReport) -> wire::Load {
+fn report_to_wire(report: &LoadReport, work: Option<WorkReport>) -> wire::Load {
+    let (work_us, service_us) = work.map_or((0, 0), WorkReport::to_micros);
     wire::Load {
+        work_us,
+        service_us,
         running: report.running,
         waiting: report.waiting,
         limit: report.limit,
--- a/crates/nutmegwheel-node/src/served.rs
+++ b/crates/nutmegwheel-node/src/served.rs
@@ -1,6 +1,6 @@
 //! What a target reports of an attempt.
 
-use nutmegwheel_policy::routing::LoadReport;
+use nutmegwheel_policy::{routing::LoadReport, work::WorkReport};
 
 use crate::{call::Answer, refusal::Refusal, running::DownstreamServer};
 
@@ -12,6 +12,8 @@
     pub(crate) unspent: Option<u32>,
     /// The load of the target's backend server.
     pub(crate) report: Option<LoadReport>,
+    /// The work of the target's backend server, if its node reports it.
+    pub(crate) work: Option<WorkReport>,
     /// The shed levels of the backend servers further down the chain.
     pub(crate) downstream: Vec<DownstreamServer>,
     /// Whether the answer is a failure of the backend server itself: no call that it made for the
@@ -26,6 +28,7 @@
             result,
             unspent: Some(tokens),
             report: None,
+            work: None,
             downstream: Vec::new(),
             has_failed_alone: false,
         }
@@ -37,6 +40,7 @@
             result: Err(refusal),
             unspent: None,
             report: None,
+            work: None,
             downstream: Vec::new(),
             has_failed_alone: false,
         }
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -40,6 +40,7 @@
     state_watcher::StateWatcher,
     token_limiter::TokenLimiter,
     views::Views,
+    work::WorkAccount,
 };
 
 /// How long a leaving node still accepts requests, so that the other nodes receive its leave
@@ -72,6 +73,7 @@
     server_limit: Mutex<ServerLimit>,
     pub(crate) running: Running,
     pub(crate) routes: Routes,
+    pub(crate) work: WorkAccount,
     pub(crate) admission: AdmissionController,
     pub(crate) quarantine: RequestQuarantine,
     pub(crate) shed_levels: Mutex<ShedLevels>,
@@ -106,7 +108,8 @@
         let contacts = settings.contacts.as_ref();
         let is_first_start = contacts.is_some_and(|contacts| contacts.bootstrap);
         Self {
-            routes: Routes::open(settings.data_centre.clone()),
+            routes: Routes::open(settings.data_centre.clone(), settings.routing),
+            work: WorkAccount::open(settings.routing),
             admission: AdmissionController::open(
                 now,
                 settings
