test(policy): the benchmark of decisions covers routing by expected time

Cause: the cost of a decision by expected time against one by counts was not measured. Change: policy_bench measures both in one run, and the ledger with 10 and 200 open requests.

--- a/crates/nutmegwheel-policy/examples/policy_bench.rs
+++ b/crates/nutmegwheel-policy/examples/policy_bench.rs
@@ -10,6 +10,7 @@
     admission::{self, Completion, Offer, Queue},
     concurrency::Fixed,
     routing::{self, Announcement, Outcome, ServerState, Table},
+    work::{Ledger, WorkReport},
 };
 use nutmegwheel_types::Priority;
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -22,9 +23,18 @@
     println!("one waiting request: {} bytes", bytes_per_entry(fill_queue));
     println!("one backend server: {} bytes", bytes_per_entry(fill_table));
     for servers in [30, 1000] {
+        for by_time in [false, true] {
+            println!(
+                "routing among {servers} by {}: {} ns per choice and finish",
+                if by_time { "expected time" } else { "counts" },
+                routing_ns(servers, by_time)
+            );
+        }
+    }
+    for open in [10, 200] {
         println!(
-            "routing among {servers}: {} ns per choice and finish",
-            routing_ns(servers)
+            "work of {open} open requests: {} ns per request and report",
+            ledger_ns(open)
         );
     }
     println!(
@@ -37,12 +47,20 @@
     );
 }
 
-fn routing_ns(servers: u32) -> u128 {
+fn routing_ns(servers: u32, by_time: bool) -> u128 {
     let now = Instant::now();
     let mut rng = StdRng::seed_from_u64(1);
     let mut table = Table::open(Arc::from("riga1"), routing::Options::default());
+    let endpoint: Arc<str> = "counts".into();
+    let work = WorkReport {
+        left: Duration::from_millis(900),
+        service: Some(Duration::from_millis(90)),
+    };
     for n in 0..servers {
-        table.announce(now, announcement(n));
+        let key = table.announce(now, announcement(n));
+        if by_time {
+            table.observe_work(now, key, &endpoint, Some(work));
+        }
     }
     let priority = Priority {
         rank: 0,
@@ -55,13 +73,41 @@
     };
     let started_at = Instant::now();
     for _ in 0..ROUNDS {
-        if let Ok(key) = black_box(table.choose(now, &req, &mut rng)) {
+        let chosen = if by_time {
+            table.choose_by_time(now, &req, &endpoint, &mut rng)
+        } else {
+            table.choose(now, &req, &mut rng)
+        };
+        if let Ok(key) = black_box(chosen) {
             table.finish(now, key, Outcome::Answered, None);
+            if by_time {
+                table.observe_work(now, key, &endpoint, Some(work));
+            }
         }
     }
     started_at.elapsed().as_nanos() / u128::from(ROUNDS)
 }
 
+/// One request in a ledger with `open` others, at one request each 100 us.
+fn ledger_ns(open: u32) -> u128 {
+    let mut now = Instant::now();
+    let mut ledger = Ledger::default();
+    let endpoint: Arc<str> = "counts".into();
+    for _ in 0..open {
+        let ticket = ledger.enter(&endpoint);
+        ledger.start(now, ticket);
+    }
+    let started_at = Instant::now();
+    for _ in 0..ROUNDS {
+        let ticket = ledger.enter(&endpoint);
+        ledger.start(now, ticket);
+        now += Duration::from_micros(100);
+        black_box(ledger.finish(now, ticket, Duration::ZERO));
+        black_box(ledger.report(now, &endpoint));
+    }
+    started_at.elapsed().as_nanos() / u128::from(ROUNDS)
+}
+
 fn admission_ns(waiting: u32) -> u128 {
     let mut now = Instant::now();
     let mut rng = StdRng::seed_from_u64(1);
