fix(policy): requests cross for queues, not for ordinary differences of speed

Cause: with one margin for queue and speed, crossings that began in a queue went on because the far server is faster, and requests were lost when its data centre was cut off; the estimate of a queue left no room for requests that others had sent since the last report. Change: a difference of up to two service times is not counted, a queue counts from one service time on until a quarter of it, and the estimate falls with the root of the slots.

--- a/crates/nutmegwheel-policy/src/routing/expected_time.rs
+++ b/crates/nutmegwheel-policy/src/routing/expected_time.rs
@@ -14,11 +14,15 @@
 
 /// The time that a crossing to another data centre and back adds.
 const CROSSING: Duration = Duration::from_millis(4);
-/// The gain from which work begins to cross, in parts of the typical service time of its kind.
-/// Below it, a caller hardly notices what the bytes between data centres cost.
-const SPILL_START: f64 = 2.0;
+/// The gain from which work begins to cross, in parts of the typical service time of its kind. The
+/// requests of a caller wait in several queues one after the other, so none of them should cost more
+/// than the work itself.
+const SPILL_START: f64 = 1.0;
 /// The gain below which work stops crossing again, so that it does not swing to and fro.
-const SPILL_STOP: f64 = 1.0;
+const SPILL_STOP: f64 = 0.25;
+/// The difference between the speeds of two servers that is no reason to cross, in parts of the
+/// typical service time. Servers of one service ordinarily differ up to threefold in speed.
+const ORDINARY_DIFFERENCE: f64 = 2.0;
 /// What a server that refuses, sheds or fails adds to the expected time. It is more than any queue
 /// is worth.
 const PENALTY_TIME: Duration = Duration::from_secs(10);
@@ -45,7 +49,23 @@
 #[derive(Clone, Copy)]
 struct Estimate {
     key: BackendKey,
-    seconds: f64,
+    /// The seconds until a slot is free, with the penalty for failures and refusals.
+    wait: f64,
+    /// The seconds that the request then takes.
+    run: f64,
+}
+
+impl Estimate {
+    fn seconds(&self) -> f64 {
+        self.wait + self.run
+    }
+
+    /// What a crossing from here to `remote` gains, apart from an ordinary difference of speeds.
+    fn gain(&self, remote: &Self, service: f64) -> f64 {
+        let run = self.run - remote.run;
+        let ordinary = run.clamp(0.0, ORDINARY_DIFFERENCE * service);
+        self.wait - remote.wait + run - ordinary
+    }
 }
 
 impl Table {
@@ -119,7 +139,7 @@
         let margin = spill_margin(service, factor);
         // What takes no longer than a crossing has to save is not compared with other data centres.
         if let Some(local) = local
-            && local.seconds <= margin
+            && local.seconds() <= margin
             && !self.is_spilling
         {
             return Some(local.key);
@@ -129,13 +149,13 @@
             (Some(local), Some(remote)) => (local, remote),
             (local, remote) => return local.or(remote).map(|estimate| estimate.key),
         };
-        let is_worth_crossing = local.seconds - remote.seconds > margin;
+        let is_worth_crossing = local.gain(&remote, service) > margin;
         if is_worth_crossing != self.is_spilling {
             self.is_spilling = is_worth_crossing;
             self.spill_change = Some(SpillChange {
                 is_spilling: is_worth_crossing,
-                local: duration(local.seconds),
-                remote: duration(remote.seconds),
+                local: duration(local.seconds()),
+                remote: duration(remote.seconds()),
             });
         }
         Some(if is_worth_crossing {
@@ -163,28 +183,32 @@
         // A crossing is never made for the sake of a probe.
         let is_local = std::ptr::eq(pool, self.local.as_slice());
         let may_probe = is_local && rng.random_ratio(1, PROBE_CHANCE);
-        let estimates = pair.into_iter().flatten().map(|key| Estimate {
-            key,
-            seconds: if by_counts {
-                let server = &self.servers[key];
-                server.projected_load(now, req.priority, &self.options) * service
+        let estimates = pair.into_iter().flatten().map(|key| {
+            if by_counts {
+                let load = self.servers[key].projected_load(now, req.priority, &self.options);
+                let wait = load * service;
+                Estimate {
+                    key,
+                    wait,
+                    run: service,
+                }
             } else {
-                self.expected_seconds(now, key, req, service, may_probe)
-            },
+                self.estimate(now, key, req, service, may_probe)
+            }
         });
-        estimates.min_by(|a, b| a.seconds.total_cmp(&b.seconds))
+        estimates.min_by(|a, b| a.seconds().total_cmp(&b.seconds()))
     }
 
-    /// The expected seconds from now to the answer of a request that takes `service` seconds at a
-    /// server of mean speed.
-    fn expected_seconds(
+    /// Estimates the time to the answer of a request that takes `service` seconds at a server of
+    /// mean speed.
+    fn estimate(
         &self,
         now: Instant,
         key: BackendKey,
         req: &Request<'_>,
         service: f64,
         may_probe: bool,
-    ) -> f64 {
+    ) -> Estimate {
         let server = &self.servers[key];
         let options = &self.options;
         let (requests, capacity) = server.requests_and_capacity(now, options);
@@ -196,20 +220,23 @@
         };
         let remaining = server.pace.remaining(now, options.report_lifetime);
         let remaining = remaining.unwrap_or(0.0).max(run).max(service);
-        run + remaining * queueing(requests + 1.0, capacity) + penalty * PENALTY_TIME.as_secs_f64()
+        let queue = remaining * queueing(requests + 1.0, capacity);
+        let wait = queue + penalty * PENALTY_TIME.as_secs_f64();
+        Estimate { key, wait, run }
     }
 }
 
 /// The expected time until a slot is free, in parts of the time for which a request holds one.
 ///
-/// Below the limit this is Sakasegawa's approximation for several servers with one queue. Above it,
-/// the requests that wait are added.
+/// Below the limit this has the form of Sakasegawa's approximation for several servers with one
+/// queue, but falls with the root of the slots only: the requests that others sent since the last
+/// report vary by about the root of their number. Above the limit, the requests that wait are added.
 fn queueing(requests: f64, slots: f64) -> f64 {
     let load = requests / slots;
     let pooled = slots.clamp(1.0, MAX_POOLED_SLOTS);
     let exponent = (2.0 * (pooled + 1.0)).sqrt() - 1.0;
     let free_share = (1.0 - load).max(MIN_FREE_SHARE);
-    load.min(1.0).powf(exponent) / (pooled * free_share) + (load - 1.0).max(0.0)
+    load.min(1.0).powf(exponent) / (pooled.sqrt() * free_share) + (load - 1.0).max(0.0)
 }
 
 /// The seconds that a crossing has to save.
