--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -42,6 +42,7 @@
     state_watcher::StateWatcher,
     token_limiter::TokenLimiter,
     views::Views,
+    work::WorkAccount,
 };
 
 /// How long a leaving node still accepts requests, so that the other nodes receive its leave
@@ -75,6 +76,7 @@
     pub(crate) running: Running,
     pub(crate) routes: Routes,
     pub(crate) evacuations: Evacuations,
+    pub(crate) work: WorkAccount,
     pub(crate) admission: AdmissionController,
     pub(crate) quarantine: RequestQuarantine,
     pub(crate) shed_levels: Mutex<ShedLevels>,
@@ -109,8 +111,9 @@
         let contacts = settings.contacts.as_ref();
         let is_first_start = contacts.is_some_and(|contacts| contacts.bootstrap);
         Self {
-            routes: Routes::open(settings.data_centre.clone()),
             evacuations: Evacuations::default(),
+            routes: Routes::open(settings.data_centre.clone(), settings.routing),
+            work: WorkAccount::open(settings.routing),
             admission: AdmissionController::open(
                 now,
                 settings
--- a/crates/nutmegwheel-policy/src/routing/mod.rs
+++ b/crates/nutmegwheel-policy/src/routing/mod.rs
@@ -9,6 +9,8 @@
 mod ejection;
 mod error;
 mod evacuation;
+mod expected_time;
+mod pace;
 mod server;
 mod types;
 
@@ -21,8 +23,10 @@
 use slotmap::SlotMap;
 
 pub use error::Error;
+pub use expected_time::SpillChange;
 pub use types::{Announcement, BackendKey, LoadReport, Options, Outcome, Request, ServerState};
 
+use pace::Kinds;
 use server::Server;
 
 /// The backend servers of one service, as one node knows them.
@@ -35,6 +39,9 @@
     local: Vec<BackendKey>,
     remote: Vec<BackendKey>,
     evacuated: BTreeSet<DataCentreId>,
+    kinds: Kinds,
+    is_spilling: bool,
+    spill_change: Option<SpillChange>,
 }
 
 impl Table {
@@ -49,6 +56,9 @@
             local: Vec::new(),
             remote: Vec::new(),
             evacuated: BTreeSet::new(),
+            kinds: Kinds::default(),
+            is_spilling: false,
+            spill_change: None,
         }
     }
 
