--- a/crates/nutmegwheel-limits/src/lib.rs
+++ b/crates/nutmegwheel-limits/src/lib.rs
@@ -6,12 +6,13 @@
 //! [`token_cache`] of each ingress node. docs/spec/SHARES.md explains why the tokens spent never
 //! exceed the workspace's rate and burst. Where there are no token servers, [`allotment`] divides
 //! the limits. Apart from workspaces, [`server_limit`] holds a backend server to the rate that it
-//! asked for.
+//! asked for, and [`cold_start`] to the rate that it tolerates while it is cold.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
 pub mod allotment;
 pub mod bucket;
+pub mod cold_start;
 pub mod lease;
 mod limit;
 pub mod messages;
--- a/crates/nutmegwheel-limits/src/server_limit.rs
+++ b/crates/nutmegwheel-limits/src/server_limit.rs
@@ -110,20 +110,32 @@
     /// The number of concurrent requests, of `slots` that the backend server announced, that keep
     /// it busy at the limit. More would only wait.
     #[must_use]
-    #[allow(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a cast of a float saturates"
-    )]
     pub fn slots(&self, slots: u16) -> u16 {
-        let (Some(rate), Some(duration)) = (self.rate(), self.mean_duration) else {
-            return slots;
-        };
-        let busy = (rate * duration).ceil() as u16;
-        busy.saturating_add(1).min(slots)
+        match (self.rate(), self.mean_duration()) {
+            (Some(rate), Some(duration)) => busy_slots(rate, duration, slots),
+            _ => slots,
+        }
+    }
+
+    /// The mean time in which the backend server answers, if it has answered a request.
+    #[must_use]
+    pub fn mean_duration(&self) -> Option<Duration> {
+        self.mean_duration.map(Duration::from_secs_f64)
     }
 }
 
+/// The number of concurrent requests, of at most `slots`, that keep a backend server busy at a rate
+/// in requests per second.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a cast of a float saturates"
+)]
+pub(crate) fn busy_slots(rate: f64, duration: Duration, slots: u16) -> u16 {
+    let busy = (rate * duration.as_secs_f64()).ceil() as u16;
+    busy.saturating_add(1).min(slots)
+}
+
 #[allow(
     clippy::cast_possible_truncation,
     clippy::cast_precision_loss,
