feat(config): cold starts of services and their bound

Cause: neither the configuration nor the settings could hold the rate of a cold start. Change: cold_starts in the configuration, cold_start in the settings; both optional, absent ones are written as before.

--- a/crates/nutmegwheel-config/src/configuration.rs
+++ b/crates/nutmegwheel-config/src/configuration.rs
@@ -9,9 +9,9 @@
 use serde::Serialize;
 
 use crate::{
-    CheckError, HostRoute,
+    CheckError, ColdStart, HostRoute,
     change::read_hash,
-    hosts,
+    cold_start, hosts,
     reader::{self, Field, Table},
 };
 
@@ -22,7 +22,7 @@
 /// The maximum of target latencies and timeouts, in ms.
 pub(crate) const MAX_TIMEOUT_MS: u64 = 600_000;
 /// The maximum rate in requests per second, and the maximum burst in requests.
-const MAX_RATE: f64 = 1e6;
+pub(crate) const MAX_RATE: f64 = 1e6;
 /// The maximum of `retries_per_request`.
 const MAX_RETRIES: u32 = 16;
 /// The default of `retries_per_request`.
@@ -51,6 +51,9 @@
     /// The routes that match by host and path prefix.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub hosts: Vec<HostRoute>,
+    /// The services whose backend servers have a cold start.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub cold_starts: BTreeMap<ServiceId, ColdStart>,
     /// The workspaces and their rate limits.
     pub workspaces: BTreeMap<WorkspaceId, Workspace>,
     /// The retry budget of one client request over its whole call chain.
@@ -175,6 +178,10 @@
         Some(field) => hosts::read(&field)?,
         None => Vec::new(),
     };
+    let cold_starts = match table.take("cold_starts") {
+        Some(field) => cold_start::read(&field)?,
+        None => BTreeMap::new(),
+    };
     let workspaces = read_workspaces(&table.required("workspaces")?)?;
     let retries_per_request = match table.take("retries_per_request") {
         Some(field) => field.number(&(0..=MAX_RETRIES))?,
@@ -189,6 +196,7 @@
         classes,
         services,
         hosts,
+        cold_starts,
         workspaces,
         retries_per_request,
         when_cut_off,
@@ -272,7 +280,7 @@
     field.items()?.iter().map(read_hash).collect()
 }
 
-fn read_above_zero(field: &Field<'_>, max: f64) -> Result<f64, CheckError> {
+pub(crate) fn read_above_zero(field: &Field<'_>, max: f64) -> Result<f64, CheckError> {
     let number = field.number(&(0.0..=max))?;
     if number > 0.0 {
         Ok(number)
--- a/crates/nutmegwheel-config/src/lib.rs
+++ b/crates/nutmegwheel-config/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs)]
 
 mod change;
+mod cold_start;
 mod configuration;
 mod delta;
 mod error;
@@ -15,6 +16,7 @@
 mod view;
 
 pub use change::Change;
+pub use cold_start::{ColdStart, ColdStartBound};
 pub use configuration::{Class, Configuration, NoRoute, Route, WhenCutOff, Workspace};
 pub use delta::Delta;
 pub use error::CheckError;
--- a/crates/nutmegwheel-config/src/settings.rs
+++ b/crates/nutmegwheel-config/src/settings.rs
@@ -3,7 +3,7 @@
 use nutmegwheel_types::{DataCentreId, ProcessName, ServiceId, plain, plain_copy};
 
 use crate::{
-    CheckError,
+    CheckError, ColdStartBound, cold_start,
     reader::{self, Field, Table},
 };
 
@@ -91,6 +91,9 @@
         pub max_descriptors: Option<usize>,
         /// The retries that the deployment allows. Without it, a fixed part of them is used.
         pub retry_budget: Option<RetryBudget>,
+        /// The bound of the requests to a cold backend server. Without it, cold starts in the
+        /// configuration have no effect.
+        pub cold_start: Option<ColdStartBound>,
     }
 
     /// The retries that each service may get, summed over all nodes.
@@ -246,6 +249,10 @@
             Some(field) => Some(read_retry_budget(field.table()?)?),
             None => None,
         },
+        cold_start: match table.take("cold_start") {
+            Some(field) => Some(cold_start::read_bound(field.table()?)?),
+            None => None,
+        },
     };
     check_secrets(&settings, &table)?;
     if settings.contacts.is_none() {
