feat(node): hold cold backend servers to their rate

Cause: heartbeats named the remaining time of a cold start and the node dropped it; a crowd got through to the server. Change: the node beside the server lets requests start as cold_start decides, announces the slots that keep the server busy at its rate, and refuses as not run what cannot start in time. Events 213 and 214, two metrics.

--- a/crates/nutmegwheel-events/src/catalogue.rs
+++ b/crates/nutmegwheel-events/src/catalogue.rs
@@ -80,6 +80,10 @@
     HeartbeatHeld = 211, "heartbeat-held", Info;
     /// The node knows which instances of its backend server left before it restarted.
     DeparturesKnown = 212, "departures-known", Info;
+    /// The backend server is cold, or may be, and is held to the rate of its cold start.
+    BackendCold = 213, "backend-cold", Info;
+    /// The backend server is warm again.
+    BackendWarm = 214, "backend-warm", Info;
     /// The load shedding level of a node changed.
     ShedLevelChanged = 300, "shed-level-changed", Warn;
     /// A request used up the retry budget of its call chain.
--- a/crates/nutmegwheel-node/src/backend_handler.rs
+++ b/crates/nutmegwheel-node/src/backend_handler.rs
@@ -16,7 +16,7 @@
 use crate::{
     backend::{Announcement, Backend, BackendState},
     call::{Answer, Call},
-    forward, headers,
+    cold_start, forward, headers,
     ingress::{self, RoutePath},
     refusal::{Reason, Refusal},
     running::Parent,
@@ -91,6 +91,7 @@
             state: document.state,
             instance: None,
             address: document.address,
+            cold_remaining: None,
             valid_for: Duration::from_millis(document.lease_ms),
         },
         is_new,
@@ -119,6 +120,8 @@
     pub(crate) state: BackendState,
     pub(crate) instance: Option<Arc<str>>,
     pub(crate) address: SocketAddr,
+    /// How much longer the backend server is cold, if its dialect says so.
+    pub(crate) cold_remaining: Option<Duration>,
     /// The time after which the report expires unless it is renewed.
     pub(crate) valid_for: Duration,
 }
@@ -139,6 +142,7 @@
         instance: report.instance,
     };
     let now = Instant::now();
+    cold_start::record_report(shared, now, report.cold_remaining, is_new, before.is_some());
     shared.local_backend.announce(Announcement {
         backend: backend.clone(),
         address: report.address,
@@ -150,10 +154,12 @@
             shared.server_limit().reset(shared.dialect.is_some());
         }
         let slots = shared.server_limit().concurrency(backend.slots);
+        let slots = cold_start::slots(shared, now, &backend.service, slots);
         shared.admission.set_announced_slots(now, slots, is_new);
         journal_announcement(shared, &backend);
         shared.backend_changed();
     }
+    cold_start::refresh(shared, now);
 }
 
 /// Records the announced state in the journal.
--- a/crates/nutmegwheel-node/src/dialect.rs
+++ b/crates/nutmegwheel-node/src/dialect.rs
@@ -86,6 +86,8 @@
         pub slots: u16,
         /// Whether the backend server accepts new requests.
         pub is_ready: bool,
+        /// How much longer the backend server is cold, which is zero if it is warm.
+        pub cold_remaining: Duration,
     }
 }
 
--- a/crates/nutmegwheel-node/src/heartbeat_handler.rs
+++ b/crates/nutmegwheel-node/src/heartbeat_handler.rs
@@ -161,6 +161,7 @@
             state,
             instance: Some(alive.instance.id),
             address: alive.address,
+            cold_remaining: Some(alive.cold_remaining),
             valid_for: HEARTBEAT_LIFETIME,
         },
         is_new,
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -13,6 +13,7 @@
 mod backend;
 mod backend_handler;
 mod call;
+mod cold_start;
 mod connections;
 mod departures;
 mod dialect;
--- a/crates/nutmegwheel-node/src/members.rs
+++ b/crates/nutmegwheel-node/src/members.rs
@@ -8,7 +8,7 @@
 };
 use serde_json::{Value, json};
 
-use crate::shared::Shared;
+use crate::{cold_start, shared::Shared};
 
 /// Handles events, and the further events that result from them.
 pub(crate) fn handle(shared: &Arc<Shared>, events: Vec<Event>) {
@@ -69,7 +69,9 @@
 pub(crate) fn announce(shared: &Arc<Shared>) {
     let announced = shared.local_backend.announced();
     let announcement = announced.map(|announced| {
+        let service = &announced.backend.service;
         let slots = shared.server_limit().slots(announced.backend.slots);
+        let slots = cold_start::slots(shared, Instant::now(), service, slots);
         Announcement {
             service: announced.backend.service,
             slots: shared.failure_rate().announced_slots(slots),
--- a/crates/nutmegwheel-node/src/metrics.rs
+++ b/crates/nutmegwheel-node/src/metrics.rs
@@ -11,7 +11,7 @@
     registry::Registry,
 };
 
-use crate::{call::Answer, refusal::Refusal, shared::Shared};
+use crate::{call::Answer, cold_start, refusal::Refusal, shared::Shared};
 
 /// The upper bounds of the buckets of `request_seconds`, in seconds.
 const TIME_BUCKETS: [f64; 12] = [
@@ -35,6 +35,8 @@
     running: Gauge,
     waiting: Gauge,
     limit: Gauge,
+    cold: Gauge,
+    cold_refused: Counter,
     version: Gauge,
     members: Gauge,
 }
@@ -51,6 +53,8 @@
             running: Gauge::default(),
             waiting: Gauge::default(),
             limit: Gauge::default(),
+            cold: Gauge::default(),
+            cold_refused: Counter::default(),
             version: Gauge::default(),
             members: Gauge::default(),
         };
@@ -76,6 +80,14 @@
         registry.register("backend_waiting", waiting, self.waiting.clone());
         let limit = "Requests that the backend server gets at a time";
         registry.register("backend_limit", limit, self.limit.clone());
+        let cold = "Whether the backend server is held to the rate of its cold start";
+        registry.register("backend_cold", cold, self.cold.clone());
+        let cold_refused = "Calls refused because the cold backend server takes none in time";
+        registry.register(
+            "backend_cold_refused",
+            cold_refused,
+            self.cold_refused.clone(),
+        );
         let version = "The version of the configuration in force";
         registry.register("configuration_version", version, self.version.clone());
         let members = "Processes that this one knows to be alive";
@@ -105,6 +117,10 @@
         self.retries.inc();
     }
 
+    pub(crate) fn count_cold_refusal(&self) {
+        self.cold_refused.inc();
+    }
+
     /// Updates the gauges and encodes all metrics as `OpenMetrics` text.
     pub(crate) fn encode_text(&self, shared: &Shared) -> String {
         let report = shared.admission.report();
@@ -112,6 +128,7 @@
         self.running.set(report.running.into());
         self.waiting.set(report.waiting.into());
         self.limit.set(report.limit.into());
+        self.cold.set(cold_start::is_cold(shared).into());
         let version = i64::try_from(shared.views.version());
         self.version.set(version.unwrap_or(i64::MAX));
         self.members.set(to_i64(shared.live_members()));
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -16,7 +16,7 @@
 use crate::{
     allotment_limiter::AllotmentLimiter,
     backend_handler::BackendHandler,
-    departures,
+    cold_start, departures,
     dialect::Dialect,
     failure_rate,
     heartbeat_handler::HeartbeatHandler,
@@ -169,7 +169,10 @@
     let cx = shared.clone();
     tree.spawn_interval("announcement", ANNOUNCEMENT_CHECK_INTERVAL, move || {
         let cx = cx.clone();
-        async move { expire_backend_state(&cx) }
+        async move {
+            expire_backend_state(&cx);
+            cold_start::refresh(&cx, Instant::now());
+        }
     });
     let cx = shared.clone();
     tree.spawn_interval("expiry", EXPIRY_INTERVAL, move || {
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -15,7 +15,7 @@
 use crate::{
     at_most_once,
     call::{self, Answer, Call},
-    failure_rate, members, notice, quarantine,
+    cold_start, failure_rate, members, notice, quarantine,
     refusal::{Outcome, Reason, Refusal},
     running::{DownstreamServer, Parent},
     served::Served,
@@ -106,6 +106,7 @@
     let req = admission::Request::from_context(&call.context, endpoint, call.deadline);
     let permit = shared.admission.admit(req).await?;
     server_limit::wait_for_start(shared, call).await?;
+    cold_start::wait_for_start(shared, call).await?;
     // The conditions may have changed while the request waited.
     check_start(shared, call)?;
     let server = shared.local_backend.ready_for(&call.service)?;
--- a/crates/nutmegwheel-node/src/server_limit.rs
+++ b/crates/nutmegwheel-node/src/server_limit.rs
@@ -3,14 +3,17 @@
 //! This node is its only caller, so no other node has to know the rate. The others see fewer slots
 //! and send less.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use nutmegwheel_events::Event;
 use nutmegwheel_types::ServiceId;
 
 use crate::{
     call::Call,
-    members,
+    cold_start, members,
     refusal::{Reason, Refusal},
     shared::Shared,
 };
@@ -20,13 +23,24 @@
 /// The request keeps its place in admission meanwhile, so that the requests behind it stay in the
 /// order of their priorities.
 pub(crate) async fn wait_for_start(shared: &Shared, call: &Call) -> Result<(), Refusal> {
+    let try_start = |now| shared.server_limit().try_start(now);
+    let detail = "the backend server's limit allows no start before the deadline";
+    wait_until_started(call, try_start, detail).await
+}
+
+/// Waits until `try_start` succeeds, which returns the time to wait otherwise. Refuses the request
+/// with `detail` if that is not before its deadline.
+pub(crate) async fn wait_until_started(
+    call: &Call,
+    mut try_start: impl FnMut(Instant) -> Result<(), Duration>,
+    detail: &str,
+) -> Result<(), Refusal> {
     loop {
         let now = Instant::now();
-        let Err(wait) = shared.server_limit().try_start(now) else {
+        let Err(wait) = try_start(now) else {
             return Ok(());
         };
         if wait >= call.deadline.saturating_duration_since(now) {
-            let detail = "the backend server's limit allows no start before the deadline";
             let refusal = Refusal::not_run(Reason::Overloaded, detail);
             return Err(refusal.with_retry_after(wait));
         }
@@ -53,21 +67,23 @@
     apply_slots(shared);
 }
 
-/// Adapts the slots to the time that the backend server needs now, if it named a limit.
+/// Adapts the slots to the time that the backend server needs now, if it named a limit or is cold.
 pub(crate) fn refresh(shared: &Arc<Shared>) {
-    if shared.server_limit().rate().is_some() {
+    if shared.server_limit().rate().is_some() || cold_start::is_cold(shared) {
         apply_slots(shared);
     }
 }
 
-fn apply_slots(shared: &Arc<Shared>) {
+/// Applies and announces the slots that the limits of the backend server leave.
+pub(crate) fn apply_slots(shared: &Arc<Shared>) {
     let Some(announced) = shared.local_backend.announced() else {
         return;
     };
+    let now = Instant::now();
+    let service = &announced.backend.service;
     let slots = shared.server_limit().concurrency(announced.backend.slots);
-    shared
-        .admission
-        .set_announced_slots(Instant::now(), slots, false);
+    let slots = cold_start::slots(shared, now, service, slots);
+    shared.admission.set_announced_slots(now, slots, false);
     members::announce(shared);
 }
 
