refactor(node): expect a cold start without announcing it at once

Cause: the bound must hold before the first request after a readmission, where only the shared state is at hand. Change: expect_cold marks the state; the check of the announcement, every 100 ms, applies the slots.

--- a/crates/nutmegwheel-node/src/cold_start.rs
+++ b/crates/nutmegwheel-node/src/cold_start.rs
@@ -63,11 +63,10 @@
 }
 
 /// Holds the backend server to its rate until heartbeats that were sent after `now` say that it is
-/// warm.
+/// warm. [`refresh`] announces it.
 #[allow(dead_code, reason = "called when the data centre is readmitted")]
-pub(crate) fn expect_cold(shared: &Arc<Shared>, now: Instant) {
+pub(crate) fn expect_cold(shared: &Shared, now: Instant) {
     shared.cold_start.lock().expect_cold(now);
-    refresh(shared, now);
 }
 
 /// Applies and announces other slots when the backend server has become cold or warm.
