--- a/crates/nutmegwheel-config/src/settings.rs
+++ b/crates/nutmegwheel-config/src/settings.rs
@@ -3,7 +3,7 @@
 use nutmegwheel_types::{DataCentreId, ProcessName, ServiceId, plain, plain_copy};
 
 use crate::{
-    CheckError,
+    CheckError, ColdStartBound, cold_start,
     reader::{self, Field, Table},
 };
 
@@ -101,6 +101,9 @@
         pub retry_budget: Option<RetryBudget>,
         /// What a backend server is chosen by.
         pub routing: Routing,
+        /// The bound of the requests to a cold backend server. Without it, cold starts in the
+        /// configuration have no effect.
+        pub cold_start: Option<ColdStartBound>,
     }
 
     /// The retries that each service may get, summed over all nodes.
@@ -260,6 +263,10 @@
             Some(field) => read_routing(&field)?,
             None => Routing::Count,
         },
+        cold_start: match table.take("cold_start") {
+            Some(field) => Some(cold_start::read_bound(field.table()?)?),
+            None => None,
+        },
     };
     check_secrets(&settings, &table)?;
     if settings.contacts.is_none() {
--- a/crates/nutmegwheel-node/src/evacuation.rs
+++ b/crates/nutmegwheel-node/src/evacuation.rs
@@ -9,7 +9,7 @@
 use nutmegwheel_events::Event;
 use nutmegwheel_types::DataCentreId;
 
-use crate::shared::Shared;
+use crate::{cold_start, shared::Shared};
 
 /// The evacuated data centres that this node follows.
 #[derive(Default)]
@@ -58,7 +58,9 @@
 /// Prepares for the requests that the local backend server gets from now on. It may have become
 /// cold while it got none.
 fn on_readmitted(shared: &Shared) {
-    shared.admission.begin_slow_start(Instant::now());
+    let now = Instant::now();
+    cold_start::expect_cold(shared, now);
+    shared.admission.begin_slow_start(now);
 }
 
 fn journal(shared: &Shared, event: Event, data_centre: &DataCentreId) {
--- a/crates/nutmegwheel-node/src/metrics.rs
+++ b/crates/nutmegwheel-node/src/metrics.rs
@@ -11,7 +11,7 @@
     registry::Registry,
 };
 
-use crate::{call::Answer, refusal::Refusal, shared::Shared};
+use crate::{call::Answer, cold_start, refusal::Refusal, shared::Shared};
 
 /// The upper bounds of the buckets of `request_seconds`, in seconds.
 const TIME_BUCKETS: [f64; 12] = [
@@ -42,6 +42,8 @@
     limit: Gauge,
     work: Gauge<f64, AtomicU64>,
     services: Family<EndpointLabels, Gauge<f64, AtomicU64>>,
+    cold: Gauge,
+    cold_refused: Counter,
     version: Gauge,
     members: Gauge,
     evacuated: Gauge,
@@ -61,6 +63,8 @@
             limit: Gauge::default(),
             work: Gauge::default(),
             services: Family::default(),
+            cold: Gauge::default(),
+            cold_refused: Counter::default(),
             version: Gauge::default(),
             members: Gauge::default(),
             evacuated: Gauge::default(),
@@ -91,6 +95,14 @@
         registry.register("backend_work_seconds", work, self.work.clone());
         let services = "Typical seconds that a request of an endpoint takes at the backend server";
         registry.register("endpoint_service_seconds", services, self.services.clone());
+        let cold = "Whether the backend server is held to the rate of its cold start";
+        registry.register("backend_cold", cold, self.cold.clone());
+        let cold_refused = "Calls refused because the cold backend server takes none in time";
+        registry.register(
+            "backend_cold_refused",
+            cold_refused,
+            self.cold_refused.clone(),
+        );
         let version = "The version of the configuration in force";
         registry.register("configuration_version", version, self.version.clone());
         let members = "Processes that this one knows to be alive";
@@ -122,6 +134,10 @@
         self.retries.inc();
     }
 
+    pub(crate) fn count_cold_refusal(&self) {
+        self.cold_refused.inc();
+    }
+
     /// Updates the gauges and encodes all metrics as `OpenMetrics` text.
     pub(crate) fn encode_text(&self, shared: &Shared) -> String {
         let report = shared.admission.report();
@@ -137,6 +153,7 @@
             let gauge = self.services.get_or_create(&labels);
             gauge.set(service.as_secs_f64());
         }
+        self.cold.set(cold_start::is_cold(shared).into());
         let version = i64::try_from(shared.views.version());
         self.version.set(version.unwrap_or(i64::MAX));
         let evacuated = shared.evacuations.in_force().len();
--- a/crates/nutmegwheel-node/src/serve.rs
+++ b/crates/nutmegwheel-node/src/serve.rs
@@ -16,7 +16,7 @@
 use crate::{
     at_most_once,
     call::{self, Answer, Call},
-    failure_rate, members, notice, quarantine,
+    cold_start, failure_rate, members, notice, quarantine,
     refusal::{Outcome, Reason, Refusal},
     running::{DownstreamServer, Parent},
     served::Served,
@@ -109,6 +109,7 @@
     let open_request = shared.work.enter(&call.endpoint);
     let permit = shared.admission.admit(req).await?;
     server_limit::wait_for_start(shared, call).await?;
+    cold_start::wait_for_start(shared, call).await?;
     // The conditions may have changed while the request waited.
     check_start(shared, call)?;
     let server = shared.local_backend.ready_for(&call.service)?;
