--- a/crates/nutmegwheel-node/src/evacuation.rs
+++ b/crates/nutmegwheel-node/src/evacuation.rs
@@ -38,6 +38,9 @@
     }
     let own = &shared.settings.data_centre;
     let (was_evacuated, is_evacuated) = (in_force.contains(own), view.evacuated.contains(own));
+    if was_evacuated && !is_evacuated {
+        prepare_readmission(shared);
+    }
     shared.local_backend.set_evacuated(is_evacuated);
     shared.routes.set_evacuated(Instant::now(), &view.evacuated);
     for data_centre in view.evacuated.difference(&in_force) {
@@ -48,16 +51,14 @@
     }
     in_force.clone_from(&view.evacuated);
     drop(in_force);
-    match (was_evacuated, is_evacuated) {
-        (false, true) => shared.admission.refuse_waiting(Instant::now()),
-        (true, false) => on_readmitted(shared),
-        _ => {}
+    if is_evacuated && !was_evacuated {
+        shared.admission.refuse_waiting(Instant::now());
     }
 }
 
 /// Prepares for the requests that the local backend server gets from now on. It may have become
 /// cold while it got none.
-fn on_readmitted(shared: &Shared) {
+fn prepare_readmission(shared: &Shared) {
     let now = Instant::now();
     cold_start::expect_cold(shared, now);
     shared.admission.begin_slow_start(now);
