feat(policy): who gives way when incomplete requests use up the memory

Cause: nothing decides which callers are cut off when they together send more than a process can hold, so that ordinary small requests would suffer like the others. Change: senders::choose takes the memory, age, recent progress and pause of each incomplete request and names those that give way; Progress measures the progress.

--- a/crates/nutmegwheel-policy/src/lib.rs
+++ b/crates/nutmegwheel-policy/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod registration;
 pub mod retry;
 pub mod routing;
+pub mod senders;
 pub mod shed;
 pub mod split;
