feat(node): one account bounds what callers make a process hold

Cause: 40 bodies of legal size that stop short of their end held 160 MiB and more in a process, which is killed above the memory of its VM. Only each body was bounded, not their sum, and unread bytes in the kernel grew with TCP's windows. Change: with the new setting max_memory_mb, connections, incomplete bodies and bodies of requests in progress take their bytes from an account of half of that memory; operators, the platform and heartbeats have an account of their own. Without room, large bodies are not read for a time, and then callers give way as nutmegwheel-policy chooses: 503 out-of-memory, never begun. The receive buffer of a connection is bounded, and where all connections are in use, those whose request does not arrive are closed. Buffers of bodies grow by a quarter instead of doubling. Events 109 and 110, the metric memory_held_bytes, and requests_refused counts them. Without the setting, requests are served as before.

--- a/crates/nutmegwheel-config/src/settings.rs
+++ b/crates/nutmegwheel-config/src/settings.rs
@@ -25,6 +25,12 @@
 const MIN_DESCRIPTORS: usize = 256;
 /// The maximum of `max_descriptors`.
 const MAX_DESCRIPTORS: usize = 1 << 30;
+/// The minimum of `max_memory_mb`, which leaves room for the code and one body of 4 MiB.
+const MIN_MEMORY_MB: usize = 32;
+/// The maximum of `max_memory_mb`.
+const MAX_MEMORY_MB: usize = 1 << 20;
+/// The unit of `max_memory_mb`, in bytes.
+const MB: usize = 1_000_000;
 /// The maximum of `retry_budget.slack`.
 const MAX_RETRY_SLACK: f64 = 1e6;
 /// The range of `retry_budget.window_s`, in seconds.
@@ -89,6 +95,9 @@
         /// The number of descriptors that the process may have open. Without it, callers may use
         /// all of them.
         pub max_descriptors: Option<usize>,
+        /// The memory of the VM that the process may use, in bytes. Without it, what peers send is
+        /// not bounded together.
+        pub max_memory: Option<usize>,
         /// The retries that the deployment allows. Without it, a fixed part of them is used.
         pub retry_budget: Option<RetryBudget>,
     }
@@ -242,6 +251,10 @@
             Some(field) => Some(field.number(&(MIN_DESCRIPTORS..=MAX_DESCRIPTORS))?),
             None => None,
         },
+        max_memory: match table.take("max_memory_mb") {
+            Some(field) => Some(field.number(&(MIN_MEMORY_MB..=MAX_MEMORY_MB))? * MB),
+            None => None,
+        },
         retry_budget: match table.take("retry_budget") {
             Some(field) => Some(read_retry_budget(field.table()?)?),
             None => None,
--- a/crates/nutmegwheel-config/tests/settings.rs
+++ b/crates/nutmegwheel-config/tests/settings.rs
@@ -89,7 +89,7 @@
   "backend_server": {
     "service": "intake", "address": "10.1.0.11:8547", "concurrency": "announced"
   },
-  "stop_within_ms": 6000, "max_descriptors": 4100,
+  "stop_within_ms": 6000, "max_descriptors": 4100, "max_memory_mb": 160,
   "retry_budget": {"ratio": 0.2, "slack": 49.5, "window_s": 10},
   "fleet_secret": "secret-of-the-fleet-01"
 }"#;
@@ -106,6 +106,7 @@
     assert_eq!(links, ["10.1.0.32:7000", "10.2.0.28:7000"]);
     assert_eq!(settings.data_centres().len(), 2);
     assert_eq!(settings.max_descriptors, Some(4100));
+    assert_eq!(settings.max_memory, Some(160_000_000));
     let budget = settings.retry_budget.expect("stated");
     assert_eq!((budget.ratio_permille, budget.slack), (200, 49));
     assert_eq!(budget.window, Duration::from_secs(10));
@@ -133,6 +134,7 @@
         ("\"announced\"", "\"many\"", "backend_server.concurrency"),
         ("6000", "5", "stop_within_ms"),
         ("4100", "3", "max_descriptors"),
+        ("160", "16", "max_memory_mb"),
         ("\"ratio\": 0.2", "\"ratio\": 1.2", "retry_budget.ratio"),
         ("\"slack\": 49.5", "\"slack\": -1", "retry_budget.slack"),
         (
@@ -169,6 +171,7 @@
             "listen",
             "seeds",
             "max_descriptors",
+            "max_memory_mb",
             "stop_within_ms",
             "unknown",
         ] {
--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -1,9 +1,10 @@
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use anyhow::Context as _;
 use nutmegwheel_config::Settings;
 use nutmegwheel_events::{Event, Journal};
 use nutmegwheel_link::{Endpoint, Limits, Options};
+use nutmegwheel_memory::Account;
 use nutmegwheel_seeds::SeedService;
 use nutmegwheel_spread::{GossipService, TICK};
 use nutmegwheel_supervisor::Supervisor;
@@ -33,6 +34,9 @@
 const TOKEN_SERVER_INTERVAL: Duration = Duration::from_millis(100);
 /// The interval at which the leader checks whether shares must move between data centres.
 const SHARES_INTERVAL: Duration = Duration::from_millis(500);
+/// The percentage of the descriptors that connections of operators may take. The rest is left for
+/// links and files.
+const OPERATORS_DESCRIPTOR_PERCENT: usize = 75;
 /// How long a shutdown waits for answers that are still being written.
 const SHUTDOWN_GRACE_PERIOD: Duration = Duration::from_millis(500);
 
@@ -111,7 +115,7 @@
         secret: settings.operator_secret.as_deref().map(Into::into),
         dialect,
     };
-    let web = bind_web(settings.listen.platform, operators)?;
+    let web = bind_web(&settings, operators)?;
     journal.emit(
         Event::ProcessStarted,
         &[("role", &"control"), ("platform", &web.address())],
@@ -196,12 +200,18 @@
     });
 }
 
-fn bind_web(address: SocketAddr, operators: Operators) -> anyhow::Result<nutmegwheel_web::Server> {
+fn bind_web(settings: &Settings, operators: Operators) -> anyhow::Result<nutmegwheel_web::Server> {
+    let account = Account::for_control(settings.max_memory);
+    // A process without a bound of its memory accepts as many as before.
+    let max_connections = settings.max_descriptors.filter(|_| account.is_limited());
+    let max_connections = max_connections.map(|n| n * OPERATORS_DESCRIPTOR_PERCENT / 100);
+
     let opts = nutmegwheel_web::Options {
-        address,
+        address: settings.listen.platform,
         body_limit: MAX_REQUEST_BODY_BYTES,
         read_timeout: REQUEST_READ_TIMEOUT,
-        max_connections: None,
+        max_connections,
+        account,
     };
     let journal = operators.journal.clone();
     nutmegwheel_web::bind(opts, journal, Box::new(operators)).context("open listen.platform")
--- a/crates/nutmegwheel-events/src/catalogue.rs
+++ b/crates/nutmegwheel-events/src/catalogue.rs
@@ -54,6 +54,10 @@
     ConnectionRefused = 107, "connection-refused", Warn;
     /// A listener closed connections that waited for a request, to make room for new ones.
     ConnectionsClosed = 108, "connections-closed", Warn;
+    /// A request that had not arrived completely gave way to others for lack of memory.
+    RequestEvicted = 109, "request-evicted", Warn;
+    /// A caller sent a body too slowly.
+    RequestTooSlow = 110, "request-too-slow", Warn;
     /// A backend server announced itself or changed its state.
     BackendAnnounced = 200, "backend-announced", Info;
     /// A backend server's announcement expired without a renewal.
--- a/crates/nutmegwheel-http1/src/decode.rs
+++ b/crates/nutmegwheel-http1/src/decode.rs
@@ -1,5 +1,6 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, header, request::Parts};
+use nutmegwheel_memory::{Account, Hold};
 use nutmegwheel_types::plain_copy;
 use xitca_http::{
     date::SystemTimeDateTimeHandler,
@@ -15,6 +16,16 @@
 /// The maximum number of header fields of a request.
 pub const MAX_HEADER_FIELDS: usize = 64;
 
+/// The size of a body, in bytes, up to which it may take the share of the memory account that is
+/// kept back for small requests.
+pub const SMALL_BODY_BYTES: usize = 64 * 1024;
+/// The fraction of the memory account that is kept back for small requests.
+const SMALL_FRACTION: usize = 16;
+/// The part of its size by which the buffer of a body grows.
+const GROWTH_FRACTION: usize = 4;
+/// The minimum size of the buffer of a body whose length is not announced, in bytes.
+const MIN_BODY_BUFFER_BYTES: usize = 1024;
+
 /// The clock of the `Date` field.
 pub(crate) static DATE: SystemTimeDateTimeHandler = SystemTimeDateTimeHandler;
 
@@ -25,6 +36,8 @@
     pub head: Parts,
     /// The complete body.
     pub body: Bytes,
+    /// The memory that the body holds.
+    pub hold: Hold,
     /// Whether the caller sends no further request on this connection.
     pub is_last: bool,
 }
@@ -63,30 +76,37 @@
 pub struct Decoder {
     cx: Context<'static, SystemTimeDateTimeHandler, MAX_HEADER_FIELDS>,
     body_limit: usize,
+    account: Account,
     partial: Option<Partial>,
+    lacks_memory: bool,
 }
 
 /// A request whose head is complete.
 struct Partial {
     head: Parts,
     coding: TransferCoding,
-    body: BytesMut,
+    body: Vec<u8>,
+    hold: Hold,
     is_last: bool,
     expects_interim: bool,
 }
 
 impl Decoder {
-    /// Opens a decoder for requests with bodies of at most `body_limit` bytes.
+    /// Opens a decoder for requests with bodies of at most `body_limit` bytes, which take their
+    /// memory from `account`.
     #[must_use]
-    pub fn open(body_limit: usize) -> Self {
+    pub fn open(body_limit: usize, account: Account) -> Self {
         Self {
             cx: Context::new(&DATE),
             body_limit,
+            account,
             partial: None,
+            lacks_memory: false,
         }
     }
 
-    /// Takes the next complete request from `buf`, or `None` if bytes are missing.
+    /// Takes the next complete request from `buf`, or `None` if bytes are missing or
+    /// [`Self::lacks_memory`].
     ///
     /// # Errors
     ///
@@ -99,12 +119,15 @@
         let Some(partial) = &mut self.partial else {
             return Ok(None);
         };
-        if !partial.decode_body(buf, self.body_limit)? {
+        let progress = partial.decode_body(buf, self.body_limit)?;
+        self.lacks_memory = progress == Progress::LacksMemory;
+        if progress != Progress::Complete {
             return Ok(None);
         }
         Ok(self.partial.take().map(|partial| Request {
             head: partial.head,
-            body: partial.body.freeze(),
+            body: partial.body.into(),
+            hold: partial.hold,
             is_last: partial.is_last,
         }))
     }
@@ -118,6 +141,25 @@
         }
     }
 
+    /// Whether received bytes of the body wait for room in the memory account.
+    #[must_use]
+    pub fn lacks_memory(&self) -> bool {
+        self.lacks_memory
+    }
+
+    /// The memory that the incomplete body holds, in bytes.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        let partial = self.partial.as_ref();
+        partial.map_or(0, |partial| partial.hold.bytes())
+    }
+
+    /// Drops the incomplete request. The decoder must not be used afterwards.
+    pub fn discard(&mut self) {
+        self.partial = None;
+        self.lacks_memory = false;
+    }
+
     /// Whether the caller waits for an interim response before it sends the body. Returns `true`
     /// once for each request.
     pub fn take_expects_interim(&mut self) -> bool {
@@ -143,17 +185,30 @@
         Ok(Some(Partial {
             head,
             coding,
-            body: BytesMut::new(),
+            body: Vec::new(),
+            hold: self.account.hold(),
             is_last: self.cx.is_connection_closed(),
             expects_interim: self.cx.is_expect_header(),
         }))
     }
 }
 
+plain_copy! {
+    /// How far the body of a request was taken.
+    enum Progress {
+        Complete,
+        LacksBytes,
+        LacksMemory,
+    }
+}
+
 impl Partial {
-    /// Takes as much of the body as there is, and returns whether it is complete.
-    fn decode_body(&mut self, buf: &mut BytesMut, limit: usize) -> Result<bool, Malformed> {
+    /// Takes as much of the body as there is and as there is memory for.
+    fn decode_body(&mut self, buf: &mut BytesMut, limit: usize) -> Result<Progress, Malformed> {
         loop {
+            if !self.make_room(buf.len(), limit) {
+                return Ok(Progress::LacksMemory);
+            }
             match self.coding.decode(buf) {
                 ChunkResult::Ok(part) => {
                     if self.body.len() + part.len() > limit {
@@ -162,12 +217,47 @@
                     self.body.extend_from_slice(&part);
                 }
                 ChunkResult::Trailers(_) => {}
-                ChunkResult::InsufficientData => return Ok(false),
-                ChunkResult::OnEof | ChunkResult::AlreadyEof => return Ok(true),
+                ChunkResult::InsufficientData => return Ok(Progress::LacksBytes),
+                ChunkResult::OnEof | ChunkResult::AlreadyEof => return Ok(Progress::Complete),
                 ChunkResult::Err(_) | ChunkResult::Corrupted => return Err(Malformed::Body),
             }
         }
     }
+
+    /// Makes room for the part of the body that `received` bytes can hold. Returns `false` if the
+    /// memory account has none.
+    fn make_room(&mut self, received: usize, limit: usize) -> bool {
+        let (needed, max) = match self.coding {
+            TransferCoding::Eof => return true,
+            TransferCoding::Length(rest) => {
+                let rest = usize::try_from(rest).unwrap_or(usize::MAX);
+                (rest.min(received), self.body.len().saturating_add(rest))
+            }
+            // A body over the limit is refused before its bytes are stored.
+            _ => (received.min(limit - self.body.len()), limit),
+        };
+        let needed = self.body.len() + needed;
+        if needed <= self.body.capacity() {
+            return true;
+        }
+        let capacity = self.body.capacity();
+        let grown = capacity + capacity / GROWTH_FRACTION;
+        let grown = grown.max(MIN_BODY_BUFFER_BYTES).clamp(needed, max);
+        self.grow(grown) || self.grow(needed)
+    }
+
+    fn grow(&mut self, capacity: usize) -> bool {
+        let spare = match capacity {
+            ..=SMALL_BODY_BYTES => 0,
+            _ => self.hold.account().limit() / SMALL_FRACTION,
+        };
+        let added = capacity.saturating_sub(self.hold.bytes());
+        if !self.hold.try_grow_sparing(added, spare) {
+            return false;
+        }
+        self.body.reserve_exact(capacity - self.body.len());
+        true
+    }
 }
 
 fn malformed(e: &ProtoError) -> Malformed {
--- a/crates/nutmegwheel-http1/src/lib.rs
+++ b/crates/nutmegwheel-http1/src/lib.rs
@@ -11,6 +11,8 @@
 mod encode;
 mod pipeline;
 
-pub use decode::{Decoder, MAX_HEAD_BYTES, MAX_HEADER_FIELDS, Malformed, Request, Stage};
+pub use decode::{
+    Decoder, MAX_HEAD_BYTES, MAX_HEADER_FIELDS, Malformed, Request, SMALL_BODY_BYTES, Stage,
+};
 pub use encode::{Encoder, Framing};
 pub use pipeline::{Bounds, Next, Pipeline, Sequence};
--- a/crates/nutmegwheel-http1/tests/decode.rs
+++ b/crates/nutmegwheel-http1/tests/decode.rs
@@ -2,6 +2,7 @@
 
 use bytes::BytesMut;
 use nutmegwheel_http1::{Decoder, MAX_HEAD_BYTES, Malformed, Stage};
+use nutmegwheel_memory::Account;
 
 const BODY_LIMIT: usize = 32;
 
@@ -9,7 +10,10 @@
 
 /// Decodes all requests of a text that arrives in pieces of the given size.
 fn decode_in_pieces(text: &[u8], size: usize) -> Result<Vec<Decoded>, Malformed> {
-    let (mut decoder, mut buf) = (Decoder::open(BODY_LIMIT), BytesMut::new());
+    let (mut decoder, mut buf) = (
+        Decoder::open(BODY_LIMIT, Account::unlimited()),
+        BytesMut::new(),
+    );
     let mut requests = Vec::new();
     for piece in text.chunks(size) {
         buf.extend_from_slice(piece);
@@ -141,7 +145,10 @@
 
 #[test]
 fn stage_tells_what_is_being_received() {
-    let (mut decoder, mut buf) = (Decoder::open(BODY_LIMIT), BytesMut::new());
+    let (mut decoder, mut buf) = (
+        Decoder::open(BODY_LIMIT, Account::unlimited()),
+        BytesMut::new(),
+    );
     assert_eq!(decoder.stage(), Stage::Head);
     buf.extend_from_slice(b"POST / HTTP/1.1\r\nexpect: 100-continue\r\ncontent-length: 2\r\n\r\na");
     assert!(decoder.decode(&mut buf).unwrap().is_none());
@@ -151,3 +158,23 @@
     assert!(decoder.decode(&mut buf).unwrap().is_some());
     assert_eq!(decoder.stage(), Stage::Head);
 }
+
+// Load: many bodies at once, most of which never end.
+#[test]
+fn body_takes_memory_as_it_arrives() {
+    let account = Account::open(40);
+    let (mut first, mut buf) = (Decoder::open(BODY_LIMIT, account.clone()), BytesMut::new());
+    buf.extend_from_slice(b"POST / HTTP/1.1\r\ncontent-length: 30\r\n\r\n0123456789");
+    assert!(first.decode(&mut buf).unwrap().is_none());
+    assert_eq!((account.held(), first.held_bytes()), (30, 30));
+    let mut second = Decoder::open(BODY_LIMIT, account.clone());
+    let mut text = BytesMut::from(&b"POST / HTTP/1.1\r\ncontent-length: 32\r\n\r\n"[..]);
+    text.extend_from_slice(&[b'x'; 32]);
+    assert!(second.decode(&mut text).unwrap().is_none() && second.lacks_memory());
+    first.discard();
+    let req = second.decode(&mut text).unwrap().unwrap();
+    assert!(!second.lacks_memory());
+    assert_eq!((req.body.len(), account.held()), (32, 32));
+    drop(req);
+    assert_eq!(account.held(), 0);
+}
--- a/crates/nutmegwheel-memory/src/lib.rs
+++ b/crates/nutmegwheel-memory/src/lib.rs
@@ -8,6 +8,13 @@
     atomic::{AtomicUsize, Ordering},
 };
 
+/// The fraction of the memory of a process that it may hold for callers and other processes. The
+/// rest is for code, state and what the allocator and the kernel hold beside the bytes.
+const PEERS_FRACTION: usize = 2;
+/// The fraction that it may hold for the platform, operators and the backend server, so that
+/// readiness and configuration do not depend on what callers send.
+const CONTROL_FRACTION: usize = 8;
+
 /// The bytes that all parts of a process may hold together. Clones share one account.
 #[derive(Clone, Debug)]
 pub struct Account {
@@ -45,6 +52,20 @@
         Self::open(usize::MAX)
     }
 
+    /// Opens the account for callers and other processes in a process with this much memory, in
+    /// bytes. Without a bound, the account refuses nothing.
+    #[must_use]
+    pub fn for_peers(max_memory: Option<usize>) -> Self {
+        max_memory.map_or_else(Self::unlimited, |max| Self::open(max / PEERS_FRACTION))
+    }
+
+    /// Opens the account for the platform, operators and the backend server, as
+    /// [`Self::for_peers`] does for the others.
+    #[must_use]
+    pub fn for_control(max_memory: Option<usize>) -> Self {
+        max_memory.map_or_else(Self::unlimited, |max| Self::open(max / CONTROL_FRACTION))
+    }
+
     /// Opens a hold of no bytes.
     #[must_use]
     pub fn hold(&self) -> Hold {
@@ -78,7 +99,14 @@
     /// limit.
     #[must_use]
     pub fn try_grow(&mut self, bytes: usize) -> bool {
-        let limit = self.account.limit();
+        self.try_grow_sparing(bytes, 0)
+    }
+
+    /// Takes further bytes from the account as [`Hold::try_grow`] does, and leaves `spare` bytes to
+    /// others.
+    #[must_use]
+    pub fn try_grow_sparing(&mut self, bytes: usize, spare: usize) -> bool {
+        let limit = self.account.limit().saturating_sub(spare);
         let grown = |held: usize| held.checked_add(bytes).filter(|held| *held <= limit);
         let held = &self.account.inner.held;
         // No other memory depends on the count.
@@ -97,6 +125,12 @@
         held.fetch_sub(bytes, Ordering::Relaxed);
     }
 
+    /// The account from which the bytes are taken.
+    #[must_use]
+    pub fn account(&self) -> &Account {
+        &self.account
+    }
+
     /// The bytes that are held.
     #[must_use]
     pub fn bytes(&self) -> usize {
--- a/crates/nutmegwheel-node/src/host_ingress.rs
+++ b/crates/nutmegwheel-node/src/host_ingress.rs
@@ -36,6 +36,10 @@
 }
 
 impl Handler for HostIngress {
+    fn count_refusal(&self, reason: &'static str) {
+        self.shared.metrics.count_incomplete(reason);
+    }
+
     fn handle(&self, req: Request) -> HandlerFuture {
         let (shared, dialect) = (self.shared.clone(), self.dialect.clone());
         Box::pin(async move {
--- a/crates/nutmegwheel-node/src/ingress.rs
+++ b/crates/nutmegwheel-node/src/ingress.rs
@@ -26,6 +26,10 @@
 }
 
 impl Handler for Ingress {
+    fn count_refusal(&self, reason: &'static str) {
+        self.shared.metrics.count_incomplete(reason);
+    }
+
     fn handle(&self, req: Request) -> HandlerFuture {
         let shared = self.shared.clone();
         Box::pin(async move {
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -24,6 +24,7 @@
 mod heartbeat_handler;
 mod host_ingress;
 mod ingress;
+mod listeners;
 mod members;
 mod metrics;
 mod node;
--- a/crates/nutmegwheel-node/src/metrics.rs
+++ b/crates/nutmegwheel-node/src/metrics.rs
@@ -11,7 +11,11 @@
     registry::Registry,
 };
 
-use crate::{call::Answer, refusal::Refusal, shared::Shared};
+use crate::{
+    call::Answer,
+    refusal::{Outcome, Refusal},
+    shared::Shared,
+};
 
 /// The upper bounds of the buckets of `request_seconds`, in seconds.
 const TIME_BUCKETS: [f64; 12] = [
@@ -37,6 +41,7 @@
     limit: Gauge,
     version: Gauge,
     members: Gauge,
+    memory_held: Gauge,
 }
 
 impl Metrics {
@@ -53,6 +58,7 @@
             limit: Gauge::default(),
             version: Gauge::default(),
             members: Gauge::default(),
+            memory_held: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -80,6 +86,8 @@
         registry.register("configuration_version", version, self.version.clone());
         let members = "Processes that this one knows to be alive";
         registry.register("members", members, self.members.clone());
+        let held = "Bytes that are held for callers and other processes";
+        registry.register("memory_held_bytes", held, self.memory_held.clone());
     }
 }
 
@@ -101,6 +109,13 @@
         }
     }
 
+    /// Records a request that a listener refused before it had arrived completely.
+    pub(crate) fn count_incomplete(&self, reason: &'static str) {
+        let outcome = Outcome::NotRun.word();
+        let labels = RefusalLabels { reason, outcome };
+        self.refused.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn count_retry(&self) {
         self.retries.inc();
     }
@@ -115,6 +130,7 @@
         let version = i64::try_from(shared.views.version());
         self.version.set(version.unwrap_or(i64::MAX));
         self.members.set(to_i64(shared.live_members()));
+        self.memory_held.set(to_i64(shared.account.held()));
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         let mut text = String::new();
         // Writing to a string cannot fail.
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -1,5 +1,4 @@
 use std::{
-    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -11,31 +10,19 @@
 use nutmegwheel_spread::TICK;
 use nutmegwheel_supervisor::Supervisor;
 use nutmegwheel_types::Incarnation;
-use nutmegwheel_web::{Handler, Server};
+use nutmegwheel_web::Server;
 
 use crate::{
     allotment_limiter::AllotmentLimiter,
-    backend_handler::BackendHandler,
     departures,
     dialect::Dialect,
-    failure_rate,
-    heartbeat_handler::HeartbeatHandler,
-    host_ingress::HostIngress,
-    ingress::Ingress,
-    members,
-    platform::PlatformHandler,
+    failure_rate, listeners, members,
     serve::NodeService,
     server_limit,
     shared::{LEAVE_PROPAGATION_TIME, Shared},
     token_limiter::TokenLimiter,
 };
 
-/// The maximum size of a request body, in bytes.
-const MAX_BODY_BYTES: usize = 1024 * 1024;
-/// The maximum size of a request body in a platform's dialect, in bytes. Links carry no larger one.
-const MAX_DIALECT_BODY_BYTES: usize = 4 * 1024 * 1024;
-/// The time limit for reading a complete request.
-const REQUEST_READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// The interval at which the backend server's announcement is checked for expiry.
 const ANNOUNCEMENT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// The interval between the recovery steps of a restarted seed.
@@ -47,9 +34,6 @@
 /// The fraction of `stop_timeout` within which a shutdown drains the requests in flight and closes
 /// the connections. The rest is reserved for stopping the tasks.
 const DRAIN_FRACTION: f64 = 0.9;
-/// The percentage of the descriptors that connections of callers may take. The rest is left for
-/// links, the backend server and files.
-const CALLERS_DESCRIPTOR_PERCENT: usize = 75;
 /// The interval at which a shutdown checks whether requests are still in flight.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -78,7 +62,7 @@
     shared.connect(endpoint);
     let tree = Supervisor::open(journal);
     spawn_tasks(&tree, &shared);
-    let servers = bind_listeners(&shared)?;
+    let servers = listeners::bind(&shared)?;
     let listen = &shared.settings.listen;
     shared.journal.emit(
         Event::ProcessStarted,
@@ -109,57 +93,6 @@
     bound.context("open listen.link")
 }
 
-fn bind_listeners(shared: &Arc<Shared>) -> anyhow::Result<Vec<Server>> {
-    let listen = &shared.settings.listen;
-    let mut servers = Vec::new();
-    let max_descriptors = shared.settings.max_descriptors;
-    let max_callers = max_descriptors.map(|n| n * CALLERS_DESCRIPTOR_PERCENT / 100);
-    let mut bind = |name,
-                    address: Option<SocketAddr>,
-                    max_connections: Option<usize>,
-                    handler: Box<dyn Handler>| {
-        let address = address.context(name)?;
-        let opts = nutmegwheel_web::Options {
-            address,
-            body_limit: match shared.dialect {
-                Some(_) => MAX_DIALECT_BODY_BYTES,
-                None => MAX_BODY_BYTES,
-            },
-            read_timeout: REQUEST_READ_TIMEOUT,
-            max_connections,
-        };
-        servers.push(nutmegwheel_web::bind(opts, shared.journal.clone(), handler).context(name)?);
-        anyhow::Ok(())
-    };
-    let shared = || shared.clone();
-    let (backend, callers): (Box<dyn Handler>, Box<dyn Handler>) = match shared().dialect.clone() {
-        Some(dialect) => (
-            Box::new(HeartbeatHandler {
-                shared: shared(),
-                dialect: dialect.clone(),
-            }),
-            Box::new(HostIngress {
-                shared: shared(),
-                dialect,
-            }),
-        ),
-        None => (
-            Box::new(BackendHandler { shared: shared() }),
-            Box::new(Ingress { shared: shared() }),
-        ),
-    };
-    bind("open listen.backend", listen.backend, None, backend)?;
-    bind("open listen.callers", listen.callers, max_callers, callers)?;
-    // The last one, since the platform sends callers to a node that answers there.
-    bind(
-        "open listen.platform",
-        Some(listen.platform),
-        None,
-        Box::new(PlatformHandler { shared: shared() }),
-    )?;
-    Ok(servers)
-}
-
 fn spawn_tasks(tree: &Supervisor, shared: &Arc<Shared>) {
     let cx = shared.clone();
     tree.spawn_interval("gossip", TICK, move || {
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -11,6 +11,7 @@
 use nutmegwheel_events::{Journal, Timestamp};
 use nutmegwheel_limits::{messages::IngressId, server_limit::ServerLimit};
 use nutmegwheel_link::Endpoint;
+use nutmegwheel_memory::Account;
 use nutmegwheel_policy::{
     dependencies::Dependencies,
     failure_rate::{self, FailureRate},
@@ -78,6 +79,8 @@
     pub(crate) retry_ratios: Mutex<RetryRatios>,
     dependencies: Mutex<Dependencies>,
     pub(crate) metrics: Metrics,
+    /// The memory for what callers and other processes send.
+    pub(crate) account: Account,
     state_watcher: StateWatcher,
     in_flight: AtomicUsize,
     pub(crate) seeds: Arc<SeedLists>,
@@ -103,6 +106,7 @@
         dialect: Option<Arc<dyn dialect::Dialect>>,
     ) -> Self {
         let now = Instant::now();
+        let account = Account::for_peers(settings.max_memory);
         let contacts = settings.contacts.as_ref();
         let is_first_start = contacts.is_some_and(|contacts| contacts.bootstrap);
         Self {
@@ -154,6 +158,7 @@
             server_limit: Mutex::default(),
             running: Running::default(),
             metrics: Metrics::open(),
+            account,
             state_watcher: StateWatcher::default(),
             in_flight: AtomicUsize::new(0),
             endpoint: OnceLock::new(),
--- a/crates/nutmegwheel-web/src/connection.rs
+++ b/crates/nutmegwheel-web/src/connection.rs
@@ -6,15 +6,18 @@
 use futures_util::stream::{FuturesUnordered, StreamExt as _};
 use nutmegwheel_events::{Event, Journal};
 use nutmegwheel_http1::{Bounds, Decoder, Encoder, Framing, Pipeline, Sequence, Stage};
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
 
+mod closing;
+mod memory;
+
 use crate::{
     Handler, Problem, Request,
-    connections::Socket,
+    connections::{Connections, Entry, Socket},
     in_progress::{Answer, InProgress},
     output::Output,
-    timing::{Expired, Timing},
+    timing::Timing,
 };
 
 /// What may be in progress on one connection.
@@ -42,7 +45,8 @@
 
 /// Serves a connection until it is closed. The handlers of its requests are dropped when the caller
 /// leaves.
-pub(crate) async fn serve(service: &Service, socket: &Socket, stopping: &CancellationToken) {
+pub(crate) async fn serve(service: &Service, entry: &Entry, stopping: &CancellationToken) {
+    let (socket, connections) = (&*entry.socket, &entry.connections);
     let Ok(peer) = socket.stream.peer_addr() else {
         // The peer has reset the connection before any request of it was read.
         return;
@@ -50,8 +54,9 @@
     let mut connection = Connection {
         service,
         socket,
+        connections,
         peer,
-        decoder: Decoder::open(service.body_limit),
+        decoder: Decoder::open(service.body_limit, connections.account.clone()),
         encoder: Encoder::default(),
         received: BytesMut::new(),
         waiting: None,
@@ -69,6 +74,7 @@
 struct Connection<'a> {
     service: &'a Service,
     socket: &'a Socket,
+    connections: &'a Connections,
     peer: SocketAddr,
     decoder: Decoder,
     encoder: Encoder,
@@ -107,6 +113,7 @@
                 Some((sequence, answer)) = self.running.next(), if !self.running.is_empty() => {
                     self.complete(sequence, answer);
                 }
+                () = self.socket.evicted() => self.give_way()?,
                 ready = stream.readable(), if self.may_read() => {
                     ready.map_err(|_| Departed)?;
                     self.read()?;
@@ -176,6 +183,7 @@
             sequence,
             framing,
             future,
+            _hold: req.hold,
         });
     }
 
@@ -185,6 +193,13 @@
             Event::RequestMalformed,
             &[("caller", &self.peer), ("detail", &problem.detail)],
         );
+        self.end_with(problem);
+    }
+
+    /// Drops what has arrived of the next request and answers it with a refusal, the last response
+    /// of the connection.
+    fn end_with(&mut self, problem: Problem) {
+        self.service.handler.count_refusal(problem.reason);
         let framing = Framing {
             is_head: false,
             is_http10: false,
@@ -193,6 +208,8 @@
         let sequence = self.pipeline.begin(false, 0);
         self.complete(sequence, Answer { res, framing });
         self.pipeline.close();
+        self.decoder.discard();
+        self.received = BytesMut::new();
     }
 
     fn complete(&mut self, sequence: Sequence, answer: Answer) {
@@ -231,7 +248,8 @@
     }
 
     fn may_read(&self) -> bool {
-        self.pipeline.is_closing() || self.received.len() < READ_AHEAD_BYTES
+        let has_room = self.received.len() < READ_AHEAD_BYTES && !self.decoder.lacks_memory();
+        self.pipeline.is_closing() || has_room
     }
 
     /// Reads what has arrived. Once the connection is closing, this only finds out whether the
@@ -241,7 +259,7 @@
             self.received.reserve(READ_BYTES);
             match self.socket.stream.try_read_buf(&mut self.received) {
                 Ok(0) => return Err(Departed),
-                Ok(_) => {}
+                Ok(bytes) => self.record_received(bytes),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(_) => return Err(Departed),
             }
@@ -252,19 +270,6 @@
         Ok(())
     }
 
-    /// Begins the requests that have arrived, and none after them.
-    async fn stop(&mut self) -> Result<(), Departed> {
-        if self.socket.has_unread() {
-            // The runtime reads only from a socket that it knows to be readable.
-            let ready = self.socket.stream.readable().await;
-            ready.map_err(|_| Departed)?;
-            self.read()?;
-        }
-        self.begin_requests();
-        self.pipeline.close();
-        Ok(())
-    }
-
     fn update_times(&mut self, now: Instant) {
         let stage = self.decoder.stage();
         let is_receiving = self.waiting.is_none()
@@ -276,53 +281,13 @@
             .update(now, is_receiving.then_some(stage), is_busy);
         self.socket
             .set_idle_since(idle_since.map(Instant::into_std));
-    }
-
-    fn deadline(&self) -> Instant {
-        self.timing.deadline(!self.output.is_empty())
-    }
-
-    fn expire(&mut self, now: Instant) -> Result<(), Departed> {
-        match self.timing.expired(now, !self.output.is_empty()) {
-            Some(Expired::Writing) => return Err(Departed),
-            Some(Expired::Receiving(Stage::Body)) => {
-                self.refuse(Problem::bad_request("the body did not arrive in time"));
-            }
-            Some(Expired::Receiving(Stage::Head) | Expired::Idle) => self.pipeline.close(),
-            None => {}
+        if self.connections.account.is_limited() {
+            self.update_reception(now, is_receiving);
         }
-        Ok(())
-    }
-
-    /// Ends the connection after its last response.
-    async fn linger(&mut self) {
-        self.socket.shutdown_write();
-        let stream = &self.socket.stream;
-        let peer_closed = async {
-            while stream.readable().await.is_ok() {
-                self.received.clear();
-                self.received.reserve(READ_BYTES);
-                match stream.try_read_buf(&mut self.received) {
-                    Ok(0) => break,
-                    Ok(_) => {}
-                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                    Err(_) => break,
-                }
-            }
-        };
-        // A caller that neither closes its side nor stops sending is reset.
-        let _ = timeout_at(self.timing.linger_deadline(), peer_closed).await;
     }
 
-    /// Records a request that was complete when its caller left, but not begun.
-    fn report_abandoned(&mut self) {
-        let waiting = self.waiting.take();
-        let next = waiting.or_else(|| self.decoder.decode(&mut self.received).ok().flatten());
-        if let Some(req) = next {
-            self.service.journal.emit_rate_limited(
-                Event::RequestAbandoned,
-                &[("caller", &self.peer), ("path", &req.head.uri.path())],
-            );
-        }
+    fn deadline(&self) -> Instant {
+        let at = self.timing.deadline(!self.output.is_empty());
+        self.reception_deadline().map_or(at, |other| at.min(other))
     }
 }
--- a/crates/nutmegwheel-web/src/connections.rs
+++ b/crates/nutmegwheel-web/src/connections.rs
@@ -4,18 +4,31 @@
     io,
     mem::MaybeUninit,
     net::Shutdown,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Instant,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
+use nutmegwheel_memory::{Account, Hold};
+use nutmegwheel_policy::senders::{self, Asker, Sender};
 use slotmap::{SlotMap, new_key_type};
 use socket2::SockRef;
-use tokio::net::TcpStream;
+use tokio::{net::TcpStream, sync::Notify};
+
+use crate::reception::Reception;
 
 /// The part of the connections that is closed at a time to make room for new ones. Finding them
 /// looks at all connections.
 const EVICTED_FRACTION: usize = 32;
 
+/// The memory of a connection without a body, in bytes: its task and a read buffer.
+const CONNECTION_BYTES: usize = 8 * 1024;
+/// The interval between choices of the senders that give way, which look at all senders. Those
+/// chosen last have released their memory by then.
+const EVICTION_INTERVAL: Duration = Duration::from_millis(10);
+
 new_key_type! {
     /// The key of an accepted connection.
     pub(crate) struct ConnectionKey;
@@ -26,6 +39,8 @@
 pub(crate) struct Connections {
     open: Arc<Mutex<SlotMap<ConnectionKey, Arc<Socket>>>>,
     max: usize,
+    pub(crate) account: Account,
+    evicted_at: Arc<Mutex<Option<Instant>>>,
 }
 
 /// An accepted socket, shared by the task that serves it and the list of connections.
@@ -33,13 +48,18 @@
     pub(crate) stream: TcpStream,
     /// Since when the connection has waited for a request; `None` while one is in progress.
     idle_since: Mutex<Option<Instant>>,
+    /// The request that is being received, if the memory account has a limit.
+    reception: Mutex<Option<Reception>>,
+    evicted: Notify,
+    is_displaced: AtomicBool,
+    _hold: Hold,
 }
 
 /// A connection in the list, which is removed from it when dropped.
 pub(crate) struct Entry {
     pub(crate) socket: Arc<Socket>,
     key: ConnectionKey,
-    connections: Connections,
+    pub(crate) connections: Connections,
 }
 
 impl Drop for Entry {
@@ -60,6 +80,22 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn reception(&self) -> MutexGuard<'_, Option<Reception>> {
+        self.reception
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether a new connection has taken the place of this one.
+    pub(crate) fn is_displaced(&self) -> bool {
+        self.is_displaced.load(Ordering::Relaxed)
+    }
+
+    /// Waits until the request that is being received has to give way to others.
+    pub(crate) async fn evicted(&self) {
+        self.evicted.notified().await;
+    }
+
     /// Tells the peer that no further bytes are sent.
     pub(crate) fn shutdown_write(&self) {
         // An error means that the connection is closed already.
@@ -84,24 +120,35 @@
 
 impl Connections {
     /// Opens an empty list for `max` connections, or for as many as the process has descriptors
-    /// for.
-    pub(crate) fn open(max: Option<usize>) -> Self {
+    /// for, which take their memory from `account`.
+    pub(crate) fn open(max: Option<usize>, account: Account) -> Self {
         Self {
             open: Arc::default(),
             max: max.unwrap_or(usize::MAX),
+            account,
+            evicted_at: Arc::default(),
         }
     }
 
-    pub(crate) fn add(&self, stream: TcpStream) -> Entry {
+    /// Adds a connection, unless there is no memory for it.
+    pub(crate) fn add(&self, stream: TcpStream) -> Option<Entry> {
+        let mut hold = self.account.hold();
+        if !hold.try_grow(CONNECTION_BYTES) {
+            return None;
+        }
         let socket = Arc::new(Socket {
             stream,
             idle_since: Mutex::new(Some(Instant::now())),
+            reception: Mutex::default(),
+            evicted: Notify::new(),
+            is_displaced: AtomicBool::new(false),
+            _hold: hold,
         });
-        Entry {
+        Some(Entry {
             key: self.lock().insert(socket.clone()),
             socket,
             connections: self.clone(),
-        }
+        })
     }
 
     pub(crate) fn len(&self) -> usize {
@@ -113,8 +160,55 @@
     }
 
     /// Makes room for new connections by closing some that wait for a request, the longest waiting
-    /// first. Returns their number.
+    /// first, or else some whose request does not arrive. Returns their number.
     pub(crate) fn make_room(&self) -> usize {
+        let closed = self.close_idle();
+        if closed > 0 {
+            return closed;
+        }
+        let keys = self.choose_senders(Asker::default(), Instant::now());
+        let mut open = self.lock();
+        let removed = keys.iter().filter_map(|key| open.remove(*key));
+        let closed = removed.map(|socket| {
+            socket.is_displaced.store(true, Ordering::Relaxed);
+            socket.evicted.notify_one();
+        });
+        closed.count()
+    }
+
+    /// Lets senders give way to one that needs memory. Returns their number.
+    pub(crate) fn evict_senders(&self, asker: Asker, now: Instant) -> usize {
+        let mut evicted_at = self
+            .evicted_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if evicted_at.is_some_and(|at| now < at + EVICTION_INTERVAL) {
+            return 0;
+        }
+        let keys = self.choose_senders(asker, now);
+        *evicted_at = Some(now);
+        let open = self.lock();
+        let sockets = keys.iter().filter_map(|key| open.get(*key));
+        let evicted = sockets.map(|socket| {
+            // It is not chosen again before its task runs.
+            socket.reception().take();
+            socket.evicted.notify_one();
+        });
+        evicted.count()
+    }
+
+    fn choose_senders(&self, asker: Asker, now: Instant) -> Vec<ConnectionKey> {
+        let open = self.lock();
+        let sender = |(key, socket): (ConnectionKey, &Arc<Socket>)| {
+            let reception = socket.reception();
+            reception.as_ref().map(|known| known.sender(key, now))
+        };
+        let senders: Vec<Sender<ConnectionKey>> = open.iter().filter_map(sender).collect();
+        drop(open);
+        senders::choose(asker, &senders)
+    }
+
+    fn close_idle(&self) -> usize {
         let mut open = self.lock();
         let wanted = open.len().div_ceil(EVICTED_FRACTION);
         let mut idle: Vec<(Instant, ConnectionKey)> = open
--- a/crates/nutmegwheel-web/src/in_progress.rs
+++ b/crates/nutmegwheel-web/src/in_progress.rs
@@ -8,6 +8,7 @@
 
 use http::header;
 use nutmegwheel_http1::{Framing, Sequence};
+use nutmegwheel_memory::Hold;
 
 use crate::{HandlerFuture, Response};
 
@@ -16,6 +17,8 @@
     pub(crate) sequence: Sequence,
     pub(crate) framing: Framing,
     pub(crate) future: HandlerFuture,
+    /// The memory of the body, which is held until the response is there.
+    pub(crate) _hold: Hold,
 }
 
 /// The response to a request, and how it is to be written.
--- a/crates/nutmegwheel-web/src/lib.rs
+++ b/crates/nutmegwheel-web/src/lib.rs
@@ -13,6 +13,7 @@
 mod operator;
 mod output;
 mod problem;
+mod reception;
 mod server;
 mod timing;
 
--- a/crates/nutmegwheel-web/src/listener.rs
+++ b/crates/nutmegwheel-web/src/listener.rs
@@ -15,6 +15,10 @@
 /// The delay before connections are accepted again after the process ran out of descriptors.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
+/// The size of the kernel's receive buffer of a connection, in bytes, if memory is limited: the
+/// window that TCP offers before it adapts.
+const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+
 pub(crate) struct Listener {
     pub(crate) socket: TcpListener,
     pub(crate) connections: Connections,
@@ -58,10 +62,18 @@
             self.report(Event::ConnectionRefused, ("error", &e));
             return;
         }
-        let entry = self.connections.add(stream);
+        if self.connections.account.is_limited() {
+            bound_receive_buffer(&stream);
+        }
+        let Some(entry) = self.connections.add(stream) else {
+            self.make_room();
+            let error = "the memory for connections is used up";
+            self.report(Event::ConnectionRefused, ("error", &error));
+            return;
+        };
         let (service, stopping) = (self.service.clone(), self.stopping.clone());
         tasks.spawn(async move {
-            connection::serve(&service, &entry.socket, &stopping).await;
+            connection::serve(&service, &entry, &stopping).await;
         });
     }
 
@@ -122,3 +134,10 @@
             | io::ErrorKind::Interrupted
     )
 }
+
+/// Bounds the bytes that wait unread while the process has no memory for them.
+fn bound_receive_buffer(stream: &TcpStream) {
+    if let Err(e) = SockRef::from(stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+        log::debug!("the receive buffer of a connection keeps its size: {e}");
+    }
+}
--- a/crates/nutmegwheel-web/src/problem.rs
+++ b/crates/nutmegwheel-web/src/problem.rs
@@ -8,6 +8,9 @@
 
 use crate::Response;
 
+/// The retry delay for callers whose request gave way: another node probably has room at once.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 plain! {
     /// A refusal as a problem document (RFC 9457); see docs/INTERFACES.md, "Refusals".
     pub struct Problem {
@@ -78,6 +81,25 @@
             .with_close()
     }
 
+    /// Builds a refusal with status 503 for a request that gave way to others before it had arrived
+    /// completely.
+    #[must_use]
+    pub fn out_of_memory() -> Self {
+        let detail = "the memory for incomplete requests is used up";
+        let mut problem = Self::new(StatusCode::SERVICE_UNAVAILABLE, "out-of-memory", detail);
+        problem.retry_after = Some(MEMORY_RETRY_AFTER);
+        problem.not_run().with_close()
+    }
+
+    /// Builds a refusal with status 408 for a request whose bytes arrive too slowly.
+    #[must_use]
+    pub fn too_slow() -> Self {
+        let detail = "the body does not arrive fast enough";
+        Self::new(StatusCode::REQUEST_TIMEOUT, "body-too-slow", detail)
+            .not_run()
+            .with_close()
+    }
+
     /// Builds a refusal with status 431 for a request head that exceeds a limit.
     pub fn head_too_large(detail: impl Into<Box<str>>) -> Self {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
--- a/crates/nutmegwheel-web/src/server.rs
+++ b/crates/nutmegwheel-web/src/server.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use http::request::Parts;
 use nutmegwheel_events::Journal;
+use nutmegwheel_memory::Account;
 use tokio_util::sync::CancellationToken;
 
 use crate::{connection::Service, connections::Connections, listener::Listener};
@@ -42,6 +43,9 @@
     /// requests in progress on it are answered.
     fn handle(&self, req: Request) -> HandlerFuture;
 
+    /// Counts a refusal by the listener of what was no complete request.
+    fn count_refusal(&self, _reason: &'static str) {}
+
     /// Whether the request may be in progress together with others of its connection.
     fn may_overlap(&self, head: &Parts) -> bool {
         head.method.is_safe()
@@ -49,7 +53,7 @@
 }
 
 /// The options of a listener.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Options {
     /// The address to listen on; port 0 selects a free port.
     pub address: SocketAddr,
@@ -61,6 +65,9 @@
     /// waited longest for a request, and is closed if all are in use. `None` allows as many as the
     /// process has descriptors for.
     pub max_connections: Option<usize>,
+    /// The account from which connections and incomplete requests take their memory. If it is used
+    /// up, callers that send slowly or much give way; see docs/INTERFACES.md, "Memory".
+    pub account: Account,
 }
 
 /// A handle of a running listener. The listener runs until [`Server::stop`], even if the handle is
@@ -110,7 +117,7 @@
         let served = runtime.block_on(async {
             let listener = Listener {
                 socket: tokio::net::TcpListener::from_std(listener)?,
-                connections: Connections::open(opts.max_connections),
+                connections: Connections::open(opts.max_connections, opts.account),
                 service: Arc::new(Service {
                     handler,
                     journal: journal.clone(),
--- a/crates/nutmegwheel-web/tests/common/mod.rs
+++ b/crates/nutmegwheel-web/tests/common/mod.rs
@@ -9,6 +9,7 @@
 };
 
 use nutmegwheel_events::{Clock, Journal, SystemTime};
+use nutmegwheel_memory::Account;
 use nutmegwheel_web::{Handler, HandlerFuture, Options, Request, Response, Server};
 use tokio::sync::Semaphore;
 
@@ -117,6 +118,15 @@
 }
 
 pub(crate) fn bind_with(max_connections: Option<usize>, recorder: Recorder) -> (Server, Recorder) {
+    bind(max_connections, 1024, Account::unlimited(), recorder)
+}
+
+pub(crate) fn bind(
+    max_connections: Option<usize>,
+    body_limit: usize,
+    account: Account,
+    recorder: Recorder,
+) -> (Server, Recorder) {
     let opts = nutmegwheel_events::Options {
         process: "web".into(),
         capacity: 64,
@@ -124,9 +134,10 @@
     let journal = Arc::new(Journal::open(opts, Clock::open(SystemTime)));
     let opts = Options {
         address: SocketAddr::from(([127, 0, 0, 1], 0)),
-        body_limit: 1024,
+        body_limit,
         read_timeout: LIMIT,
         max_connections,
+        account,
     };
     let server = nutmegwheel_web::bind(opts, journal, Box::new(recorder.clone())).unwrap();
     (server, recorder)
--- a/crates/nutmegwheel/tests/uncontrolled_callers.rs
+++ b/crates/nutmegwheel/tests/uncontrolled_callers.rs
@@ -83,7 +83,7 @@
         request_line: &'static str,
     ) -> Self {
         let alone = ALONE.lock().await;
-        let common = json!({"max_descriptors": DESCRIPTORS});
+        let common = json!({"max_descriptors": DESCRIPTORS, "max_memory_mb": MEMORY_KB / 1000});
         let fleet = Fleet::serving_with(PROGRAM, SERVERS, common).await;
         let vm = choose(&fleet);
         Self {
