feat(web): count the bytes that the kernel may hold for incomplete bodies

Cause: bytes that have arrived but are not read count toward the memory of a VM, and connections that are not read for lack of memory let them grow outside the account. Change: an incomplete body takes the size of its connection's receive buffer from the account. The field of the account is called memory, as in the other parts.

--- a/crates/nutmegwheel-node/src/listeners.rs
+++ b/crates/nutmegwheel-node/src/listeners.rs
@@ -74,7 +74,7 @@
             Box::new(Ingress { shared: shared() }),
         ),
     };
-    let peers = &shared().account;
+    let peers = &shared().memory;
     let (max_backend, account) = match shared().dialect {
         Some(_) => (max_control, &control),
         // The backend server makes its downstream calls there.
--- a/crates/nutmegwheel-node/src/metrics.rs
+++ b/crates/nutmegwheel-node/src/metrics.rs
@@ -130,7 +130,7 @@
         let version = i64::try_from(shared.views.version());
         self.version.set(version.unwrap_or(i64::MAX));
         self.members.set(to_i64(shared.live_members()));
-        self.memory_held.set(to_i64(shared.account.held()));
+        self.memory_held.set(to_i64(shared.memory.held()));
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         let mut text = String::new();
         // Writing to a string cannot fail.
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -80,7 +80,7 @@
     dependencies: Mutex<Dependencies>,
     pub(crate) metrics: Metrics,
     /// The memory for what callers and other processes send.
-    pub(crate) account: Account,
+    pub(crate) memory: Account,
     state_watcher: StateWatcher,
     in_flight: AtomicUsize,
     pub(crate) seeds: Arc<SeedLists>,
@@ -106,7 +106,7 @@
         dialect: Option<Arc<dyn dialect::Dialect>>,
     ) -> Self {
         let now = Instant::now();
-        let account = Account::for_peers(settings.max_memory);
+        let memory = Account::for_peers(settings.max_memory);
         let contacts = settings.contacts.as_ref();
         let is_first_start = contacts.is_some_and(|contacts| contacts.bootstrap);
         Self {
@@ -158,7 +158,7 @@
             server_limit: Mutex::default(),
             running: Running::default(),
             metrics: Metrics::open(),
-            account,
+            memory,
             state_watcher: StateWatcher::default(),
             in_flight: AtomicUsize::new(0),
             endpoint: OnceLock::new(),
--- a/crates/nutmegwheel-web/src/connection.rs
+++ b/crates/nutmegwheel-web/src/connection.rs
@@ -6,6 +6,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt as _};
 use nutmegwheel_events::{Event, Journal};
 use nutmegwheel_http1::{Bounds, Decoder, Encoder, Framing, Pipeline, Sequence, Stage};
+use nutmegwheel_memory::Hold;
 use tokio::time::{Instant, sleep_until};
 use tokio_util::sync::CancellationToken;
 
@@ -64,6 +65,7 @@
         running: FuturesUnordered::new(),
         output: Output::default(),
         timing: Timing::open(Instant::now(), service.read_timeout),
+        unread: connections.account.hold(),
     };
     match connection.run(stopping).await {
         Ok(()) => connection.linger().await,
@@ -86,6 +88,8 @@
     running: FuturesUnordered<InProgress>,
     output: Output,
     timing: Timing,
+    /// The memory for the bytes of an incomplete body that wait in the kernel.
+    unread: Hold,
 }
 
 impl Connection<'_> {
--- a/crates/nutmegwheel-web/src/connection/memory.rs
+++ b/crates/nutmegwheel-web/src/connection/memory.rs
@@ -8,11 +8,15 @@
 use tokio::time::Instant;
 
 use super::{Connection, Departed};
-use crate::{Problem, reception::Reception};
+use crate::{Problem, listener::RECEIVE_BUFFER_BYTES, reception::Reception};
 
 /// The interval at which a connection whose bytes are not read asks for memory again.
 const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// The bytes that the kernel holds for a connection at most, which is twice the size that is asked
+/// for; see socket(7).
+const UNREAD_BYTES: usize = 2 * RECEIVE_BUFFER_BYTES;
+
 impl Connection<'_> {
     pub(super) fn record_received(&mut self, bytes: usize) {
         if let Some(reception) = &mut *self.socket.reception() {
@@ -26,9 +30,14 @@
         let mut reception = self.socket.reception();
         if !is_receiving || self.pipeline.is_closing() {
             *reception = None;
+            self.unread.shrink(UNREAD_BYTES);
             return;
         }
-        let (now, lacks_memory) = (now.into_std(), self.decoder.lacks_memory());
+        let lacks_memory = self.decoder.lacks_memory();
+        let is_unread_covered = self.decoder.stage() == Stage::Head
+            || self.unread.bytes() > 0
+            || self.unread.try_grow(UNREAD_BYTES);
+        let now = now.into_std();
         let known = reception.get_or_insert_with(|| Reception::open(now));
         known.update(
             now,
@@ -40,7 +49,7 @@
         drop(reception);
         if asker.must_give_way() {
             self.refuse_for_memory();
-        } else if lacks_memory {
+        } else if lacks_memory || !is_unread_covered {
             self.connections.evict_senders(asker, now);
         }
     }
--- a/crates/nutmegwheel-web/src/listener.rs
+++ b/crates/nutmegwheel-web/src/listener.rs
@@ -17,7 +17,7 @@
 
 /// The size of the kernel's receive buffer of a connection, in bytes, if memory is limited: the
 /// window that TCP offers before it adapts.
-const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
+pub(crate) const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 
 pub(crate) struct Listener {
     pub(crate) socket: TcpListener,
