test: callers of a crowd are told apart when their answers are checked

Cause: the connections came back in the order in which their callers ended, while the check took that for their number, so that an answer to a body without an end was judged as one to an announced length: bodies_over_the_limit failed 1 of 10 runs on a 503, which such a body may get. Change: each connection comes with its number; the check is as strict as before.

--- a/crates/nutmegwheel/tests/uncontrolled_callers.rs
+++ b/crates/nutmegwheel/tests/uncontrolled_callers.rs
@@ -96,8 +96,8 @@
     }
 
     /// Lets the crowd send until each caller has sent what it wants or was cut off, checks the
-    /// memory and the descriptors of the process, and returns the connections.
-    async fn send(&self, body_of: impl Fn(usize) -> Body) -> Vec<TcpStream> {
+    /// memory and the descriptors of the process, and returns the connections with their numbers.
+    async fn send(&self, body_of: impl Fn(usize) -> Body) -> Vec<(usize, TcpStream)> {
         let unread = self.watch_unread();
         let mut callers = JoinSet::new();
         for number in 0..CROWD {
@@ -108,7 +108,8 @@
                 self.request_line
             );
             let (at, body) = (self.at, body_of(number));
-            callers.spawn(send_body(at, head, body, number % COMPLETE == 0));
+            let sent = send_body(at, head, body, number % COMPLETE == 0);
+            callers.spawn(async move { (number, sent.await) });
         }
         let streams = timeout(LIMIT, callers.join_all()).await;
         let streams = streams.expect("no caller waits forever");
@@ -241,7 +242,7 @@
     let crowd = Crowd::at_callers().await;
     let body = |number: usize| [Body::Endless, Body::Endless, Body::AnnouncedOverLimit][number % 3];
     let streams = crowd.send(body).await;
-    for (number, mut stream) in streams.into_iter().enumerate() {
+    for (number, mut stream) in streams {
         let mut answer = Vec::new();
         // The connection may be reset behind the answer.
         let read = timeout(LIMIT, stream.read_to_end(&mut answer)).await;
