--- a/crates/nutmegwheel-node/src/metrics.rs
+++ b/crates/nutmegwheel-node/src/metrics.rs
@@ -11,7 +11,12 @@
     registry::Registry,
 };
 
-use crate::{call::Answer, cold_start, refusal::Refusal, shared::Shared};
+use crate::{
+    call::Answer,
+    cold_start,
+    refusal::{Outcome, Refusal},
+    shared::Shared,
+};
 
 /// The upper bounds of the buckets of `request_seconds`, in seconds.
 const TIME_BUCKETS: [f64; 12] = [
@@ -47,6 +52,7 @@
     version: Gauge,
     members: Gauge,
     evacuated: Gauge,
+    memory_held: Gauge,
 }
 
 impl Metrics {
@@ -68,6 +74,7 @@
             version: Gauge::default(),
             members: Gauge::default(),
             evacuated: Gauge::default(),
+            memory_held: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -109,6 +116,8 @@
         registry.register("members", members, self.members.clone());
         let evacuated = "Data centres whose backend servers get no requests";
         registry.register("evacuated_data_centres", evacuated, self.evacuated.clone());
+        let held = "Bytes that are held for callers and other processes";
+        registry.register("memory_held_bytes", held, self.memory_held.clone());
     }
 }
 
@@ -130,6 +139,13 @@
         }
     }
 
+    /// Records a request that a listener refused before it had arrived completely.
+    pub(crate) fn count_incomplete(&self, reason: &'static str) {
+        let outcome = Outcome::NotRun.word();
+        let labels = RefusalLabels { reason, outcome };
+        self.refused.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn count_retry(&self) {
         self.retries.inc();
     }
@@ -159,6 +175,7 @@
         let evacuated = shared.evacuations.in_force().len();
         self.evacuated.set(to_i64(evacuated));
         self.members.set(to_i64(shared.live_members()));
+        self.memory_held.set(to_i64(shared.memory.held()));
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         let mut text = String::new();
         // Writing to a string cannot fail.
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -11,6 +11,7 @@
 use nutmegwheel_events::{Journal, Timestamp};
 use nutmegwheel_limits::{messages::IngressId, server_limit::ServerLimit};
 use nutmegwheel_link::Endpoint;
+use nutmegwheel_memory::Account;
 use nutmegwheel_policy::{
     dependencies::Dependencies,
     failure_rate::{self, FailureRate},
@@ -84,6 +85,8 @@
     pub(crate) retry_ratios: Mutex<RetryRatios>,
     dependencies: Mutex<Dependencies>,
     pub(crate) metrics: Metrics,
+    /// The memory for what callers and other processes send.
+    pub(crate) memory: Account,
     state_watcher: StateWatcher,
     in_flight: AtomicUsize,
     pub(crate) seeds: Arc<SeedLists>,
@@ -109,6 +112,7 @@
         dialect: Option<Arc<dyn dialect::Dialect>>,
     ) -> Self {
         let now = Instant::now();
+        let memory = Account::for_peers(settings.max_memory);
         let contacts = settings.contacts.as_ref();
         let is_first_start = contacts.is_some_and(|contacts| contacts.bootstrap);
         Self {
@@ -163,6 +167,7 @@
             cold_start: cold_start::State::default(),
             running: Running::default(),
             metrics: Metrics::open(),
+            memory,
             state_watcher: StateWatcher::default(),
             in_flight: AtomicUsize::new(0),
             endpoint: OnceLock::new(),
--- a/crates/nutmegwheel-policy/src/lib.rs
+++ b/crates/nutmegwheel-policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod registration;
 pub mod retry;
 pub mod routing;
+pub mod senders;
 pub mod shed;
 pub mod split;
 pub mod work;
