feat(node): bodies of the size that the configuration allows

Cause: max_body_bytes of the platform's limits was read by nobody. Listeners refused bodies above 4 MiB and links above 4 MiB and 64 KiB, and the hash of a large body held up the thread of the links for longer than the second after which a peer counts as silent. Change: request_limits in the configuration (canonical form unchanged where absent), read from the platform's limits. The callers' listener follows the view in force; links take a message above their buffer while others take at most half of it; the fingerprint of a body above 4 MiB covers its length and both ends. The test read one line too many of an answer and waited for the end of an idle connection.

--- a/crates/nutmegwheel-config/src/configuration.rs
+++ b/crates/nutmegwheel-config/src/configuration.rs
@@ -9,10 +9,11 @@
 use serde::Serialize;
 
 use crate::{
-    CheckError, ColdStart, HostRoute,
+    CheckError, ColdStart, HostRoute, RequestLimits,
     change::read_hash,
     cold_start, hosts,
     reader::{self, Field, Table},
+    request_limits,
 };
 
 /// The endpoint name that matches every endpoint without an entry of its own.
@@ -60,6 +61,9 @@
     pub retries_per_request: u32,
     /// What a data centre does while it is partitioned from the control VMs.
     pub when_cut_off: WhenCutOff,
+    /// The limits of callers' requests; without them, each listener has its default.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub request_limits: Option<RequestLimits>,
 }
 
 /// A class of work and its latency target.
@@ -191,6 +195,10 @@
         Some(field) => read_when_cut_off(&field)?,
         None => WhenCutOff::default(),
     };
+    let request_limits = match table.take("request_limits") {
+        Some(field) => Some(request_limits::read(&field)?),
+        None => None,
+    };
     table.finish()?;
     Ok(Configuration {
         classes,
@@ -200,6 +208,7 @@
         workspaces,
         retries_per_request,
         when_cut_off,
+        request_limits,
     })
 }
 
--- a/crates/nutmegwheel-config/src/lib.rs
+++ b/crates/nutmegwheel-config/src/lib.rs
@@ -12,6 +12,7 @@
 mod error;
 mod hosts;
 mod reader;
+mod request_limits;
 mod settings;
 mod view;
 
@@ -22,6 +23,7 @@
 pub use error::CheckError;
 pub use hosts::{HostRoute, HostRoutes, WeightedService};
 pub use reader::{is_name, name_rule};
+pub use request_limits::RequestLimits;
 pub use settings::{
     BackendServer, Concurrency, Contacts, Dialect, Listen, RetryBudget, Role, Routing, Seed,
     Settings,
--- a/crates/nutmegwheel-config/tests/configuration.rs
+++ b/crates/nutmegwheel-config/tests/configuration.rs
@@ -125,3 +125,21 @@
     view.advance(delta);
     assert_eq!(view, next);
 }
+
+#[test]
+fn request_limits_are_optional() {
+    let parse = |limits: &str| {
+        let text = format!(r#"{{"classes":{{}},"services":{{}},"workspaces":{{}}{limits}}}"#);
+        Configuration::parse(&text)
+    };
+    let without = parse("").expect("valid").to_json();
+    assert!(!without.contains("request_limits"), "{without}");
+    let limited = parse(r#","request_limits":{"max_body":67108864}"#).expect("valid");
+    let max_body = limited.request_limits.map(|limits| limits.max_body);
+    assert_eq!(max_body, Some(64 * 1024 * 1024));
+    assert_eq!(Configuration::parse(&limited.to_json()), Ok(limited));
+    for limits in ["{}", "5", r#"{"max_body":0}"#, r#"{"max_body":1073741825}"#] {
+        let error = parse(&format!(r#","request_limits":{limits}"#)).unwrap_err();
+        assert!(error.field.starts_with("request_limits"), "{error:?}");
+    }
+}
--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -211,7 +211,7 @@
 
     let opts = nutmegwheel_web::Options {
         address: settings.listen.platform,
-        body_limit: MAX_REQUEST_BODY_BYTES,
+        body_limit: MAX_REQUEST_BODY_BYTES.into(),
         read_timeout: REQUEST_READ_TIMEOUT,
         max_connections,
         account,
--- a/crates/nutmegwheel-http1/src/decode.rs
+++ b/crates/nutmegwheel-http1/src/decode.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Changes the maximum size of the bodies of requests whose head has not been decoded.
+    pub fn set_body_limit(&mut self, bytes: usize) {
+        self.body_limit = bytes;
+    }
+
     /// Takes the next complete request from `buf`, or `None` if bytes are missing or
     /// [`Self::lacks_memory`].
     ///
--- a/crates/nutmegwheel-link/src/mux/calls.rs
+++ b/crates/nutmegwheel-link/src/mux/calls.rs
@@ -100,7 +100,7 @@
             return Err(Rejection::Draining);
         }
         let full = self.table.len() >= self.limits.max_streams;
-        if full || self.queued_bytes + size > self.limits.max_buffered {
+        if full || !self.limits.has_room(self.queued_bytes, size) {
             return Err(Rejection::Busy);
         }
         let key = self.table.insert(Call {
@@ -338,7 +338,7 @@
                 self.awaiting_grant.pop_front();
                 continue;
             };
-            let fits = self.granted_bytes + call.beyond_window <= self.limits.max_buffered;
+            let fits = self.limits.has_room(self.granted_bytes, call.beyond_window);
             if !fits && self.granted_bytes > 0 {
                 return;
             }
--- a/crates/nutmegwheel-link/src/mux/incoming_requests.rs
+++ b/crates/nutmegwheel-link/src/mux/incoming_requests.rs
@@ -157,7 +157,9 @@
             return Some(RefuseReason::TooLarge);
         }
         let busy = self.table.len() >= self.limits.max_streams
-            || self.reserved_bytes + message_length(start) > self.limits.max_buffered
+            || !self
+                .limits
+                .has_room(self.reserved_bytes, message_length(start))
             || self.queued_bytes > self.limits.max_buffered / 2;
         busy.then_some(RefuseReason::Busy)
     }
@@ -224,7 +226,7 @@
         let size = reply.head.len() + reply.body.len();
         let too_large =
             reply.head.len() > self.limits.max_head || reply.body.len() > self.limits.max_body;
-        if too_large || self.queued_bytes + size > self.limits.max_buffered {
+        if too_large || !self.limits.has_room(self.queued_bytes, size) {
             self.refuse(stream, RefuseReason::Failed, control);
             return;
         }
--- a/crates/nutmegwheel-link/src/options.rs
+++ b/crates/nutmegwheel-link/src/options.rs
@@ -50,6 +50,7 @@
         /// The highest stream id, after which a link is replaced, since ids are never reused.
         pub max_stream_id: u32,
         /// The maximum number of bytes of incomplete messages that are buffered, in each direction.
+        /// A message that exceeds half of it is accepted while the others take at most half.
         pub max_buffered: usize,
         /// The maximum number of accepted connections whose handshake has not completed, over the
         /// whole endpoint.
@@ -71,6 +72,14 @@
     }
 }
 
+impl Limits {
+    /// Whether a message fits into the buffer beside others, which take `buffered` bytes.
+    pub(crate) fn has_room(&self, buffered: usize, message: usize) -> bool {
+        let with_large = message.saturating_add(self.max_buffered / 2);
+        buffered.saturating_add(message) <= self.max_buffered.max(with_large)
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
--- a/crates/nutmegwheel-node/src/listeners.rs
+++ b/crates/nutmegwheel-node/src/listeners.rs
@@ -4,17 +4,13 @@
 
 use anyhow::Context as _;
 use nutmegwheel_memory::Account;
-use nutmegwheel_web::{Handler, Server};
+use nutmegwheel_web::{BodyLimit, Handler, Server};
 
 use crate::{
     backend_handler::BackendHandler, heartbeat_handler::HeartbeatHandler,
     host_ingress::HostIngress, ingress::Ingress, platform::PlatformHandler, shared::Shared,
 };
 
-/// The maximum size of a request body, in bytes.
-const MAX_BODY_BYTES: usize = 1024 * 1024;
-/// The maximum size of a request body in a platform's dialect, in bytes. Links carry no larger one.
-const MAX_DIALECT_BODY_BYTES: usize = 4 * 1024 * 1024;
 /// The time limit for reading a complete request.
 const REQUEST_READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// The percentage of the descriptors that connections of callers may take. The rest is left for
@@ -42,14 +38,12 @@
                     address: Option<SocketAddr>,
                     max_connections: Option<usize>,
                     account: &Account,
+                    body_limit: &BodyLimit,
                     handler: Box<dyn Handler>| {
         let address = address.context(name)?;
         let opts = nutmegwheel_web::Options {
             address,
-            body_limit: match shared.dialect {
-                Some(_) => MAX_DIALECT_BODY_BYTES,
-                None => MAX_BODY_BYTES,
-            },
+            body_limit: body_limit.clone(),
             read_timeout: REQUEST_READ_TIMEOUT,
             max_connections,
             account: account.clone(),
@@ -75,16 +69,21 @@
         ),
     };
     let peers = &shared().memory;
-    let (max_backend, account) = match shared().dialect {
-        Some(_) => (max_control, &control),
+    let (callers_limit, default_limit) = {
+        let views = &shared().views;
+        (views.body_limit.clone(), views.default_max_body.into())
+    };
+    let (max_backend, account, backend_limit) = match shared().dialect {
+        Some(_) => (max_control, &control, &default_limit),
         // The backend server makes its downstream calls there.
-        None => (None, peers),
+        None => (None, peers, &callers_limit),
     };
     open(
         "open listen.backend",
         listen.backend,
         max_backend,
         account,
+        backend_limit,
         backend,
     )?;
     open(
@@ -92,6 +91,7 @@
         listen.callers,
         max_callers,
         peers,
+        &callers_limit,
         callers,
     )?;
     // The last one, since the platform sends callers to a node that answers there.
@@ -100,6 +100,7 @@
         Some(listen.platform),
         max_control,
         &control,
+        &default_limit,
         Box::new(PlatformHandler { shared: shared() }),
     )?;
     Ok(servers)
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -4,7 +4,7 @@
 };
 
 use anyhow::Context as _;
-use nutmegwheel_config::Settings;
+use nutmegwheel_config::{RequestLimits, Settings};
 use nutmegwheel_events::{Event, Journal};
 use nutmegwheel_link::{Endpoint, Limits, Options};
 use nutmegwheel_spread::TICK;
@@ -84,7 +84,12 @@
         listen: settings.listen.link,
         advertised: settings.listen.link_advertised,
         fleet_secret: settings.fleet_secret.clone().into_bytes(),
-        limits: Limits::default(),
+        limits: Limits {
+            // The listeners bound the bodies of requests, and the view in force is not the same on
+            // all nodes at a time.
+            max_body: RequestLimits::MAX_BODY,
+            ..Limits::default()
+        },
     };
     let service = Arc::new(NodeService {
         shared: shared.clone(),
--- a/crates/nutmegwheel-node/src/quarantine.rs
+++ b/crates/nutmegwheel-node/src/quarantine.rs
@@ -32,6 +32,9 @@
 const COMPLETED_RETENTION: Duration = Duration::from_secs(10);
 /// The maximum number of completed requests that are remembered.
 const MAX_COMPLETED: usize = 8192;
+/// The size of a body up to which all of it is part of the fingerprint, in bytes. A platform's
+/// callers send no larger ones unless the configuration says so.
+const MAX_HASHED_BYTES: usize = 4 * 1024 * 1024;
 /// The maximum number of suspicions read from one message.
 const MAX_SUSPICIONS_PER_MESSAGE: usize = 4096;
 
@@ -56,15 +59,25 @@
 }
 
 /// The fingerprint of a request, which is the same for all requests with equal service, path,
-/// method, workspace and body.
+/// method, workspace and body. Of a large body, only the length and the ends are compared, since
+/// hashing it would hold up the links of this node.
 pub(crate) fn fingerprint(call: &Call) -> Fingerprint {
-    short_digest([
+    let length = call.body.len().to_be_bytes();
+    let (start, end): (&[u8], &[u8]) = if call.body.len() <= MAX_HASHED_BYTES {
+        (&call.body, &[])
+    } else {
+        let (start, rest) = call.body.split_at(MAX_HASHED_BYTES / 4);
+        (start, &rest[rest.len() - MAX_HASHED_BYTES / 4..])
+    };
+    let parts = [
         call.service.as_bytes(),
         call.path.as_bytes(),
         call.method.as_str().as_bytes(),
         call.context.workspace.as_deref().unwrap_or("").as_bytes(),
-        &call.body,
-    ])
+        start,
+    ];
+    let ends = [&length[..], end].into_iter().filter(|_| !end.is_empty());
+    short_digest(parts.into_iter().chain(ends))
 }
 
 impl RequestQuarantine {
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -50,6 +50,11 @@
 /// message and callers with idle connections move to another node.
 pub(crate) const LEAVE_PROPAGATION_TIME: Duration = Duration::from_secs(2);
 
+/// The maximum size of a request body if the configuration has no limits, in bytes.
+const DEFAULT_BODY_BYTES: usize = 1024 * 1024;
+/// The same in a platform's dialect, in bytes.
+const DEFAULT_DIALECT_BODY_BYTES: usize = 4 * 1024 * 1024;
+
 /// The number of incarnations of this process that are kept. Calls addressed to older ones are
 /// refused as not run.
 const MAX_GOSSIP_INCARNATIONS: usize = 64;
@@ -114,6 +119,10 @@
         let now = Instant::now();
         let memory = Account::for_peers(settings.max_memory);
         let contacts = settings.contacts.as_ref();
+        let default_max_body = match dialect {
+            Some(_) => DEFAULT_DIALECT_BODY_BYTES,
+            None => DEFAULT_BODY_BYTES,
+        };
         let is_first_start = contacts.is_some_and(|contacts| contacts.bootstrap);
         Self {
             evacuations: Evacuations::default(),
@@ -152,7 +161,7 @@
             gossip: GossipService::open(&settings, incarnation),
             settings,
             incarnation,
-            views: Views::open(journal.clone()),
+            views: Views::open(journal.clone(), default_max_body),
             journal,
             local_backend: LocalBackend::open(dialect.clone()),
             dialect,
--- a/crates/nutmegwheel-node/src/views.rs
+++ b/crates/nutmegwheel-node/src/views.rs
@@ -4,12 +4,17 @@
 use nutmegwheel_events::{Event, Journal};
 use nutmegwheel_spread::Change;
 use nutmegwheel_types::{ConfigVersion, KeyHash, WorkspaceId};
+use nutmegwheel_web::BodyLimit;
 
 use crate::refusal::{Reason, Refusal};
 
 /// The current view of this node. Its version never decreases.
 pub(crate) struct Views {
     journal: Arc<Journal>,
+    /// The maximum size of callers' bodies if the configuration has no limits, in bytes.
+    pub(crate) default_max_body: usize,
+    /// The maximum size of callers' bodies under the current view.
+    pub(crate) body_limit: BodyLimit,
     current: RwLock<ActiveView>,
 }
 
@@ -21,9 +26,11 @@
 }
 
 impl Views {
-    pub(crate) fn open(journal: Arc<Journal>) -> Self {
+    pub(crate) fn open(journal: Arc<Journal>, default_max_body: usize) -> Self {
         Self {
             journal,
+            default_max_body,
+            body_limit: default_max_body.into(),
             current: RwLock::default(),
         }
     }
@@ -62,6 +69,9 @@
         let mut current = self.current.write().unwrap_or_else(PoisonError::into_inner);
         if view.version > current.view.version {
             let version = view.version;
+            let limits = view.configuration.request_limits;
+            let max_body = limits.map_or(self.default_max_body, |limits| limits.max_body);
+            self.body_limit.set(max_body);
             *current = ActiveView {
                 hosts: Arc::new(HostRoutes::open(&view.configuration)),
                 view: Arc::new(view),
--- a/crates/nutmegwheel-web/src/connection.rs
+++ b/crates/nutmegwheel-web/src/connection.rs
@@ -14,7 +14,7 @@
 mod memory;
 
 use crate::{
-    Handler, Problem, Request,
+    BodyLimit, Handler, Problem, Request,
     connections::{Connections, Entry, Socket},
     in_progress::{Answer, InProgress},
     output::Output,
@@ -35,8 +35,7 @@
 pub(crate) struct Service {
     pub(crate) handler: Box<dyn Handler>,
     pub(crate) journal: Arc<Journal>,
-    /// The maximum size of a request body, in bytes.
-    pub(crate) body_limit: usize,
+    pub(crate) body_limit: BodyLimit,
     /// The time limit for receiving a head, and again for receiving a body.
     pub(crate) read_timeout: Duration,
 }
@@ -57,7 +56,7 @@
         socket,
         connections,
         peer,
-        decoder: Decoder::open(service.body_limit, connections.account.clone()),
+        decoder: Decoder::open(service.body_limit.get(), connections.account.clone()),
         encoder: Encoder::default(),
         received: BytesMut::new(),
         waiting: None,
@@ -148,6 +147,9 @@
     fn begin_requests(&mut self) {
         while self.pipeline.has_room() {
             if self.waiting.is_none() {
+                if self.decoder.stage() == Stage::Head {
+                    self.decoder.set_body_limit(self.service.body_limit.get());
+                }
                 match self.decoder.decode(&mut self.received) {
                     Ok(Some(req)) => self.waiting = Some(req),
                     Ok(None) => break,
--- a/crates/nutmegwheel-web/src/lib.rs
+++ b/crates/nutmegwheel-web/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod body_limit;
 mod connection;
 mod connections;
 mod in_progress;
@@ -17,6 +18,7 @@
 mod server;
 mod timing;
 
+pub use body_limit::BodyLimit;
 pub use operator::{authorize, bearer, events, json, with_content_type};
 pub use problem::Problem;
 pub use server::{Handler, HandlerFuture, Options, Request, Response, Server, bind};
--- a/crates/nutmegwheel-web/src/server.rs
+++ b/crates/nutmegwheel-web/src/server.rs
@@ -14,7 +14,7 @@
 use nutmegwheel_memory::Account;
 use tokio_util::sync::CancellationToken;
 
-use crate::{connection::Service, connections::Connections, listener::Listener};
+use crate::{BodyLimit, connection::Service, connections::Connections, listener::Listener};
 
 /// The interval at which [`Server::stop`] checks whether the listener has ended.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -57,8 +57,8 @@
 pub struct Options {
     /// The address to listen on; port 0 selects a free port.
     pub address: SocketAddr,
-    /// The maximum size of a request body, in bytes.
-    pub body_limit: usize,
+    /// The maximum size of a request body.
+    pub body_limit: BodyLimit,
     /// The time limit for receiving a head, and again for receiving a body.
     pub read_timeout: Duration,
     /// The maximum number of connections. At the limit, a new connection replaces the one that has
--- a/crates/nutmegwheel-web/tests/common/mod.rs
+++ b/crates/nutmegwheel-web/tests/common/mod.rs
@@ -134,7 +134,7 @@
     let journal = Arc::new(Journal::open(opts, Clock::open(SystemTime)));
     let opts = Options {
         address: SocketAddr::from(([127, 0, 0, 1], 0)),
-        body_limit,
+        body_limit: body_limit.into(),
         read_timeout: LIMIT,
         max_connections,
         account,
--- a/crates/nutmegwheel/tests/held_bytes.rs
+++ b/crates/nutmegwheel/tests/held_bytes.rs
@@ -11,6 +11,7 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpSocket, TcpStream},
+    sync::Mutex,
 };
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_nutmegwheel");
@@ -32,6 +33,9 @@
 /// The size of the chunks of chunked bodies, in bytes.
 const CHUNK_BYTES: usize = 64 * 1024;
 
+/// Fleets come one at a time, since the memory of their processes is measured.
+static ALONE: Mutex<()> = Mutex::const_new(());
+
 /// Starts a fleet whose routes let requests take their time, and waits until it serves.
 async fn start() -> Fleet {
     let fleet = Fleet::start(PROGRAM, SERVERS).await;
@@ -106,7 +110,7 @@
     };
     let mut answer = Vec::new();
     let receiving = async {
-        while !answer.ends_with(b"\r\n") {
+        while !answer.contains(&b'\n') {
             if !matches!(rx.read_buf(&mut answer).await, Ok(1..)) {
                 return;
             }
@@ -130,6 +134,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn body_of_nearly_maximum_size_is_served() {
     const BODY_BYTES: usize = 64 * 1024 * 1024 - 1;
+    let _alone = ALONE.lock().await;
     let fleet = start().await;
     let body: Bytes = (0..=250u8).cycle().take(BODY_BYTES).collect();
     let digest = BodyDigest::of(&body);
@@ -151,7 +156,7 @@
         send(&fleet.nodes[0], sized, parts()).await,
         send(&fleet.nodes[1], chunked, chunks).await,
     ];
-    assert_eq!(statuses, [200, 200]);
+    assert_eq!(statuses, [200, 200], "{}", fleet.log("node-0"));
     for path in ["/inner/sized", "/inner/chunked"] {
         let runs = fleet.runs_of(path);
         let bodies: Vec<_> = runs.iter().map(|run| run.body).collect();
@@ -167,6 +172,7 @@
     const CALLERS: usize = 30;
     const REQUESTS: usize = 16;
     const ANSWER_BYTES: usize = 800_000;
+    let _alone = ALONE.lock().await;
     let fleet = start().await;
     fleet.servers[2].set_answer(vec![b'a'; ANSWER_BYTES]);
     let mut callers = Vec::new();
@@ -195,6 +201,7 @@
 async fn bodies_that_wait_for_backend_server_take_bounded_memory() {
     const CALLERS: usize = 60;
     const BODY_BYTES: usize = 4_000_000;
+    let _alone = ALONE.lock().await;
     let fleet = start().await;
     fleet.servers[2].set_work(Duration::from_millis(CALLER_TIMEOUT_MS));
     let body = Bytes::from(vec![b'a'; BODY_BYTES]);
