feat(node): one account for what links and answers hold

Cause: bounds of 32 MiB a link, in each direction, multiply with the links; requests that wait for a slow backend server and answers of up to 4 MiB each have no bound for the process. Change: bodies carry their share of the account (Hold::attach), which is released with their last clone. Requests over links take it before their first byte is kept and are refused as busy, not run, otherwise; replies over links and answers of the backend server are read on when there is room. Other topics than requests of callers never take from it. A busy link is told to callers as overload. All of it only where the settings have max_memory_mb.

--- a/crates/nutmegwheel-control/src/control.rs
+++ b/crates/nutmegwheel-control/src/control.rs
@@ -84,6 +84,7 @@
         advertised: settings.listen.link_advertised,
         fleet_secret: settings.fleet_secret.clone().into_bytes(),
         limits: Limits::default(),
+        metering: None,
     };
     let shares = Arc::new(Shares::open(&settings, log.clone(), journal.clone()));
     let service = Arc::new(ControlService {
--- a/crates/nutmegwheel-link/examples/link_bench.rs
+++ b/crates/nutmegwheel-link/examples/link_bench.rs
@@ -44,6 +44,7 @@
         advertised: None,
         fleet_secret: b"a secret for the bench of links.".to_vec(),
         limits: Limits::default(),
+        metering: None,
     };
     Endpoint::bind(opts, Arc::new(Echo)).await.expect("bind")
 }
--- a/crates/nutmegwheel-link/src/accept.rs
+++ b/crates/nutmegwheel-link/src/accept.rs
@@ -87,7 +87,7 @@
     let link = Link::new(
         Side::Acceptor,
         connected.peer,
-        &core.limits,
+        core,
         connected.peer_opened_after,
     );
     let service = core.service.clone();
--- a/crates/nutmegwheel-link/src/core.rs
+++ b/crates/nutmegwheel-link/src/core.rs
@@ -7,12 +7,13 @@
 
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{Limits, Service, connect::Credentials};
+use crate::{Limits, Metering, Service, connect::Credentials};
 
 /// The settings, the service and the shutdown signals of an endpoint.
 pub(crate) struct Core {
     pub(crate) credentials: Credentials,
     pub(crate) limits: Limits,
+    pub(crate) metering: Option<Metering>,
     pub(crate) service: Arc<dyn Service>,
     /// Ends all tasks of the endpoint immediately.
     pub(crate) stop: CancellationToken,
--- a/crates/nutmegwheel-link/src/endpoint.rs
+++ b/crates/nutmegwheel-link/src/endpoint.rs
@@ -197,6 +197,7 @@
             secret: opts.fleet_secret,
         },
         limits: opts.limits,
+        metering: opts.metering,
         service,
         stop: CancellationToken::new(),
         drain_accepted: CancellationToken::new(),
--- a/crates/nutmegwheel-link/src/lib.rs
+++ b/crates/nutmegwheel-link/src/lib.rs
@@ -21,5 +21,5 @@
 
 pub use endpoint::{Endpoint, Stats};
 pub use error::{BindError, CallError, Refusal, Step};
-pub use options::{Limits, Options};
+pub use options::{Limits, Metering, Options};
 pub use service::{Peer, Reply, Request, ServeFuture, Service, Topic};
--- a/crates/nutmegwheel-link/src/link/mod.rs
+++ b/crates/nutmegwheel-link/src/link/mod.rs
@@ -20,7 +20,8 @@
 pub(crate) use driver::{CloseReason, Driver};
 
 use crate::{
-    Limits, Peer, Reply, Request, Step, Topic,
+    Peer, Reply, Request, Step, Topic,
+    core::Core,
     mux::{CallKey, Event, Failure, Mux, Rejection, Side, StreamId},
 };
 
@@ -79,11 +80,12 @@
     pub(crate) fn new(
         side: Side,
         peer: Peer,
-        limits: &Limits,
+        core: &Core,
         peer_opened_after: Instant,
     ) -> Arc<Self> {
         let state = State {
-            mux: Mux::new(side, limits, now(), peer_opened_after),
+            mux: Mux::new(side, &core.limits, now(), peer_opened_after)
+                .with_metering(core.metering.clone()),
             waiters: SecondaryMap::new(),
             running: HashMap::new(),
             reason: Arc::from("by the far side"),
--- a/crates/nutmegwheel-link/src/mux/calls.rs
+++ b/crates/nutmegwheel-link/src/mux/calls.rs
@@ -3,16 +3,17 @@
     time::Duration,
 };
 
+use nutmegwheel_memory::Share;
 use slotmap::SlotMap;
 
 use super::{
     CallKey, Event, Failure, Rejection, StreamId, Violation,
     control::ControlQueue,
-    inbound::{Inbound, Progress},
+    inbound::{INITIAL_WINDOW_BYTES, Inbound, Progress},
     outbound::Outbound,
 };
 use crate::{
-    Limits, Refusal, Reply, Request, Step,
+    Limits, Metering, Refusal, Reply, Request, Step, Topic,
     wire::{Data, RefuseReason, Start},
 };
 
@@ -37,12 +38,14 @@
     granted_bytes: usize,
     /// Calls whose replies need credit beyond the initial window, oldest first.
     awaiting_grant: VecDeque<CallKey>,
+    metering: Option<Metering>,
 }
 
 #[derive(Debug)]
 struct Call {
     id: Option<StreamId>,
     one_way: bool,
+    topic: Topic,
     outbound: Outbound,
     /// The offset in the byte stream at which the encoded request ends.
     end_position: Option<u64>,
@@ -66,9 +69,14 @@
             queued_bytes: 0,
             granted_bytes: 0,
             awaiting_grant: VecDeque::new(),
+            metering: None,
         }
     }
 
+    pub(crate) fn set_metering(&mut self, metering: Option<Metering>) {
+        self.metering = metering;
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.table.len()
     }
@@ -106,6 +114,7 @@
         let key = self.table.insert(Call {
             id: None,
             one_way,
+            topic: req.topic,
             outbound: Outbound::new(req.topic.0, one_way, deadline, req.head, req.body),
             end_position: None,
             inbound: None,
@@ -331,8 +340,9 @@
         }
     }
 
-    /// Grants credit to waiting replies, oldest first, within the limit on buffered bytes.
-    fn grant(&mut self, control: &mut ControlQueue) {
+    /// Grants credit to waiting replies, oldest first, within the limit on buffered bytes and the
+    /// room of the account.
+    pub(crate) fn grant(&mut self, control: &mut ControlQueue) {
         while let Some(&key) = self.awaiting_grant.front() {
             let Some(call) = self.table.get_mut(key) else {
                 self.awaiting_grant.pop_front();
@@ -342,10 +352,19 @@
             if !fits && self.granted_bytes > 0 {
                 return;
             }
-            self.awaiting_grant.pop_front();
             let (Some(id), Some(inbound)) = (call.id, &mut call.inbound) else {
+                self.awaiting_grant.pop_front();
                 continue;
             };
+            let metering = self.metering.as_ref();
+            if let Some(account) = metering.and_then(|metering| metering.account(call.topic)) {
+                let length = call.beyond_window + INITIAL_WINDOW_BYTES;
+                let Some(hold) = account.try_hold(length, Share::Answers) else {
+                    return;
+                };
+                inbound.set_hold(Some(hold));
+            }
+            self.awaiting_grant.pop_front();
             inbound.grant(call.beyond_window);
             call.granted_bytes = call.beyond_window;
             self.granted_bytes += call.granted_bytes;
--- a/crates/nutmegwheel-link/src/mux/inbound.rs
+++ b/crates/nutmegwheel-link/src/mux/inbound.rs
@@ -1,4 +1,5 @@
 use bytes::{Bytes, BytesMut};
+use nutmegwheel_memory::Hold;
 
 use crate::wire::{Data, Start};
 
@@ -12,6 +13,8 @@
     body: Part,
     credit: usize,
     checksum: u32,
+    /// The room that the message takes in the account of the process.
+    hold: Option<Hold>,
 }
 
 /// The state of a message after one more chunk.
@@ -60,9 +63,15 @@
             body: Part::new(start.body_length as usize),
             credit: INITIAL_WINDOW_BYTES,
             checksum: 0,
+            hold: None,
         }
     }
 
+    /// Keeps the room that the message takes in the account until its body is dropped.
+    pub(crate) fn set_hold(&mut self, hold: Option<Hold>) {
+        self.hold = hold;
+    }
+
     /// The bytes of a message beyond the initial window, for which credit has to be granted.
     pub(crate) fn beyond_window(start: &Start) -> usize {
         message_length(start).saturating_sub(INITIAL_WINDOW_BYTES)
@@ -100,6 +109,13 @@
     fn take(&mut self) -> Progress {
         let head = std::mem::take(&mut self.head.buf).freeze();
         let body = std::mem::take(&mut self.body.buf).freeze();
+        let body = match self.hold.take() {
+            Some(mut hold) => {
+                hold.shrink(head.len());
+                hold.attach(body)
+            }
+            None => body,
+        };
         Progress::Complete(head, body)
     }
 }
--- a/crates/nutmegwheel-link/src/mux/incoming_requests.rs
+++ b/crates/nutmegwheel-link/src/mux/incoming_requests.rs
@@ -4,16 +4,17 @@
 };
 
 use bytes::Bytes;
+use nutmegwheel_memory::{Hold, Share};
 
 use super::{
     Event, StreamId, Violation,
     clock::Clocks,
     control::ControlQueue,
-    inbound::{Inbound, Progress, message_length},
+    inbound::{INITIAL_WINDOW_BYTES, Inbound, Progress, message_length},
     outbound::Outbound,
 };
 use crate::{
-    Limits, Reply, Request, Topic,
+    Limits, Metering, Reply, Request, Topic,
     wire::{Data, RefuseReason, Start},
 };
 
@@ -32,6 +33,7 @@
     reserved_bytes: usize,
     /// Bytes of replies that have not been sent yet.
     queued_bytes: usize,
+    metering: Option<Metering>,
 }
 
 #[derive(Debug)]
@@ -44,6 +46,9 @@
     state: State,
 }
 
+/// The account has no room for a request.
+struct NoRoom;
+
 #[derive(Debug)]
 enum State {
     Receiving(Inbound),
@@ -61,9 +66,14 @@
             last_accepted: None,
             reserved_bytes: 0,
             queued_bytes: 0,
+            metering: None,
         }
     }
 
+    pub(crate) fn set_metering(&mut self, metering: Option<Metering>) {
+        self.metering = metering;
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.table.len()
     }
@@ -130,7 +140,12 @@
             control.refuse(stream, reason);
             return Ok(());
         }
+        let Ok(hold) = self.hold(start) else {
+            control.refuse(stream, RefuseReason::Busy);
+            return Ok(());
+        };
         let mut inbound = Inbound::begin(start);
+        inbound.set_hold(hold);
         let beyond_window = Inbound::beyond_window(start);
         if beyond_window > 0 {
             inbound.grant(beyond_window);
@@ -149,6 +164,22 @@
         Ok(())
     }
 
+    /// Takes room in the account for a request that counts there, or fails if there is none.
+    fn hold(&self, start: &Start) -> Result<Option<Hold>, NoRoom> {
+        let topic = Topic(u16::try_from(start.topic).unwrap_or(u16::MAX));
+        let metering = self.metering.as_ref();
+        let Some(account) = metering.and_then(|metering| metering.account(topic)) else {
+            return Ok(None);
+        };
+        let size = message_length(start);
+        let share = if size <= INITIAL_WINDOW_BYTES {
+            Share::Small
+        } else {
+            Share::Requests
+        };
+        account.try_hold(size, share).map(Some).ok_or(NoRoom)
+    }
+
     fn refuse_reason(&self, start: &Start) -> Option<RefuseReason> {
         let too_large = start.head_length as usize > self.limits.max_head
             || start.body_length as usize > self.limits.max_body
--- a/crates/nutmegwheel-link/src/mux/mod.rs
+++ b/crates/nutmegwheel-link/src/mux/mod.rs
@@ -23,7 +23,7 @@
 pub use types::{CallKey, Event, Failure, PeerTimeout, Rejection, Side, StreamId, Violation};
 
 use crate::{
-    Limits, Reply, Request, Topic,
+    Limits, Metering, Reply, Request, Topic,
     wire::{self, Kind, RefuseReason},
 };
 use calls::Calls;
@@ -68,6 +68,14 @@
         }
     }
 
+    /// Lets messages take from an account; see [`Metering`].
+    #[must_use]
+    pub fn with_metering(mut self, metering: Option<Metering>) -> Self {
+        self.calls.set_metering(metering.clone());
+        self.incoming.set_metering(metering);
+        self
+    }
+
     /// Stops accepting calls on a dialler, or requests on an acceptor; those that were accepted
     /// continue. An acceptor notifies its peer.
     pub fn go_away(&mut self) {
@@ -245,6 +253,8 @@
     ///
     /// Fails when the peer has been silent for too long; the connection must then be closed.
     pub fn tick(&mut self, now: Instant) -> Result<(), PeerTimeout> {
+        // The account may have room that it had not when the reply began.
+        self.calls.grant(&mut self.control);
         if self.liveness.tick(now, self.open_streams() > 0)? {
             self.control.ping();
         }
--- a/crates/nutmegwheel-link/src/options.rs
+++ b/crates/nutmegwheel-link/src/options.rs
@@ -1,7 +1,10 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
+use nutmegwheel_memory::Account;
 use nutmegwheel_types::{DataCentreId, Incarnation, ProcessName, plain};
 
+use crate::Topic;
+
 /// The configuration of an endpoint.
 #[derive(Clone)]
 pub struct Options {
@@ -20,6 +23,24 @@
     pub fleet_secret: Vec<u8>,
     /// The limits on links, messages, memory and time.
     pub limits: Limits,
+    /// The account that messages of some topics take from.
+    pub metering: Option<Metering>,
+}
+
+/// The account of the process, and the topics whose requests and replies take from it.
+#[derive(Clone, Debug)]
+pub struct Metering {
+    /// The account.
+    pub account: Account,
+    /// The topics. Messages on others are not refused for lack of room.
+    pub topics: Vec<Topic>,
+}
+
+impl Metering {
+    /// The account that messages on this topic take from, if any.
+    pub(crate) fn account(&self, topic: Topic) -> Option<&Account> {
+        self.topics.contains(&topic).then_some(&self.account)
+    }
 }
 
 impl fmt::Debug for Options {
--- a/crates/nutmegwheel-link/src/pool.rs
+++ b/crates/nutmegwheel-link/src/pool.rs
@@ -319,7 +319,7 @@
     let link = Link::new(
         Side::Dialler,
         connected.peer,
-        &core.limits,
+        core,
         connected.peer_opened_after,
     );
     let service = core.service.clone();
--- a/crates/nutmegwheel-link/tests/common/mod.rs
+++ b/crates/nutmegwheel-link/tests/common/mod.rs
@@ -34,6 +34,7 @@
         advertised: None,
         fleet_secret: b"a secret for the tests of links.".to_vec(),
         limits: Limits::default(),
+        metering: None,
     }
 }
 
--- a/crates/nutmegwheel-memory/src/lib.rs
+++ b/crates/nutmegwheel-memory/src/lib.rs
@@ -3,11 +3,15 @@
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod held;
+
 use std::sync::{
     Arc,
     atomic::{AtomicUsize, Ordering},
 };
 
+pub use held::Share;
+
 /// The fraction of the memory of a process that it may hold for callers and other processes. The
 /// rest is for code, state and what the allocator and the kernel hold beside the bytes.
 const PEERS_FRACTION: usize = 2;
--- a/crates/nutmegwheel-node/src/attempt.rs
+++ b/crates/nutmegwheel-node/src/attempt.rs
@@ -205,6 +205,10 @@
             reason: LinkRefusal::Expired,
             ..
         } => Reason::Deadline,
+        CallError::Refused {
+            reason: LinkRefusal::Busy,
+            ..
+        } => Reason::Overloaded,
         _ => Reason::LinkLost,
     };
     if e.proves_not_run() {
--- a/crates/nutmegwheel-node/src/backend.rs
+++ b/crates/nutmegwheel-node/src/backend.rs
@@ -9,6 +9,7 @@
     time::Instant,
 };
 
+use nutmegwheel_memory::Account;
 use nutmegwheel_spread::AnnouncementState;
 use nutmegwheel_types::{Incarnation, ServiceId, plain, plain_copy};
 use serde::Deserialize;
@@ -69,15 +70,18 @@
     /// Whether the data centre is evacuated, so that the backend server gets no new requests.
     is_evacuated: AtomicBool,
     pub(crate) connections: Connections,
+    /// The account that answers take from.
+    pub(crate) account: Account,
 }
 
 impl LocalBackend {
-    pub(crate) fn open(dialect: Option<Arc<dyn Dialect>>) -> Self {
+    pub(crate) fn open(dialect: Option<Arc<dyn Dialect>>, account: Account) -> Self {
         Self {
             dialect,
             announced: Mutex::default(),
             is_evacuated: AtomicBool::new(false),
             connections: Connections::default(),
+            account,
         }
     }
 
--- a/crates/nutmegwheel-node/src/exchange.rs
+++ b/crates/nutmegwheel-node/src/exchange.rs
@@ -4,11 +4,12 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header, uri::PathAndQuery};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Body as _;
 use nutmegwheel_policy::answer::{self, Conclusion, Denial, Identity, Marks, Status};
 
 use crate::{
+    answer_body,
     backend::{Announcement, LocalBackend},
     call::{Answer, Call},
     connections::SendError,
@@ -81,8 +82,8 @@
             let detail = format!("the answer is larger than {MAX_ANSWER_BYTES} bytes");
             return Err(Refusal::may_have_run(Reason::AnswerTooLarge, detail));
         }
-        let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let body = body.map_err(|e| read_error(&*e))?.to_bytes();
+        let body = answer_body::read(body, MAX_ANSWER_BYTES, &self.account).await;
+        let body = body.map_err(|e| read_error(&*e))?;
         connection.finish(marks.identity, conclusion);
         if let Conclusion::NotRun(denial) = conclusion {
             return Err(denied(denial));
--- a/crates/nutmegwheel-node/src/lib.rs
+++ b/crates/nutmegwheel-node/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod admission;
 mod allotment_limiter;
+mod answer_body;
 mod at_most_once;
 mod attempt;
 mod backend;
--- a/crates/nutmegwheel-node/src/node.rs
+++ b/crates/nutmegwheel-node/src/node.rs
@@ -6,11 +6,12 @@
 use anyhow::Context as _;
 use nutmegwheel_config::{RequestLimits, Settings};
 use nutmegwheel_events::{Event, Journal};
-use nutmegwheel_link::{Endpoint, Limits, Options};
+use nutmegwheel_link::{Endpoint, Limits, Metering, Options};
 use nutmegwheel_spread::TICK;
 use nutmegwheel_supervisor::Supervisor;
 use nutmegwheel_types::Incarnation;
 use nutmegwheel_web::Server;
+use nutmegwheel_wire::topic;
 
 use crate::{
     allotment_limiter::AllotmentLimiter,
@@ -90,6 +91,11 @@
             max_body: RequestLimits::MAX_BODY,
             ..Limits::default()
         },
+        metering: Some(Metering {
+            account: shared.memory.clone(),
+            topics: vec![topic::CALL],
+        })
+        .filter(|metering| metering.account.is_limited()),
     };
     let service = Arc::new(NodeService {
         shared: shared.clone(),
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -163,7 +163,7 @@
             incarnation,
             views: Views::open(journal.clone(), default_max_body),
             journal,
-            local_backend: LocalBackend::open(dialect.clone()),
+            local_backend: LocalBackend::open(dialect.clone(), memory.clone()),
             dialect,
             splits: Mutex::default(),
             registration: Mutex::new(Registration::open(is_first_start)),
--- a/crates/nutmegwheel-spread/tests/gossip_service.rs
+++ b/crates/nutmegwheel-spread/tests/gossip_service.rs
@@ -55,6 +55,7 @@
             max_backoff: LONG,
             ..Limits::default()
         },
+        metering: None,
     };
     Endpoint::bind(opts, Arc::new(Echo)).await.unwrap()
 }
--- a/crates/nutmegwheel/tests/held_bytes.rs
+++ b/crates/nutmegwheel/tests/held_bytes.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use serde_json::json;
 use stand_in::{BodyDigest, Fleet, Vm, document};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -38,7 +39,8 @@
 
 /// Starts a fleet whose routes let requests take their time, and waits until it serves.
 async fn start() -> Fleet {
-    let fleet = Fleet::start(PROGRAM, SERVERS).await;
+    let common = json!({"max_memory_mb": VM_MEMORY_KB * 1024 / 1_000_000});
+    let fleet = Fleet::start_with(PROGRAM, SERVERS, common).await;
     let mut document = document();
     for route in document["routes"].as_array_mut().expect("routes") {
         route["timeout_ms"] = CALLER_TIMEOUT_MS.into();
