feat(web): give up callers that do not read when memory runs short

Cause: answers wait for slow readers, 16 on each connection, until each is taken; the account was full of them, so that ordinary requests got no answer. Change: policy readers::choose names the slowest readers to give up, by their rate over a second, so that as much is released as the account holds above three quarters. A connection shows the list what its answers hold and is closed when it is named (event 316). Nobody is given up below that, or who takes 4 MiB a minute. Without max_memory_mb nothing changes.

--- a/crates/nutmegwheel-events/src/catalogue.rs
+++ b/crates/nutmegwheel-events/src/catalogue.rs
@@ -106,6 +106,8 @@
     RequestAbandoned = 314, "request-abandoned", Info;
     /// The bytes of a connection were no request that could be read or passed on.
     RequestMalformed = 315, "request-malformed", Warn;
+    /// A caller was given up that did not read its answers while memory was short.
+    ReaderEvicted = 316, "reader-evicted", Warn;
     /// Requests of a service begin to cross to other data centres.
     SpillOverBegan = 320, "spill-over-began", Info;
     /// Requests of a service no longer cross to other data centres.
--- a/crates/nutmegwheel-http1/src/pipeline.rs
+++ b/crates/nutmegwheel-http1/src/pipeline.rs
@@ -119,6 +119,12 @@
         })
     }
 
+    /// The size of the request bodies and of the waiting responses, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Whether no response is outstanding.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/nutmegwheel-policy/src/lib.rs
+++ b/crates/nutmegwheel-policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod failure_rate;
 pub mod kept_connection;
 pub mod quarantine;
+pub mod readers;
 pub mod registration;
 pub mod retry;
 pub mod routing;
--- a/crates/nutmegwheel-web/src/connection.rs
+++ b/crates/nutmegwheel-web/src/connection.rs
@@ -12,6 +12,7 @@
 
 mod closing;
 mod memory;
+mod slow_reader;
 
 use crate::{
     BodyLimit, Handler, Problem, Request,
@@ -289,11 +290,13 @@
             .set_idle_since(idle_since.map(Instant::into_std));
         if self.connections.account.is_limited() {
             self.update_reception(now, is_receiving);
+            self.update_reading(now);
         }
     }
 
     fn deadline(&self) -> Instant {
         let at = self.timing.deadline(!self.output.is_empty());
-        self.reception_deadline().map_or(at, |other| at.min(other))
+        let others = [self.reception_deadline(), self.reading_deadline()];
+        others.into_iter().flatten().fold(at, Instant::min)
     }
 }
--- a/crates/nutmegwheel-web/src/connection/memory.rs
+++ b/crates/nutmegwheel-web/src/connection/memory.rs
@@ -91,6 +91,9 @@
 
     /// Refuses the incomplete request, since others need its memory or its connection.
     pub(super) fn give_way(&mut self) -> Result<(), Departed> {
+        if self.socket.is_given_up() {
+            return Err(self.give_up());
+        }
         let has_begun = self.decoder.stage() == Stage::Body || !self.received.is_empty();
         // It may have arrived completely meanwhile.
         if !has_begun || self.waiting.is_some() || self.pipeline.is_closing() {
--- a/crates/nutmegwheel-web/src/connections.rs
+++ b/crates/nutmegwheel-web/src/connections.rs
@@ -12,12 +12,15 @@
 };
 
 use nutmegwheel_memory::{Account, Hold};
-use nutmegwheel_policy::senders::{self, Asker, Sender};
+use nutmegwheel_policy::{
+    readers::{self, Reader},
+    senders::{self, Asker, Sender},
+};
 use slotmap::{SlotMap, new_key_type};
 use socket2::SockRef;
 use tokio::{net::TcpStream, sync::Notify};
 
-use crate::reception::Reception;
+use crate::{reading::Reading, reception::Reception};
 
 /// The part of the connections that is closed at a time to make room for new ones. Finding them
 /// looks at all connections.
@@ -50,8 +53,11 @@
     idle_since: Mutex<Option<Instant>>,
     /// The request that is being received, if the memory account has a limit.
     reception: Mutex<Option<Reception>>,
+    /// The answers that the caller has not taken, if the memory account has a limit.
+    reading: Mutex<Option<Reading>>,
     evicted: Notify,
     is_displaced: AtomicBool,
+    is_given_up: AtomicBool,
     _hold: Hold,
 }
 
@@ -86,6 +92,15 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn reading(&self) -> MutexGuard<'_, Option<Reading>> {
+        self.reading.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the caller does not read its answers while others need their memory.
+    pub(crate) fn is_given_up(&self) -> bool {
+        self.is_given_up.load(Ordering::Relaxed)
+    }
+
     /// Whether a new connection has taken the place of this one.
     pub(crate) fn is_displaced(&self) -> bool {
         self.is_displaced.load(Ordering::Relaxed)
@@ -140,8 +155,10 @@
             stream,
             idle_since: Mutex::new(Some(Instant::now())),
             reception: Mutex::default(),
+            reading: Mutex::default(),
             evicted: Notify::new(),
             is_displaced: AtomicBool::new(false),
+            is_given_up: AtomicBool::new(false),
             _hold: hold,
         });
         Some(Entry {
@@ -197,6 +214,37 @@
         evicted.count()
     }
 
+    /// Gives up the slowest readers while the account holds too much.
+    pub(crate) fn evict_readers(&self, now: Instant) {
+        let excess = self.account.excess();
+        if excess == 0 {
+            return;
+        }
+        let mut evicted_at = self
+            .evicted_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if evicted_at.is_some_and(|at| now < at + EVICTION_INTERVAL) {
+            return;
+        }
+        *evicted_at = Some(now);
+        drop(evicted_at);
+        let open = self.lock();
+        let reader = |(key, socket): (ConnectionKey, &Arc<Socket>)| {
+            let reading = socket.reading();
+            reading.as_ref().map(|known| known.reader(key, now))
+        };
+        let readers: Vec<Reader<ConnectionKey>> = open.iter().filter_map(reader).collect();
+        for key in readers::choose(excess, &readers) {
+            if let Some(socket) = open.get(key) {
+                // It is not chosen again before its task runs.
+                socket.reading().take();
+                socket.is_given_up.store(true, Ordering::Relaxed);
+                socket.evicted.notify_one();
+            }
+        }
+    }
+
     fn choose_senders(&self, asker: Asker, now: Instant) -> Vec<ConnectionKey> {
         let open = self.lock();
         let sender = |(key, socket): (ConnectionKey, &Arc<Socket>)| {
--- a/crates/nutmegwheel-web/src/lib.rs
+++ b/crates/nutmegwheel-web/src/lib.rs
@@ -14,6 +14,7 @@
 mod operator;
 mod output;
 mod problem;
+mod reading;
 mod reception;
 mod server;
 mod timing;
--- a/crates/nutmegwheel-web/src/output.rs
+++ b/crates/nutmegwheel-web/src/output.rs
@@ -21,9 +21,20 @@
 pub(crate) struct Output {
     parts: VecDeque<Bytes>,
     bytes: usize,
+    /// The bytes that the peer took since they were last asked for.
+    taken: usize,
 }
 
 impl Output {
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Returns the number of bytes that the peer took since the last call.
+    pub(crate) fn take_taken(&mut self) -> usize {
+        std::mem::take(&mut self.taken)
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.parts.is_empty()
     }
@@ -72,6 +83,7 @@
 
     fn advance(&mut self, mut written: usize) {
         self.bytes -= written;
+        self.taken += written;
         while let Some(part) = self.parts.front_mut() {
             if written < part.len() {
                 part.advance(written);
