feat(bench): what callers that do not read cost

Cause: no figure shows the peak memory of nodes beside callers that do not read, nor what callers that read lose. Change: measure readers, with and without max_memory_mb. Fake backend servers can pad responses.

--- a/tests/support/src/backend.rs
+++ b/tests/support/src/backend.rs
@@ -54,6 +54,8 @@
     /// The maximum number of times that the backend server itself resends a failed downstream
     /// call.
     pub own_retries: u32,
+    /// The number of bytes that are added to each response body.
+    pub padding: usize,
     /// The fault that is injected into each request.
     pub fault: Fault,
 }
@@ -367,6 +369,9 @@
 fn response(behaviour: &Behaviour, report: &serde_json::Value, body: &[u8]) -> Response<Body> {
     let mut report = report.clone();
     report["echo"] = String::from_utf8_lossy(body).into();
+    if behaviour.padding > 0 {
+        report["padding"] = "a".repeat(behaviour.padding).into();
+    }
     let bytes = Bytes::from(report.to_string());
     let mut res = Response::new(match behaviour.fault {
         Fault::Truncate => Body::truncated(bytes),
--- a/tools/bench/src/backend_pool.rs
+++ b/tools/bench/src/backend_pool.rs
@@ -52,6 +52,7 @@
         random_fraction: SERVICE_TIME_VARIATION,
         calls: deployment.downstream_calls(service.name),
         own_retries: 0,
+        padding: 0,
         fault: Fault::None,
     }
 }
--- a/tools/bench/src/flags.rs
+++ b/tools/bench/src/flags.rs
@@ -31,6 +31,11 @@
                 /// Print JSON.
                 optional --json
             }
+            /// Measure what callers cost that do not read their answers.
+            cmd readers {
+                /// The setting `max_memory_mb` of the nodes (default none).
+                optional --memory memory: usize
+            }
             /// Measure the resource use of a node and of a control VM as the fleet grows.
             cmd slopes {
                 /// Fleet sizes in nodes, separated by commas (default 6,24,60).
--- a/tools/bench/src/main.rs
+++ b/tools/bench/src/main.rs
@@ -57,6 +57,7 @@
     match cmd {
         MeasureCmd::Scenarios(flags) => measure::scenarios(&flags).await,
         MeasureCmd::Added(flags) => measure::added::run(&flags).await,
+        MeasureCmd::Readers(flags) => measure::readers::run(&flags).await,
         MeasureCmd::Slopes(flags) => measure::slopes::run(&flags).await,
     }
 }
--- a/tools/bench/src/measure/mod.rs
+++ b/tools/bench/src/measure/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod added;
 mod figures;
+pub(crate) mod readers;
 mod report;
 mod round;
 mod scenario;
--- a/tools/bench/src/usage.rs
+++ b/tools/bench/src/usage.rs
@@ -30,11 +30,20 @@
 
 /// Returns the resident memory of a process, in MB.
 fn resident_mb(id: u32) -> anyhow::Result<f64> {
+    status_mb(id, "VmRSS:")
+}
+
+/// Returns the peak of the resident memory of a process, in MB.
+pub(crate) fn peak_mb(id: u32) -> anyhow::Result<f64> {
+    status_mb(id, "VmHWM:")
+}
+
+fn status_mb(id: u32, field: &'static str) -> anyhow::Result<f64> {
     let path = format!("/proc/{id}/status");
     let text = std::fs::read_to_string(&path).with_context(|| path.clone())?;
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let line = text.lines().find_map(|line| line.strip_prefix(field));
     let kilobytes = line.and_then(|line| line.split_whitespace().next());
-    let kilobytes: f64 = kilobytes.context("no VmRSS in /proc/PID/status")?.parse()?;
+    let kilobytes: f64 = kilobytes.context(field)?.parse()?;
     Ok(kilobytes / 1024.0)
 }
 
