fix(node): no answer waits for room that later answers of its caller take

The account of the ingress node was full of answers behind ones that waited for room, so that nobody got an answer until the deadlines; replies that waited for room made their link refuse ordinary requests as busy; and connections to the backend server read 400 KiB of each answer ahead, outside the account (227.5 MB at the target with a limit of 160 MB). Change: callers whose answers wait for an earlier one give way too, after all that do not read. Replies on metered topics, which are in the account and have run, have no further bound in a link. With a limit, connections to the backend server read at most 60 KiB ahead.

--- a/crates/nutmegwheel-http1/src/pipeline.rs
+++ b/crates/nutmegwheel-http1/src/pipeline.rs
@@ -119,10 +119,11 @@
         })
     }
 
-    /// The size of the request bodies and of the waiting responses, in bytes.
+    /// The size of the waiting responses, in bytes.
     #[must_use]
-    pub fn bytes(&self) -> usize {
-        self.bytes
+    pub fn waiting_bytes(&self) -> usize {
+        let waiting = self.slots.iter().filter(|slot| slot.answer.is_some());
+        waiting.map(|slot| slot.bytes).sum()
     }
 
     /// Whether no response is outstanding.
--- a/crates/nutmegwheel-link/src/mux/incoming_requests.rs
+++ b/crates/nutmegwheel-link/src/mux/incoming_requests.rs
@@ -4,7 +4,7 @@
 };
 
 use bytes::Bytes;
-use nutmegwheel_memory::{Hold, Share};
+use nutmegwheel_memory::{Account, Hold, Share};
 
 use super::{
     Event, StreamId, Violation,
@@ -154,7 +154,7 @@
         let size = message_length(start);
         self.reserved_bytes += size;
         let request = IncomingRequest {
-            topic: Topic(u16::try_from(start.topic).unwrap_or(u16::MAX)),
+            topic: topic(start),
             one_way: start.one_way,
             size,
             deadline: (start.deadline_us > 0).then(|| Duration::from_micros(start.deadline_us)),
@@ -166,9 +166,7 @@
 
     /// Takes room in the account for a request that counts there, or fails if there is none.
     fn hold(&self, start: &Start) -> Result<Option<Hold>, NoRoom> {
-        let topic = Topic(u16::try_from(start.topic).unwrap_or(u16::MAX));
-        let metering = self.metering.as_ref();
-        let Some(account) = metering.and_then(|metering| metering.account(topic)) else {
+        let Some(account) = self.account(topic(start)) else {
             return Ok(None);
         };
         let size = message_length(start);
@@ -180,6 +178,14 @@
         account.try_hold(size, share).map(Some).ok_or(NoRoom)
     }
 
+    fn account(&self, topic: Topic) -> Option<&Account> {
+        self.metering.as_ref()?.account(topic)
+    }
+
+    fn is_metered(&self, topic: Topic) -> bool {
+        self.account(topic).is_some()
+    }
+
     fn refuse_reason(&self, start: &Start) -> Option<RefuseReason> {
         let too_large = start.head_length as usize > self.limits.max_head
             || start.body_length as usize > self.limits.max_body
@@ -191,7 +197,7 @@
             || !self
                 .limits
                 .has_room(self.reserved_bytes, message_length(start))
-            || self.queued_bytes > self.limits.max_buffered / 2;
+            || self.queued_bytes > self.limits.max_buffered / 2 && !self.is_metered(topic(start));
         busy.then_some(RefuseReason::Busy)
     }
 
@@ -257,7 +263,12 @@
         let size = reply.head.len() + reply.body.len();
         let too_large =
             reply.head.len() > self.limits.max_head || reply.body.len() > self.limits.max_body;
-        if too_large || !self.limits.has_room(self.queued_bytes, size) {
+        let Some(topic) = self.table.get(&stream).map(|request| request.topic) else {
+            return;
+        };
+        // The account bounds what waits on metered topics; the request has run.
+        let is_full = !self.limits.has_room(self.queued_bytes, size) && !self.is_metered(topic);
+        if too_large || is_full {
             self.refuse(stream, RefuseReason::Failed, control);
             return;
         }
@@ -326,3 +337,7 @@
         Some(request)
     }
 }
+
+fn topic(start: &Start) -> Topic {
+    Topic(u16::try_from(start.topic).unwrap_or(u16::MAX))
+}
--- a/crates/nutmegwheel-node/src/backend.rs
+++ b/crates/nutmegwheel-node/src/backend.rs
@@ -80,7 +80,7 @@
             dialect,
             announced: Mutex::default(),
             is_evacuated: AtomicBool::new(false),
-            connections: Connections::default(),
+            connections: Connections::open(account.is_limited()),
             account,
         }
     }
--- a/crates/nutmegwheel-node/src/connections.rs
+++ b/crates/nutmegwheel-node/src/connections.rs
@@ -22,7 +22,7 @@
     kept_connection::{History, RequestHash},
 };
 use thiserror::Error;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio_util::task::AbortOnDropHandle;
 
 /// How long an idle connection is kept.
@@ -30,9 +30,14 @@
 
 type Body = Full<Bytes>;
 
+/// The bytes of an answer that a connection reads ahead, and again those that the kernel receives
+/// ahead, if memory is limited: the window that TCP offers before it adapts.
+const READ_AHEAD_BYTES: u16 = 60 * 1024;
+
 /// The idle connections to the backend server.
-#[derive(Default)]
 pub(crate) struct Connections {
+    /// Whether connections read ahead at most [`READ_AHEAD_BYTES`].
+    is_memory_limited: bool,
     idle: Arc<Mutex<Vec<IdleConnection>>>,
     hasher: RandomState,
 }
@@ -70,6 +75,14 @@
 }
 
 impl Connections {
+    pub(crate) fn open(is_memory_limited: bool) -> Self {
+        Self {
+            is_memory_limited,
+            idle: Arc::default(),
+            hasher: RandomState::default(),
+        }
+    }
+
     /// Sends a request on an idle connection or a new one, and returns the head of the answer. `id`
     /// is the id that the answer repeats. With `avoids_denial`, a connection that has carried a
     /// denial of the same request is not used. Dropping the future closes the connection.
@@ -86,7 +99,7 @@
             let is_new = idle.is_none();
             let mut connection = match idle {
                 Some(connection) => connection,
-                None => Connection::open(address).await?,
+                None => Connection::open(address, self.is_memory_limited).await?,
             };
             match connection.sender.try_send_request(req).await {
                 Ok(res) => {
@@ -170,9 +183,14 @@
 }
 
 impl Connection {
-    async fn open(address: SocketAddr) -> Result<Self, SendError> {
-        let stream = connect(address).await.map_err(SendError::NotSent)?;
-        let opened = http1::handshake(TokioIo::new(stream)).await;
+    async fn open(address: SocketAddr, is_memory_limited: bool) -> Result<Self, SendError> {
+        let stream = connect(address, is_memory_limited).await;
+        let stream = stream.map_err(SendError::NotSent)?;
+        let mut http = http1::Builder::new();
+        if is_memory_limited {
+            http.max_buf_size(READ_AHEAD_BYTES.into());
+        }
+        let opened = http.handshake(TokioIo::new(stream)).await;
         let (sender, driver) = opened.map_err(|e| SendError::NotSent(io::Error::other(e)))?;
         let driver = tokio::spawn(async move {
             // The request on the connection gets the error, and an idle connection needs none.
@@ -187,8 +205,15 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
-    let stream = TcpStream::connect(address).await?;
+async fn connect(address: SocketAddr, is_memory_limited: bool) -> io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    if is_memory_limited {
+        socket.set_recv_buffer_size(READ_AHEAD_BYTES.into())?;
+    }
+    let stream = socket.connect(address).await?;
     stream.set_nodelay(true)?;
     Ok(stream)
 }
--- a/crates/nutmegwheel-policy/src/readers.rs
+++ b/crates/nutmegwheel-policy/src/readers.rs
@@ -21,18 +21,23 @@
         pub held: usize,
         /// The recent rate in bytes a second, or `None` if it is not known yet.
         pub rate: Option<u64>,
+        /// Whether the answers wait for one that is to be sent before them, and not for the caller.
+        pub is_ordered: bool,
     }
 }
 
 /// Chooses the readers to give up so that `excess` bytes are released, the slowest first, and among
 /// equally slow ones those that hold most.
+///
+/// Callers whose answers wait for an earlier one go last. They have to go too: the earlier answer may
+/// wait for the room that the later ones take.
 pub fn choose<K: Copy>(excess: usize, readers: &[Reader<K>]) -> Vec<K> {
     let slow = readers.iter().filter_map(|reader| {
         let rate = reader.rate.filter(|rate| *rate < MIN_RATE)?;
         Some((rate, reader))
     });
     let mut slow: Vec<(u64, &Reader<K>)> = slow.collect();
-    slow.sort_by_key(|(rate, reader)| (*rate, Reverse(reader.held)));
+    slow.sort_by_key(|(rate, reader)| (reader.is_ordered, *rate, Reverse(reader.held)));
     let mut released = 0;
     let chosen = slow.into_iter().take_while(|(_, reader)| {
         let is_needed = released < excess;
--- a/crates/nutmegwheel-web/src/connection/slow_reader.rs
+++ b/crates/nutmegwheel-web/src/connection/slow_reader.rs
@@ -17,28 +17,32 @@
     /// slow readers go if memory is short.
     pub(super) fn update_reading(&mut self, now: Instant) {
         let taken = self.output.take_taken();
-        if self.output.is_empty() {
+        let held = self.waiting_bytes();
+        if held == 0 {
             *self.socket.reading() = None;
             return;
         }
-        let held = self.pipeline.bytes() + self.output.bytes();
         let now = now.into_std();
         self.socket
             .reading()
             .get_or_insert_with(|| Reading::open(now))
-            .update(now, held, taken);
+            .update(now, held, self.output.is_empty(), taken);
         self.connections.evict_readers(now);
     }
 
+    fn waiting_bytes(&self) -> usize {
+        self.pipeline.waiting_bytes() + self.output.bytes()
+    }
+
     /// When the answers that wait are looked at again.
     pub(super) fn reading_deadline(&self) -> Option<Instant> {
-        let is_checked = self.connections.account.is_limited() && !self.output.is_empty();
+        let is_checked = self.connections.account.is_limited() && self.waiting_bytes() > 0;
         is_checked.then(|| Instant::now() + PRESSURE_POLL_INTERVAL)
     }
 
     /// Ends the connection without the answers that its caller has not taken.
     pub(super) fn give_up(&self) -> Departed {
-        let held = self.pipeline.bytes() + self.output.bytes();
+        let held = self.waiting_bytes();
         let account = self.connections.account.held();
         self.service.journal.emit_rate_limited(
             Event::ReaderEvicted,
--- a/crates/nutmegwheel-web/src/reading.rs
+++ b/crates/nutmegwheel-web/src/reading.rs
@@ -11,6 +11,7 @@
 #[derive(Debug)]
 pub(crate) struct Reading {
     held: usize,
+    is_ordered: bool,
     progress: Progress,
 }
 
@@ -18,13 +19,16 @@
     pub(crate) fn open(now: Instant) -> Self {
         Self {
             held: 0,
+            is_ordered: false,
             progress: Progress::open(now, WINDOW),
         }
     }
 
-    /// Records the bytes that the answers hold, and those that the caller has taken of them.
-    pub(crate) fn update(&mut self, now: Instant, held: usize, taken: usize) {
+    /// Records the bytes that the answers hold, whether they wait for an earlier one, and the bytes
+    /// that the caller has taken.
+    pub(crate) fn update(&mut self, now: Instant, held: usize, is_ordered: bool, taken: usize) {
         self.held = held;
+        self.is_ordered = is_ordered;
         if taken > 0 {
             self.progress.record(now, taken);
         }
@@ -35,6 +39,7 @@
             key,
             held: self.held,
             rate: self.progress.rate(now),
+            is_ordered: self.is_ordered,
         }
     }
 }
