--- a/crates/nutmegwheel-link/src/mux/incoming_requests.rs
+++ b/crates/nutmegwheel-link/src/mux/incoming_requests.rs
@@ -1,16 +1,17 @@
+mod room;
+
 use std::{
     collections::{HashMap, VecDeque},
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-use nutmegwheel_memory::{Account, Hold, Share};
 
 use super::{
     Event, StreamId, Violation,
     clock::Clocks,
     control::ControlQueue,
-    inbound::{INITIAL_WINDOW_BYTES, Inbound, Progress, message_length},
+    inbound::{Inbound, Progress, message_length},
     outbound::Outbound,
 };
 use crate::{
@@ -46,9 +47,6 @@
     state: State,
 }
 
-/// The account has no room for a request.
-struct NoRoom;
-
 #[derive(Debug)]
 enum State {
     Receiving(Inbound),
@@ -154,7 +152,7 @@
         let size = message_length(start);
         self.reserved_bytes += size;
         let request = IncomingRequest {
-            topic: topic(start),
+            topic: room::topic(start),
             one_way: start.one_way,
             size,
             deadline: (start.deadline_us > 0).then(|| Duration::from_micros(start.deadline_us)),
@@ -164,43 +162,6 @@
         Ok(())
     }
 
-    /// Takes room in the account for a request that counts there, or fails if there is none.
-    fn hold(&self, start: &Start) -> Result<Option<Hold>, NoRoom> {
-        let Some(account) = self.account(topic(start)) else {
-            return Ok(None);
-        };
-        let size = message_length(start);
-        let share = if size <= INITIAL_WINDOW_BYTES {
-            Share::Small
-        } else {
-            Share::Requests
-        };
-        account.try_hold(size, share).map(Some).ok_or(NoRoom)
-    }
-
-    fn account(&self, topic: Topic) -> Option<&Account> {
-        self.metering.as_ref()?.account(topic)
-    }
-
-    fn is_metered(&self, topic: Topic) -> bool {
-        self.account(topic).is_some()
-    }
-
-    fn refuse_reason(&self, start: &Start) -> Option<RefuseReason> {
-        let too_large = start.head_length as usize > self.limits.max_head
-            || start.body_length as usize > self.limits.max_body
-            || start.topic > u32::from(u16::MAX);
-        if too_large {
-            return Some(RefuseReason::TooLarge);
-        }
-        let busy = self.table.len() >= self.limits.max_streams
-            || !self
-                .limits
-                .has_room(self.reserved_bytes, message_length(start))
-            || self.queued_bytes > self.limits.max_buffered / 2 && !self.is_metered(topic(start));
-        busy.then_some(RefuseReason::Busy)
-    }
-
     fn complete(
         &mut self,
         stream: StreamId,
@@ -337,7 +298,3 @@
         Some(request)
     }
 }
-
-fn topic(start: &Start) -> Topic {
-    Topic(u16::try_from(start.topic).unwrap_or(u16::MAX))
-}
--- a/crates/nutmegwheel-web/src/connection.rs
+++ b/crates/nutmegwheel-web/src/connection.rs
@@ -293,10 +293,4 @@
             self.update_reading(now);
         }
     }
-
-    fn deadline(&self) -> Instant {
-        let at = self.timing.deadline(!self.output.is_empty());
-        let others = [self.reception_deadline(), self.reading_deadline()];
-        others.into_iter().flatten().fold(at, Instant::min)
-    }
 }
--- a/crates/nutmegwheel-web/src/connection/closing.rs
+++ b/crates/nutmegwheel-web/src/connection/closing.rs
@@ -10,6 +10,13 @@
 use crate::timing::Expired;
 
 impl Connection<'_> {
+    /// The next time at which [`Self::expire`] may find something.
+    pub(super) fn deadline(&self) -> Instant {
+        let at = self.timing.deadline(!self.output.is_empty());
+        let others = [self.reception_deadline(), self.reading_deadline()];
+        others.into_iter().flatten().fold(at, Instant::min)
+    }
+
     /// Ends what its caller took too long for.
     pub(super) fn expire(&mut self, now: Instant) -> Result<(), Departed> {
         match self.timing.expired(now, !self.output.is_empty()) {
