feat(platform): deployments whose contracts hold the pool route by expected time

Cause: the setting routing was off everywhere, and nothing in a deployment's settings could call for it.

Change: the settings take the platform's contracts, and the adapter says what follows from them: expected time where they hold pool. An explicit routing goes first. The retry budget's settings move to a module of their own.

--- a/crates/nutmegwheel-config/src/lib.rs
+++ b/crates/nutmegwheel-config/src/lib.rs
@@ -13,6 +13,7 @@
 mod hosts;
 mod reader;
 mod request_limits;
+mod retry_budget;
 mod settings;
 mod view;
 
@@ -24,8 +25,8 @@
 pub use hosts::{HostRoute, HostRoutes, WeightedService};
 pub use reader::{is_name, name_rule};
 pub use request_limits::RequestLimits;
+pub use retry_budget::RetryBudget;
 pub use settings::{
-    BackendServer, Concurrency, Contacts, Dialect, Listen, RetryBudget, Role, Routing, Seed,
-    Settings,
+    BackendServer, Concurrency, Contacts, Dialect, Listen, Role, Routing, Seed, Settings,
 };
 pub use view::{View, ViewError, hash_key};
--- a/crates/nutmegwheel-node/src/shared.rs
+++ b/crates/nutmegwheel-node/src/shared.rs
@@ -118,6 +118,7 @@
     ) -> Self {
         let now = Instant::now();
         let memory = Account::for_peers(settings.max_memory);
+        let routing = settings.routing.unwrap_or_default();
         let contacts = settings.contacts.as_ref();
         let default_max_body = match dialect {
             Some(_) => DEFAULT_DIALECT_BODY_BYTES,
@@ -126,8 +127,8 @@
         let is_first_start = contacts.is_some_and(|contacts| contacts.bootstrap);
         Self {
             evacuations: Evacuations::default(),
-            routes: Routes::open(settings.data_centre.clone(), settings.routing),
-            work: WorkAccount::open(settings.routing),
+            routes: Routes::open(settings.data_centre.clone(), routing),
+            work: WorkAccount::open(routing),
             admission: AdmissionController::open(
                 now,
                 settings
--- a/crates/nutmegwheel/src/role.rs
+++ b/crates/nutmegwheel/src/role.rs
@@ -75,13 +75,16 @@
     runtime.block_on(serve(path, settings, journal))
 }
 
-async fn serve(path: &Path, settings: Settings, journal: Arc<Journal>) -> anyhow::Result<()> {
+async fn serve(path: &Path, mut settings: Settings, journal: Arc<Journal>) -> anyhow::Result<()> {
     let mut stop = StopSignals::open()?;
     let mut watcher = SettingsWatcher::open(path)?;
     // The start time, so that a restarted process has a greater incarnation.
     let incarnation = SystemTime.millis();
     let role = settings.role;
     let is_platform = settings.dialect == Dialect::Platform;
+    if is_platform && settings.routing.is_none() {
+        settings.routing = nutmegwheel_platform::routing(&settings.contracts);
+    }
     match role {
         Role::Node => {
             let dialect = is_platform.then(|| Arc::new(nutmegwheel_platform::NodeDialect) as _);
