--- a/crates/nutmegwheel-events/src/catalogue.rs
+++ b/crates/nutmegwheel-events/src/catalogue.rs
@@ -54,7 +54,7 @@
     ConnectionRefused = 107, "connection-refused", Warn;
     /// A listener closed connections that waited for a request, to make room for new ones.
     ConnectionsClosed = 108, "connections-closed", Warn;
-    /// A request that had not arrived completely gave way to others for lack of memory.
+    /// A request that had not arrived completely was evicted for lack of memory.
     RequestEvicted = 109, "request-evicted", Warn;
     /// A caller sent a body too slowly.
     RequestTooSlow = 110, "request-too-slow", Warn;
@@ -106,7 +106,7 @@
     RequestAbandoned = 314, "request-abandoned", Info;
     /// The bytes of a connection were no request that could be read or passed on.
     RequestMalformed = 315, "request-malformed", Warn;
-    /// A caller was given up that did not read its answers while memory was short.
+    /// A caller was evicted that did not read its answers while memory was short.
     ReaderEvicted = 316, "reader-evicted", Warn;
     /// Requests of a service begin to cross to other data centres.
     SpillOverBegan = 320, "spill-over-began", Info;
--- a/crates/nutmegwheel-policy/src/readers.rs
+++ b/crates/nutmegwheel-policy/src/readers.rs
@@ -1,11 +1,11 @@
-//! Which callers are given up when the memory of a process is used up by answers that they do not
+//! Which callers are evicted when the memory of a process is used up by answers that they do not
 //! read; see docs/design/BODIES.md.
 
 use std::{cmp::Reverse, time::Duration};
 
 use nutmegwheel_types::plain_copy;
 
-/// The rate, in bytes a second, from which on a caller is not given up: an answer of 4 MiB, the
+/// The rate, in bytes a second, from which on a caller is not evicted: an answer of 4 MiB, the
 /// largest one, ends within the minute after which a caller that takes nothing is given up anyway.
 pub const MIN_RATE: u64 = 4 * 1024 * 1024 / 60;
 /// The window over which the rate is measured. Other delays on the way of a caller that reads are
@@ -26,7 +26,7 @@
     }
 }
 
-/// Chooses the readers to give up so that `excess` bytes are released, the slowest first, and among
+/// Chooses the readers to evict so that `excess` bytes are released, the slowest first, and among
 /// equally slow ones those that hold most.
 ///
 /// Callers whose answers wait for an earlier one go last. They have to go too: the earlier answer may
--- a/crates/nutmegwheel-policy/src/senders.rs
+++ b/crates/nutmegwheel-policy/src/senders.rs
@@ -1,4 +1,4 @@
-//! Which callers give way when the memory or the connections of a listener are used up by requests
+//! Which callers are evicted when the memory or the connections of a listener are used up by requests
 //! that have not arrived completely; see docs/design/MEMORY.md.
 
 use std::{
@@ -11,16 +11,16 @@
 /// The size, in bytes, up to which a request is small. Ordinary requests are: the platform's callers
 /// send some KiB.
 pub const SMALL_BYTES: usize = 64 * 1024;
-/// How long a large body waits for room before others give way to it. Callers abandon a connection
+/// How long a large body waits for room before others are evicted for it. Callers abandon a connection
 /// whose request is not read within one second.
 pub const MAX_PAUSE: Duration = Duration::from_millis(500);
-/// How long bytes of a caller are left unread at most, before the caller itself gives way: the time
+/// How long bytes of a caller are left unread at most, before the caller itself is evicted: the time
 /// that most callers wait for an answer.
 pub const MAX_WAIT: Duration = Duration::from_secs(3);
 /// The progress, in bytes a second, below which a caller is slow: its body of some KiB would take
 /// longer than callers wait for an answer.
 pub const MIN_RATE: u64 = 500;
-/// The part of the candidates that gives way at a time. Finding them looks at all senders.
+/// The part of the candidates that is evicted at a time. Finding them looks at all senders.
 const EVICTED_FRACTION: usize = 32;
 
 plain_copy! {
@@ -58,7 +58,7 @@
     }
 }
 
-/// Why a sender is a candidate, in the order in which they give way.
+/// Why a sender is a candidate, in the order in which they are evicted.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Ground {
     SlowAndLarge,
@@ -66,7 +66,7 @@
     Slow,
 }
 
-/// Chooses the senders that give way to `asker`; none if it should wait.
+/// Chooses the senders to evict for `asker`; none if it should wait.
 ///
 /// Slow senders with large bodies go first, the largest before the others. A small request, or one
 /// that has waited long enough, also displaces large bodies that arrive well, the newest first, so
@@ -100,7 +100,7 @@
 impl Asker {
     /// Whether it has waited as long as any caller may.
     #[must_use]
-    pub fn must_give_way(self) -> bool {
+    pub fn must_be_evicted(self) -> bool {
         self.paused >= MAX_WAIT
     }
 }
--- a/crates/nutmegwheel-web/src/connection.rs
+++ b/crates/nutmegwheel-web/src/connection.rs
@@ -117,7 +117,7 @@
                 Some((sequence, answer)) = self.running.next(), if !self.running.is_empty() => {
                     self.complete(sequence, answer);
                 }
-                () = self.socket.evicted() => self.give_way()?,
+                () = self.socket.evicted() => self.evict()?,
                 ready = stream.readable(), if self.may_read() => {
                     ready.map_err(|_| Departed)?;
                     self.read()?;
--- a/crates/nutmegwheel-web/src/connection/memory.rs
+++ b/crates/nutmegwheel-web/src/connection/memory.rs
@@ -24,7 +24,7 @@
         }
     }
 
-    /// Shows the list of connections what the incomplete request holds, and lets others give way
+    /// Shows the list of connections what the incomplete request holds, and evicts others
     /// if that is not enough.
     pub(super) fn update_reception(&mut self, now: Instant, is_receiving: bool) {
         let mut reception = self.socket.reception();
@@ -47,7 +47,7 @@
         );
         let asker = known.asker(now);
         drop(reception);
-        if asker.must_give_way() {
+        if asker.must_be_evicted() {
             self.refuse_for_memory();
         } else if lacks_memory || !is_unread_covered {
             self.connections.evict_senders(asker, now);
@@ -90,9 +90,9 @@
     }
 
     /// Refuses the incomplete request, since others need its memory or its connection.
-    pub(super) fn give_way(&mut self) -> Result<(), Departed> {
-        if self.socket.is_given_up() {
-            return Err(self.give_up());
+    pub(super) fn evict(&mut self) -> Result<(), Departed> {
+        if self.socket.is_reader_evicted() {
+            return Err(self.evict_reader());
         }
         let has_begun = self.decoder.stage() == Stage::Body || !self.received.is_empty();
         // It may have arrived completely meanwhile.
--- a/crates/nutmegwheel-web/src/connection/slow_reader.rs
+++ b/crates/nutmegwheel-web/src/connection/slow_reader.rs
@@ -41,7 +41,7 @@
     }
 
     /// Ends the connection without the answers that its caller has not taken.
-    pub(super) fn give_up(&self) -> Departed {
+    pub(super) fn evict_reader(&self) -> Departed {
         let held = self.waiting_bytes();
         let account = self.connections.account.held();
         self.service.journal.emit_rate_limited(
--- a/crates/nutmegwheel-web/src/connections.rs
+++ b/crates/nutmegwheel-web/src/connections.rs
@@ -28,7 +28,7 @@
 
 /// The memory of a connection without a body, in bytes: its task and a read buffer.
 const CONNECTION_BYTES: usize = 8 * 1024;
-/// The interval between choices of the senders that give way, which look at all senders. Those
+/// The interval between choices of the senders to evict, which look at all senders. Those
 /// chosen last have released their memory by then.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -57,7 +57,7 @@
     reading: Mutex<Option<Reading>>,
     evicted: Notify,
     is_displaced: AtomicBool,
-    is_given_up: AtomicBool,
+    is_reader_evicted: AtomicBool,
     _hold: Hold,
 }
 
@@ -97,8 +97,8 @@
     }
 
     /// Whether the caller does not read its answers while others need their memory.
-    pub(crate) fn is_given_up(&self) -> bool {
-        self.is_given_up.load(Ordering::Relaxed)
+    pub(crate) fn is_reader_evicted(&self) -> bool {
+        self.is_reader_evicted.load(Ordering::Relaxed)
     }
 
     /// Whether a new connection has taken the place of this one.
@@ -106,7 +106,7 @@
         self.is_displaced.load(Ordering::Relaxed)
     }
 
-    /// Waits until the request that is being received has to give way to others.
+    /// Waits until the request that is being received is to be evicted for others.
     pub(crate) async fn evicted(&self) {
         self.evicted.notified().await;
     }
@@ -158,7 +158,7 @@
             reading: Mutex::default(),
             evicted: Notify::new(),
             is_displaced: AtomicBool::new(false),
-            is_given_up: AtomicBool::new(false),
+            is_reader_evicted: AtomicBool::new(false),
             _hold: hold,
         });
         Some(Entry {
@@ -193,7 +193,7 @@
         closed.count()
     }
 
-    /// Lets senders give way to one that needs memory. Returns their number.
+    /// Evicts senders for one that needs memory. Returns their number.
     pub(crate) fn evict_senders(&self, asker: Asker, now: Instant) -> usize {
         let mut evicted_at = self
             .evicted_at
@@ -239,7 +239,7 @@
             if let Some(socket) = open.get(key) {
                 // It is not chosen again before its task runs.
                 socket.reading().take();
-                socket.is_given_up.store(true, Ordering::Relaxed);
+                socket.is_reader_evicted.store(true, Ordering::Relaxed);
                 socket.evicted.notify_one();
             }
         }
--- a/crates/nutmegwheel-web/src/problem.rs
+++ b/crates/nutmegwheel-web/src/problem.rs
@@ -8,7 +8,7 @@
 
 use crate::Response;
 
-/// The retry delay for callers whose request gave way: another node probably has room at once.
+/// The retry delay for callers whose request was evicted: another node probably has room at once.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 plain! {
@@ -81,7 +81,7 @@
             .with_close()
     }
 
-    /// Builds a refusal with status 503 for a request that gave way to others before it had arrived
+    /// Builds a refusal with status 503 for a request that was evicted for others before it had arrived
     /// completely.
     #[must_use]
     pub fn out_of_memory() -> Self {
--- a/crates/nutmegwheel-web/src/reception.rs
+++ b/crates/nutmegwheel-web/src/reception.rs
@@ -6,7 +6,7 @@
 use nutmegwheel_policy::senders::{Asker, Progress, Sender};
 
 /// The window of the progress by which senders are compared when memory is short. Two of them pass
-/// before a sender that stops is known to be slow; by then, nobody else has to give way.
+/// before a sender that stops is known to be slow; by then, nobody else has to be evicted.
 const RECENT_WINDOW: Duration = Duration::from_millis(200);
 /// The window of the progress that every body must make. Callers give up a request within seconds.
 const STEADY_WINDOW: Duration = Duration::from_secs(5);
--- a/crates/nutmegwheel-web/src/server.rs
+++ b/crates/nutmegwheel-web/src/server.rs
@@ -66,7 +66,7 @@
     /// process has descriptors for.
     pub max_connections: Option<usize>,
     /// The account from which connections and incomplete requests take their memory. If it is used
-    /// up, callers that send slowly or much give way; see docs/INTERFACES.md, "Memory".
+    /// up, callers that send slowly or much are evicted; see docs/INTERFACES.md, "Memory".
     pub account: Account,
 }
 
--- a/crates/nutmegwheel-web/tests/memory.rs
+++ b/crates/nutmegwheel-web/tests/memory.rs
@@ -30,7 +30,7 @@
     let head = format!("POST {path} HTTP/1.1\r\nhost: a\r\ncontent-length: {BODY_LIMIT}\r\n\r\n");
     stream.write_all(head.as_bytes()).unwrap();
     let body = vec![b'x'; BODY_LIMIT - missing];
-    // Fails if the caller has to give way before.
+    // Fails if the caller is evicted before.
     let _ = stream.write_all(&body);
     stream
 }
