fix(http1): a large body gets its buffer at once, so that growth leaves no copies behind

Cause: a body without an announced length grew by quarters. Each growth of tens of MB was copied on the heap, and the allocator kept the old buffers, which the account does not see.

Change: from 1 MiB on a body gets a buffer for its maximum, of which only what is stored takes memory; the account still takes room for what is stored. Why this works: nothing larger than 1 MiB is copied.

--- a/crates/nutmegwheel-http1/src/decode.rs
+++ b/crates/nutmegwheel-http1/src/decode.rs
@@ -21,6 +21,9 @@
 pub const SMALL_BODY_BYTES: usize = 64 * 1024;
 /// The fraction of the memory account that is kept back for small requests.
 const SMALL_FRACTION: usize = 16;
+/// The size from which on a body gets a buffer for its maximum, of which only what is stored takes
+/// memory. A large buffer that grew would be copied, and the allocator keeps the old ones.
+const COPIED_BODY_BYTES: usize = 1024 * 1024;
 /// The part of its size by which the buffer of a body grows.
 const GROWTH_FRACTION: usize = 4;
 /// The minimum size of the buffer of a body whose length is not announced, in bytes.
@@ -242,25 +245,29 @@
             _ => (received.min(limit - self.body.len()), limit),
         };
         let needed = self.body.len() + needed;
-        if needed <= self.body.capacity() {
+        let room = self.hold.bytes();
+        if needed <= room {
             return true;
         }
-        let capacity = self.body.capacity();
-        let grown = capacity + capacity / GROWTH_FRACTION;
+        let grown = room + room / GROWTH_FRACTION;
         let grown = grown.max(MIN_BODY_BUFFER_BYTES).clamp(needed, max);
-        self.grow(grown) || self.grow(needed)
+        self.grow(grown, max) || self.grow(needed, max)
     }
 
-    fn grow(&mut self, capacity: usize) -> bool {
-        let spare = match capacity {
+    /// Takes `room` bytes from the account for a body of at most `max` bytes.
+    fn grow(&mut self, room: usize, max: usize) -> bool {
+        let spare = match room {
             ..=SMALL_BODY_BYTES => 0,
             _ => self.hold.account().limit() / SMALL_FRACTION,
         };
-        let added = capacity.saturating_sub(self.hold.bytes());
+        let added = room.saturating_sub(self.hold.bytes());
         if !self.hold.try_grow_sparing(added, spare) {
             return false;
         }
-        self.body.reserve_exact(capacity - self.body.len());
+        let capacity = if room <= COPIED_BODY_BYTES { room } else { max };
+        if capacity > self.body.capacity() {
+            self.body.reserve_exact(capacity - self.body.len());
+        }
         true
     }
 }
