fix(node): a repeated call reaches no backend server beyond those that its route allows

When the backend servers that a call was sent to were gone or evacuated, its repeat fell back to the choice among all, so it could reach more of them than the route's attempts; repeats looked at neither the deadline nor the shed levels.

Change: a repeat chooses among those servers or is refused; the deadline and the levels are checked; without the setting and for unsafe requests each attempt counts, as before. No test of its own: the process tests have two backend servers of a service.

--- a/crates/nutmegwheel-node/src/forward.rs
+++ b/crates/nutmegwheel-node/src/forward.rs
@@ -97,18 +97,20 @@
     let mut replaces = None;
     let mut aborted = 0;
     let mut reached: Vec<BackendKey> = Vec::new();
+    let mut reached_attempts = 0;
     let mut repeats_at_same = false;
     let fingerprint = quarantine::fingerprint(call);
     loop {
         shared.quarantine.check(Instant::now(), fingerprint)?;
         let chosen = if repeats_at_same {
-            shared.routes.choose_among(Instant::now(), call, &reached)
+            choose_again(shared, call, &reached)
         } else {
             choose(shared, call, &tried)
         };
         let target = match chosen {
             Ok(target) => target,
-            Err(refusal) if tried.is_empty() => return Err(refusal),
+            // The route allows no backend server that the call was not sent to.
+            Err(refusal) if tried.is_empty() || repeats_at_same => return Err(refusal),
             // All backend servers were tried: choose among them again, or return why none is left.
             Err(_) => choose(shared, call, &[])?,
         };
@@ -138,17 +140,18 @@
         tried.push(target.key);
         aborted += u32::from(refusal.may_have_crashed_server());
         if refusal.has_reached_server() {
-            call.context.is_repeat = true;
+            call.context.is_repeat = shared.settings.retry_budget.is_some();
+            reached_attempts += 1;
             if !reached.contains(&target.key) {
                 reached.push(target.key);
             }
         }
-        let has_reached_all = call
-            .max_servers
-            .is_some_and(|max| reached.len() >= usize::try_from(max).unwrap_or(usize::MAX));
+        let max = call.max_servers.and_then(|max| usize::try_from(max).ok());
+        let max = max.unwrap_or(usize::MAX);
         repeats_at_same =
-            has_reached_all && retries::may_repeat_at_same(&shared.settings, call, &refusal);
-        if has_reached_all && !repeats_at_same {
+            reached.len() >= max && retries::may_repeat_at_same(&shared.settings, call, &refusal);
+        if reached_attempts >= max && !retries::may_repeat_at_same(&shared.settings, call, &refusal)
+        {
             return Err(refusal);
         }
         if aborted >= MAX_ABORTED_ATTEMPTS {
@@ -208,6 +211,17 @@
         .choose(now, service, endpoint, priority, tried)
 }
 
+/// Chooses among the backend servers that the call was sent to, as [`choose`] does among all.
+fn choose_again(shared: &Shared, call: &Call, reached: &[BackendKey]) -> Result<Target, Refusal> {
+    let now = Instant::now();
+    if call.deadline <= now {
+        let detail = "the deadline passed before the request was sent on";
+        return Err(Refusal::not_run(Reason::Deadline, detail));
+    }
+    check_shed_levels(shared, call, now)?;
+    shared.routes.choose_among(now, call, reached)
+}
+
 /// Refuses a request that all backend servers of its service, or of a service further down its
 /// chain, would shed.
 pub(crate) fn check_shed_levels(shared: &Shared, call: &Call, now: Instant) -> Result<(), Refusal> {
--- a/crates/nutmegwheel-node/src/retries.rs
+++ b/crates/nutmegwheel-node/src/retries.rs
@@ -68,8 +68,8 @@
     }
 }
 
-/// Whether the call may be sent again to backend servers that it was sent to: one of them refused
-/// it, none ran it, and the route allows no further ones.
+/// Whether the call may be sent again to a backend server that it was sent to: it may run more than
+/// once, and the last one refused it as not run.
 pub(crate) fn may_repeat_at_same(settings: &Settings, call: &Call, refusal: &Refusal) -> bool {
     settings.retry_budget.is_some()
         && !call.context.non_idempotent
