test(review): a restarted node forgets which requests crash backend servers

What crashed backend servers is told only to processes that run at that time. After a rolling restart the same request crashes endpoints again at each machine, and with them the ordinary requests that run there.

Adds the case as a script.

--- a/review/stand-in-2/src/cases/mod.rs
+++ b/review/stand-in-2/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod late_bytes;
+mod quarantine;
 
 use std::{io, sync::Arc};
 
@@ -14,6 +15,7 @@
 pub fn run(case: &str, record: &Arc<Record>, has_trouble: bool) -> io::Result<Verdict> {
     match case {
         "late-bytes" => late_bytes::run(record, has_trouble),
+        "quarantine" => quarantine::run(record, has_trouble),
         _ => Err(io::Error::other("no such case")),
     }
 }
