test(review): requests in progress take a node beyond the memory of its machine

Of a request in progress only the body is counted. 1,800 clients that send 16 short safe requests each before the first is answered take a node beyond 160 MiB within half a second; the platform kills it, and requests that endpoints had begun get no answer.

--- a/review/stand-in-2/src/cases/mod.rs
+++ b/review/stand-in-2/src/cases/mod.rs
@@ -1,9 +1,10 @@
 //! The cases.
 
+mod crowd;
 mod late_bytes;
 mod quarantine;
 
-use std::{io, sync::Arc};
+use std::{io, process::ExitCode, sync::Arc};
 
 use crate::record::Record;
 
@@ -14,8 +15,20 @@
 
 pub fn run(case: &str, record: &Arc<Record>, has_trouble: bool) -> io::Result<Verdict> {
     match case {
+        "crowd" => crowd::run(record, has_trouble),
         "late-bytes" => late_bytes::run(record, has_trouble),
         "quarantine" => quarantine::run(record, has_trouble),
         _ => Err(io::Error::other("no such case")),
     }
 }
+
+/// Runs as one of the processes with clients that a case starts.
+pub fn run_clients(to: &str, connections: &str, depth: &str) -> ExitCode {
+    match crowd::run_clients(to, connections, depth) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("clients: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/review/stand-in-2/src/client.rs
+++ b/review/stand-in-2/src/client.rs
@@ -15,10 +15,10 @@
 
 static LAST_ID: AtomicU64 = AtomicU64::new(0);
 
-/// Returns the id of a new attempt.
+/// Returns the id of a new attempt. No two processes return the same.
 pub fn new_id() -> String {
     let n = LAST_ID.fetch_add(1, Ordering::SeqCst) + 1;
-    format!("9c41d07b{n:08x}")
+    format!("{:08x}{n:08x}", std::process::id())
 }
 
 /// Writes a request.
--- a/review/stand-in-2/src/endpoint.rs
+++ b/review/stand-in-2/src/endpoint.rs
@@ -77,7 +77,6 @@
     boots: u32,
     born: u64,
     sequence: u64,
-    is_draining: bool,
     is_up: bool,
     is_listening: bool,
     connections: Vec<TcpStream>,
@@ -118,23 +117,6 @@
         });
         Ok(Self { inner })
     }
-
-    pub fn machine(&self) -> &str {
-        &self.inner.machine
-    }
-
-    /// Reports that the endpoint drains, until that is confirmed.
-    pub fn drain(&self) -> Duration {
-        self.inner.state().is_draining = true;
-        while self.inner.beat() != Some(200) {
-            thread::sleep(Duration::from_millis(50));
-        }
-        let at = self.inner.record.now();
-        self.inner
-            .record
-            .add(format!("{}: draining is confirmed", self.inner.machine));
-        at
-    }
 }
 
 impl Drop for Endpoint {
@@ -337,15 +319,10 @@
     fn beat(&self) -> Option<u16> {
         let mut state = self.state();
         state.sequence += 1;
-        let state_name = if state.is_draining {
-            "draining"
-        } else {
-            "ready"
-        };
         let (id, born, sequence) = (state.id.clone(), state.born, state.sequence);
         drop(state);
         let body = format!(
-            r#"{{"address":"{}","born":{born},"info":{{"service":"{}","version":"v1","zone":"{}","slots":{}}},"status":{{"state":"{state_name}","sequence":{sequence},"cold_remaining_ms":0}}}}"#,
+            r#"{{"address":"{}","born":{born},"info":{{"service":"{}","version":"v1","zone":"{}","slots":{}}},"status":{{"state":"ready","sequence":{sequence},"cold_remaining_ms":0}}}}"#,
             self.address, self.service, self.zone, self.slots
         );
         let req = http::json_request("PUT", &format!("/-/instances/{id}"), &body);
--- a/review/stand-in-2/src/fleet.rs
+++ b/review/stand-in-2/src/fleet.rs
@@ -47,6 +47,8 @@
     pub ports: Ports,
     pub machines: Vec<Machine>,
     pub record: Arc<Record>,
+    /// The memory of a sidecar machine.
+    pub memory_mb: u32,
     folder: PathBuf,
 }
 
@@ -96,6 +98,7 @@
             ports,
             machines,
             record,
+            memory_mb: 260,
             folder,
         })
     }
@@ -200,16 +203,8 @@
         ended
     }
 
-    /// The resident memory of the process of a machine, in kB.
-    pub fn resident_kb(&self, machine: usize) -> u64 {
-        let Some(child) = &self.machines[machine].child else {
-            return 0;
-        };
-        let status = fs::read_to_string(format!("/proc/{}/status", child.id()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kb = line.and_then(|line| line.split_whitespace().next());
-        kb.and_then(|kb| kb.parse().ok()).unwrap_or(0)
+    pub fn process(&self, machine: usize) -> Option<u32> {
+        self.machines[machine].child.as_ref().map(Child::id)
     }
 
     pub fn is_ready(&self, machine: usize) -> bool {
@@ -300,9 +295,10 @@
                 "platform": "{ip}:{ready}", "link": "{ip}:{link}" }},
               "backend_server": {{ "service": "{service}", "address": "{ip}:{app}", "concurrency": "announced" }},
               {common}
-              "max_descriptors": 4100, "max_memory_mb": 260,
+              "max_descriptors": 4100, "max_memory_mb": {memory_mb},
               "retry_budget": {{ "ratio": 0.2, "slack": 49, "window_s": 10 }},
               "contracts": ["base","drain","config","cost","retry","recover","pressure","tenants","quota"] }}"#,
+                memory_mb = self.memory_mb,
                 outbound = p.outbound,
                 control = p.control,
                 ready = p.ready,
@@ -349,6 +345,14 @@
 }
 
 /// Finds ports that are free at the addresses of all machines.
+/// The resident memory of a process in KiB.
+pub fn resident_kib(process: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().next());
+    kib.and_then(|kib| kib.parse().ok()).unwrap_or(0)
+}
+
 fn free_ports(machines: &[Machine]) -> io::Result<Ports> {
     let mut found = Vec::new();
     let first = machines.first().ok_or(io::ErrorKind::InvalidInput)?.ip;
--- a/review/stand-in-2/src/main.rs
+++ b/review/stand-in-2/src/main.rs
@@ -16,6 +16,11 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
+    if let [role, to, connections, depth] = &args[..]
+        && role == "crowd-clients"
+    {
+        return cases::run_clients(to, connections, depth);
+    }
     let [case, folder] = &args[..] else {
         eprintln!("usage: review-stand-in-2 CASE FOLDER");
         return ExitCode::from(2);
