test(review): ids with a dot let a tenant pass its usage cap

A node takes what stands before the last dot of an id for a running request, and a request whose part it seems to be for a call of the endpoint, which no cap binds, although it bears a tenant's key.

Adds the case as a script.

--- a/review/stand-in-2/src/cases/mod.rs
+++ b/review/stand-in-2/src/cases/mod.rs
@@ -2,6 +2,7 @@
 
 mod crowd;
 mod late_bytes;
+mod parts_of_jobs;
 mod quarantine;
 
 use std::{io, process::ExitCode, sync::Arc};
@@ -17,6 +18,7 @@
     match case {
         "crowd" => crowd::run(record, has_trouble),
         "late-bytes" => late_bytes::run(record, has_trouble),
+        "parts-of-jobs" => parts_of_jobs::run(record, has_trouble),
         "quarantine" => quarantine::run(record, has_trouble),
         _ => Err(io::Error::other("no such case")),
     }
