test(review): a node doesn't notice that a client with a long pipeline has left

With 16 requests in progress and 16 KiB behind them a connection is not read, so its end goes unnoticed: endpoints work on for clients that have left, and get further requests of theirs.

Adds the case as a script.

--- a/review/stand-in-2/src/cases/crowd.rs
+++ b/review/stand-in-2/src/cases/crowd.rs
@@ -16,7 +16,7 @@
 use super::Verdict;
 use crate::{
     client,
-    endpoint::{Action, Answer, Endpoint, Run},
+    endpoint::{Answer, Endpoint, Run},
     fleet::{self, Fleet, HOST, KEY, Route},
     http::{Message, Reader},
     record::Record,
@@ -52,13 +52,11 @@
     fleet.start_all(&config)?;
     let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
     let sidecars = fleet.sidecars();
-    let behaviour = Arc::new(|_: &str, _: &Message| {
-        Action::Answer(Answer {
-            status: 200,
-            work: WORK,
-            body: vec![b'x'; 400],
-            ..Answer::default()
-        })
+    let behaviour = Arc::new(|_: &str, _: &Message| Answer {
+        status: 200,
+        work: WORK,
+        body: vec![b'x'; 400],
+        ..Answer::default()
     });
     let mut endpoints = Vec::new();
     for machine in &sidecars {
--- a/review/stand-in-2/src/cases/late_bytes.rs
+++ b/review/stand-in-2/src/cases/late_bytes.rs
@@ -15,7 +15,7 @@
 use super::Verdict;
 use crate::{
     client,
-    endpoint::{Action, Answer, Endpoint, Run},
+    endpoint::{Answer, Endpoint, Run},
     fleet::{self, Fleet, Route},
     http::Message,
     record::Record,
@@ -45,7 +45,7 @@
     let behaviour = Arc::new(move |machine: &str, _: &Message| {
         let is_full =
             machine == faulty && count.fetch_add(1, Ordering::SeqCst) % SPOILED_ONE_IN == 7;
-        Action::Answer(match is_full {
+        match is_full {
             true => Answer {
                 status: 503,
                 is_rejection: true,
@@ -62,7 +62,7 @@
                 body: b"done".to_vec(),
                 ..Answer::default()
             },
-        })
+        }
     });
     let mut endpoints = Vec::new();
     for machine in &sidecars {
--- a/review/stand-in-2/src/cases/mod.rs
+++ b/review/stand-in-2/src/cases/mod.rs
@@ -1,9 +1,9 @@
 //! The cases.
 
 mod crowd;
+mod departed_clients;
 mod late_bytes;
 mod parts_of_jobs;
-mod quarantine;
 
 use std::{io, process::ExitCode, sync::Arc};
 
@@ -17,9 +17,9 @@
 pub fn run(case: &str, record: &Arc<Record>, has_trouble: bool) -> io::Result<Verdict> {
     match case {
         "crowd" => crowd::run(record, has_trouble),
+        "departed-clients" => departed_clients::run(record, has_trouble),
         "late-bytes" => late_bytes::run(record, has_trouble),
         "parts-of-jobs" => parts_of_jobs::run(record, has_trouble),
-        "quarantine" => quarantine::run(record, has_trouble),
         _ => Err(io::Error::other("no such case")),
     }
 }
--- a/review/stand-in-2/src/cases/parts_of_jobs.rs
+++ b/review/stand-in-2/src/cases/parts_of_jobs.rs
@@ -14,7 +14,7 @@
 use super::Verdict;
 use crate::{
     client,
-    endpoint::{Action, Answer, Endpoint, Run},
+    endpoint::{Answer, Endpoint, Run},
     fleet::{self, Fleet, Route},
     http::Message,
     record::Record,
@@ -48,12 +48,12 @@
     let sidecars = fleet.sidecars();
     let behaviour = Arc::new(|_: &str, req: &Message| {
         let work = if req.path() == JOB { 800 } else { 20 };
-        Action::Answer(Answer {
+        Answer {
             status: 200,
             work: Duration::from_millis(work),
             body: b"done".to_vec(),
             ..Answer::default()
-        })
+        }
     });
     let mut endpoints = Vec::new();
     for machine in &sidecars {
--- a/review/stand-in-2/src/endpoint.rs
+++ b/review/stand-in-2/src/endpoint.rs
@@ -20,14 +20,7 @@
 const HEARTBEAT: Duration = Duration::from_millis(1500);
 const POLL: Duration = Duration::from_millis(2);
 
-/// What an endpoint does with a request.
-pub enum Action {
-    /// It works for some time and answers.
-    Answer(Answer),
-    /// It ends as soon as it has begun, and is back after some time.
-    Crash { down: Duration },
-}
-
+/// What an endpoint answers to a request.
 #[derive(Default)]
 pub struct Answer {
     pub status: u16,
@@ -45,13 +38,12 @@
     pub at: Duration,
     pub endpoint: String,
     pub id: String,
-    pub path: String,
     /// When the endpoint ended the run because its connection was closed.
     pub dropped_at: Option<Duration>,
     pub ended_at: Option<Duration>,
 }
 
-type Behaviour = dyn Fn(&str, &Message) -> Action + Send + Sync;
+type Behaviour = dyn Fn(&str, &Message) -> Answer + Send + Sync;
 
 pub struct Endpoint {
     inner: Arc<Inner>,
@@ -215,23 +207,10 @@
                 stream.write_all(&respond(421, &id, &answer))?;
                 continue;
             }
-            let action = (self.behaviour)(&self.machine, &req);
-            if !matches!(&action, Action::Answer(answer) if answer.is_rejection) {
+            let answer = (self.behaviour)(&self.machine, &req);
+            if !answer.is_rejection {
                 self.begin_run(&own_id, &id, &req);
             }
-            let answer = match action {
-                Action::Crash { down } => {
-                    self.record.add(format!("{own_id} crashes"));
-                    self.shut_down();
-                    thread::sleep(down);
-                    if !self.is_stopped.load(Ordering::SeqCst) {
-                        self.boot()?;
-                        self.beat();
-                    }
-                    return Ok(());
-                }
-                Action::Answer(answer) => answer,
-            };
             if !self.work(&stream, answer.work)? {
                 self.end_run(&id, true);
                 self.record
@@ -283,7 +262,6 @@
             at: self.record.now(),
             endpoint: own_id.to_owned(),
             id: id.to_owned(),
-            path: req.path().to_owned(),
             dropped_at: None,
             ended_at: None,
         };
--- a/review/stand-in-2/src/fleet.rs
+++ b/review/stand-in-2/src/fleet.rs
@@ -152,44 +152,6 @@
         Ok(())
     }
 
-    /// Sends a signal to the process of a machine.
-    pub fn signal(&self, machine: usize, signal: &str) -> io::Result<()> {
-        let m = &self.machines[machine];
-        let child = m.child.as_ref().ok_or(io::ErrorKind::NotFound)?;
-        self.record.add(format!("SIG{signal} to {}", m.name));
-        let id = child.id().to_string();
-        let sent = Command::new("kill")
-            .arg(format!("-{signal}"))
-            .arg(id)
-            .status()?;
-        if sent.success() {
-            Ok(())
-        } else {
-            Err(io::Error::other("the signal was not sent"))
-        }
-    }
-
-    /// Waits until the process of a machine has ended, and kills it after the grace period.
-    pub fn wait_for_end(&mut self, machine: usize, grace: Duration) -> io::Result<()> {
-        let end = Instant::now() + grace;
-        let m = &mut self.machines[machine];
-        let Some(mut child) = m.child.take() else {
-            return Ok(());
-        };
-        while child.try_wait()?.is_none() {
-            if Instant::now() >= end {
-                self.record.add(format!("SIGKILL to {}", m.name));
-                child.kill()?;
-                child.wait()?;
-                break;
-            }
-            std::thread::sleep(Duration::from_millis(20));
-        }
-        crate::watchdog::remove(child.id());
-        self.record.add(format!("{} has ended", m.name));
-        Ok(())
-    }
-
     /// The processes that have ended without a signal of the run.
     pub fn ended(&mut self) -> Vec<String> {
         let mut ended = Vec::new();
