test(review): a larger crowd, since a smaller one didn't always reach the memory of the machine

The heads are shorter, so that the requests stay below half a second of the machine's link.

Signals are sent by the shell, since a program of that name need not be there.

--- a/review/stand-in-2/src/cases/crowd.rs
+++ b/review/stand-in-2/src/cases/crowd.rs
@@ -25,15 +25,17 @@
 
 const SERVICE: &str = "huvo11a";
 const PATH: &str = "/leny950/2f";
+/// The path of the first request on each connection.
+const FIRST_PATH: &str = "/leny950/1";
 const SLOTS: u32 = 40;
 /// The mean work of a `fetch-minutes`.
 const WORK: Duration = Duration::from_millis(150);
 const MEMORY_MB: u32 = 160;
 const PROCESSES: usize = 6;
-const CONNECTIONS: usize = 300;
+const CONNECTIONS: usize = 500;
 const DEPTH: usize = 16;
 /// Fields that browsers and tracing add to a request.
-const COOKIE_BYTES: usize = 150;
+const COOKIE_BYTES: usize = 40;
 /// The rule allows three.
 const MAX_LOST: usize = 3;
 
@@ -52,9 +54,13 @@
     fleet.start_all(&config)?;
     let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
     let sidecars = fleet.sidecars();
-    let behaviour = Arc::new(|_: &str, _: &Message| Answer {
+    let behaviour = Arc::new(|_: &str, req: &Message| Answer {
         status: 200,
-        work: WORK,
+        work: if req.path() == FIRST_PATH {
+            Duration::ZERO
+        } else {
+            WORK
+        },
         body: vec![b'x'; 400],
         ..Answer::default()
     });
@@ -149,11 +155,7 @@
             peak.fetch_max(used, Ordering::SeqCst);
             if used > u64::from(MEMORY_MB) * 1024 {
                 record.add(format!("process {process} uses {used} KiB and is killed"));
-                let kill = Command::new("kill")
-                    .arg("-KILL")
-                    .arg(process.to_string())
-                    .status();
-                let _ = kill;
+                let _ = watchdog::kill(process);
                 return;
             }
             thread::sleep(Duration::from_millis(10));
@@ -223,7 +225,7 @@
     for _ in 0..connections {
         let mut stream = TcpStream::connect(to)?;
         stream.set_read_timeout(Some(Duration::from_secs(5)))?;
-        stream.write_all(&request(&client::new_id()))?;
+        stream.write_all(&request(FIRST_PATH, &client::new_id()))?;
         let mut reader = Reader::new(stream.try_clone()?);
         reader.read()?.ok_or(io::ErrorKind::UnexpectedEof)?;
         drop(reader);
@@ -236,7 +238,7 @@
     let mut sent: Vec<(TcpStream, Vec<String>)> = Vec::new();
     for mut stream in open {
         let ids: Vec<String> = (0..depth).map(|_| client::new_id()).collect();
-        let bytes: Vec<u8> = ids.iter().flat_map(|id| request(id)).collect();
+        let bytes: Vec<u8> = ids.iter().flat_map(|id| request(PATH, id)).collect();
         let _ = stream.write_all(&bytes);
         sent.push((stream, ids));
     }
@@ -277,9 +279,9 @@
         .any(|window| window == id.as_bytes())
 }
 
-fn request(id: &str) -> Vec<u8> {
+fn request(path: &str, id: &str) -> Vec<u8> {
     format!(
-        "GET {PATH} HTTP/1.1\r\nHost: {HOST}\r\nX-Nutmegwheel-Request-Id: {id}\r\n\
+        "GET {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Nutmegwheel-Request-Id: {id}\r\n\
          X-Nutmegwheel-Request-Deadline-Ms: 5000\r\nAuthorization: Token {KEY}\r\n\
          Cookie: {}\r\n\r\n",
         "c".repeat(COOKIE_BYTES)
--- a/review/stand-in-2/src/watchdog.rs
+++ b/review/stand-in-2/src/watchdog.rs
@@ -25,6 +25,13 @@
         .retain(|other| *other != process);
 }
 
+/// Kills a process that the run has started.
+pub fn kill(process: u32) -> std::io::Result<std::process::ExitStatus> {
+    Command::new("bash")
+        .args(["-c", &format!("kill -KILL {process}")])
+        .status()
+}
+
 pub fn start() {
     thread::spawn(|| {
         thread::sleep(LIMIT);
@@ -34,10 +41,7 @@
             .unwrap_or_else(PoisonError::into_inner)
             .iter()
         {
-            let _ = Command::new("kill")
-                .arg("-KILL")
-                .arg(process.to_string())
-                .status();
+            let _ = kill(*process);
         }
         std::process::exit(2);
     });
